--- /dev/null
+++ b/cmake/package.cmake
@@ -0,0 +1,48 @@
+# bgap_package (NAME [DEPENDS package...] [LIBS target...])
+#
+# Defines the static library bgap_NAME from src/*.c, one test program per
+# tests/test_*.c (linked with the other tests/*.c files) and, with BGAP_FUZZ, one libFuzzer program per
+# tests/fuzz/fuzz_*.c (linked with the other tests/fuzz/*.c files).
+function (bgap_package name)
+  cmake_parse_arguments (ARG "" "" "DEPENDS;LIBS" ${ARGN})
+  file (GLOB sources CONFIGURE_DEPENDS src/*.c)
+  if (NOT sources)
+    add_library (bgap_${name} INTERFACE)
+    return ()
+  endif ()
+  add_library (bgap_${name} STATIC ${sources})
+  target_include_directories (bgap_${name} PUBLIC include PRIVATE src)
+  foreach (dependency ${ARG_DEPENDS})
+    target_link_libraries (bgap_${name} PUBLIC bgap_${dependency})
+  endforeach ()
+  target_link_libraries (bgap_${name} PUBLIC ${ARG_LIBS})
+
+  file (GLOB tests CONFIGURE_DEPENDS tests/test_*.c)
+  file (GLOB helpers CONFIGURE_DEPENDS tests/*.c)
+  list (FILTER helpers EXCLUDE REGEX "/test_[^/]*$")
+  foreach (source ${tests})
+    get_filename_component (test ${source} NAME_WE)
+    set (target ${name}_${test})
+    add_executable (${target} ${source} ${helpers})
+    target_include_directories (${target} PRIVATE src tests)
+    target_link_libraries (${target} bgap_${name} PkgConfig::CMOCKA)
+    add_test (NAME ${name}.${test} COMMAND ${target}
+              WORKING_DIRECTORY ${CMAKE_CURRENT_SOURCE_DIR}/tests)
+    set_tests_properties (${name}.${test} PROPERTIES TIMEOUT 300)
+  endforeach ()
+
+  if (BGAP_FUZZ)
+    file (GLOB fuzzers CONFIGURE_DEPENDS tests/fuzz/fuzz_*.c)
+    file (GLOB fuzz_helpers CONFIGURE_DEPENDS tests/fuzz/*.c)
+    list (FILTER fuzz_helpers EXCLUDE REGEX "/fuzz_[^/]*$")
+    foreach (source ${fuzzers})
+      get_filename_component (target ${source} NAME_WE)
+      add_executable (${target} ${source} ${fuzz_helpers})
+      target_include_directories (${target} PRIVATE src tests tests/fuzz)
+      target_link_libraries (${target} bgap_${name})
+      target_link_options (${target} PRIVATE -fsanitize=fuzzer)
+      set_target_properties (${target} PROPERTIES RUNTIME_OUTPUT_DIRECTORY
+                             ${CMAKE_BINARY_DIR}/fuzz)
+    endforeach ()
+  endif ()
+endfunction ()
