--- a/packages/ownership/include/banyangap/ownership/engine.h
+++ b/packages/ownership/include/banyangap/ownership/engine.h
@@ -178,7 +178,10 @@
 
 /**
  * struct bgap_engine_route - where a key is served
- * @server: name of the holder, valid until the next call that takes now_ms
+ * @server: name of the backend server, valid until the next call that takes
+ *   now_ms
+ * @via: NULL, or the instance that holds the lease for a server that does not
+ *   check grants; requests must go through it
  * @incarnation: of the holder
  * @slice: slice of the key
  * @token: fencing token
@@ -187,6 +190,7 @@
 struct bgap_engine_route
 {
   const char *server;
+  const char *via;
   uint64_t incarnation;
   uint32_t slice;
   uint64_t token;
@@ -327,9 +331,6 @@
 /**
  * bgap_engine_lookup() - where a key is served
  *
- * For a server that does not check grants the holder is the instance through
- * which its requests must go.
- *
  * Return: BGAP_OK; BGAP_ERR_NOT_FOUND if the stream does not name the service;
  * BGAP_ERR_UNAVAILABLE if nobody holds the key.
  */
@@ -369,11 +370,13 @@
                                             int64_t now_ms);
 
 /**
- * bgap_engine_holder() - the leases that this instance holds for servers that
- * do not check grants
+ * bgap_engine_holder() - the lease that this instance holds on behalf of a
+ * server that does not check grants
+ *
+ * Return: the holder, or NULL if there is none.
  */
-const struct bgap_holder *
-bgap_engine_holder (const struct bgap_engine *engine);
+const struct bgap_holder *bgap_engine_holder (const struct bgap_engine *engine,
+                                              const char *server);
 
 /**
  * bgap_engine_replica() - the replayed state, read only
--- a/packages/ownership/include/banyangap/ownership/limits.h
+++ b/packages/ownership/include/banyangap/ownership/limits.h
@@ -20,7 +20,8 @@
 /* Longest key, in bytes, that can become a separate entry.  */
 #define BGAP_KEY_MAX 512
 
-/* Largest record in bytes: a snapshot chunk of 64 KiB in base64.  */
+/* Largest record in bytes: a snapshot chunk of 48 KiB in
+   hexadecimal, with room to spare.  */
 #define BGAP_RECORD_MAX 131072
 
 /* Items of one grant or revoke record.  */
--- a/packages/ownership/include/banyangap/ownership/message.h
+++ b/packages/ownership/include/banyangap/ownership/message.h
@@ -92,6 +92,7 @@
  * @stopped: the sender met a record of a higher schema
  * @leaving: the sender is shutting down
  * @witness_basis: offset of the newest accepted witness set
+ * @in_force: newest witness set that the sender knows to be in force
  * @config: version of the sender's configuration (heartbeat)
  * @service: of the loads
  * @snapshot_id, @part, @parts: of a snapshot chunk, which is the only item of
@@ -104,6 +105,7 @@
   uint64_t incarnation;
   uint64_t applied;
   uint64_t witness_basis;
+  uint64_t in_force;
   uint64_t config;
   bool caught_up;
   bool stopped;
--- a/packages/ownership/include/banyangap/ownership/replica.h
+++ b/packages/ownership/include/banyangap/ownership/replica.h
@@ -49,10 +49,12 @@
 
 /**
  * struct bgap_key_entry - a key that is an entry of its own
+ * @hash: XXH3 of the key
  */
 struct bgap_key_entry
 {
   struct bgap_holding holding;
+  uint64_t hash;
   uint32_t slice;
   uint16_t size;
   unsigned char *bytes;
@@ -63,7 +65,7 @@
  * @basis: newest accepted offset of the scope
  * @slice_count: fixed by the first accepted grant; 0 before
  * @slices: @slice_count holdings
- * @keys: @key_count entries, ordered by their bytes
+ * @keys: @key_count entries, ordered by hash, then bytes
  */
 struct bgap_scope
 {
--- a/packages/ownership/include/banyangap/ownership/snapshot.h
+++ b/packages/ownership/include/banyangap/ownership/snapshot.h
@@ -2,7 +2,7 @@
 #define BANYANGAP_OWNERSHIP_SNAPSHOT_H
 
 /*
- * Snapshots of a replica as records of at most 64 KiB of state each.
+ * Snapshots of a replica as records of at most 48 KiB of state each.
  *
  * Writing:
  *
@@ -27,9 +27,9 @@
 #include "banyangap/ownership/record.h"
 
 /* Bytes of state in one chunk.  */
-#define BGAP_SNAPSHOT_CHUNK 65536
+#define BGAP_SNAPSHOT_CHUNK 49152
 
-/* Chunks of one snapshot; bounds a reader's memory to 16 MiB.  */
+/* Chunks of one snapshot; bounds a reader's memory to 12 MiB.  */
 #define BGAP_SNAPSHOT_PARTS_MAX 256
 
 /**
--- /dev/null
+++ b/packages/ownership/src/replica_state.c
@@ -0,0 +1,101 @@
+#include "replica_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+enum bgap_status
+bgap_replica_state_setup (struct bgap_replica_state *state)
+{
+  *state = (struct bgap_replica_state){ 0 };
+  state->holders = calloc (BGAP_HOLDERS_MAX, sizeof *state->holders);
+  return state->holders ? BGAP_OK : BGAP_ERR_NO_MEMORY;
+}
+
+void
+bgap_replica_state_shutdown (struct bgap_replica_state *state)
+{
+  for (uint32_t i = 0; i < state->scope_count; i++)
+    {
+      struct bgap_scope *scope = state->scopes[i];
+      for (uint32_t j = 0; j < scope->key_count; j++)
+        free (scope->keys[j].bytes);
+      free (scope->keys);
+      free (scope->slices);
+      free (scope);
+    }
+  free (state->holders);
+  *state = (struct bgap_replica_state){ 0 };
+}
+
+struct bgap_scope *
+bgap_replica_state_add_scope (struct bgap_replica_state *state,
+                              const char *name)
+{
+  struct bgap_scope *scope = calloc (1, sizeof *scope);
+  if (scope == NULL)
+    return NULL;
+  memcpy (scope->name, name, strlen (name) + 1);
+  state->scopes[state->scope_count++] = scope;
+  return scope;
+}
+
+/* Whether an entry that has or had a holder refers to a name.  */
+static void
+_bgap_replica_state_mark (const struct bgap_holding *holding, bool *used)
+{
+  if (holding->token || holding->revoked)
+    used[holding->holder] = true;
+}
+
+/* Empties the places of names that no entry refers to. All replicas do this at
+   the same record, so their indexes stay equal.  */
+static uint32_t
+_bgap_replica_state_collect (struct bgap_replica_state *state)
+{
+  static bool used[BGAP_HOLDERS_MAX];
+  memset (used, 0, sizeof used);
+  for (uint32_t i = 0; i < state->scope_count; i++)
+    {
+      const struct bgap_scope *scope = state->scopes[i];
+      for (uint32_t j = 0; j < scope->slice_count; j++)
+        _bgap_replica_state_mark (&scope->slices[j], used);
+      for (uint32_t j = 0; j < scope->key_count; j++)
+        _bgap_replica_state_mark (&scope->keys[j].holding, used);
+    }
+  uint32_t free_places = 0;
+  for (uint32_t i = 0; i < state->holder_count; i++)
+    if (!used[i])
+      {
+        state->holders[i][0] = '\0';
+        free_places++;
+      }
+  return free_places;
+}
+
+bool
+bgap_replica_state_reserve (struct bgap_replica_state *state, uint32_t count)
+{
+  uint32_t room = BGAP_HOLDERS_MAX - state->holder_count;
+  if (room >= count)
+    return true;
+  return room + _bgap_replica_state_collect (state) >= count;
+}
+
+int32_t
+bgap_replica_state_holder (struct bgap_replica_state *state, const char *name)
+{
+  int32_t empty = -1;
+  for (uint32_t i = 0; i < state->holder_count; i++)
+    {
+      if (strcmp (state->holders[i], name) == 0)
+        return (int32_t)i;
+      if (empty < 0 && state->holders[i][0] == '\0')
+        empty = (int32_t)i;
+    }
+  if (empty < 0 && state->holder_count == BGAP_HOLDERS_MAX)
+    return -1;
+  if (empty < 0)
+    empty = (int32_t)state->holder_count++;
+  memcpy (state->holders[empty], name, strlen (name) + 1);
+  return empty;
+}
