routing: add the public headers

The daemon is written against these headers while the implementation follows. Checked by compiling each header alone; nothing is implemented yet.

--- /dev/null
+++ b/packages/routing/include/banyangap/routing/quarantine.h
@@ -0,0 +1,117 @@
+#ifndef BANYANGAP_ROUTING_QUARANTINE_H
+#define BANYANGAP_ROUTING_QUARANTINE_H
+
+/*
+ * Fingerprints of requests that crash servers. A fingerprint that was in
+ * flight at the deaths of two distinct servers, and was not answered since the
+ * first, is refused for some minutes.
+ *
+ *   struct bgap_quarantine quarantine;
+ *   bgap_quarantine_setup (&quarantine, &(struct bgap_quarantine_desc){ 0 });
+ *   bgap_quarantine_suspect (&quarantine, now_ms, fingerprint, server_hash);
+ *   if (bgap_quarantine_holds (&quarantine, now_ms, fingerprint))
+ *     ...   refuse
+ *   bgap_quarantine_answered (&quarantine, now_ms, fingerprint);
+ *   ... send what bgap_quarantine_encode yields to the zone ...
+ *   bgap_quarantine_shutdown (&quarantine);
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "banyangap/base/buffer.h"
+#include "banyangap/base/status.h"
+#include "banyangap/routing/message.h"
+
+/**
+ * struct bgap_quarantine_desc - options; zero means the default
+ * @capacity: fingerprints remembered; default 1024. When full, the one that
+ *   expires first is forgotten.
+ * @hold_ms: how long a fingerprint is refused; default 300 000
+ * @suspect_ms: how long a suspicion is remembered; default 300 000
+ */
+struct bgap_quarantine_desc
+{
+  uint32_t capacity;
+  int64_t hold_ms;
+  int64_t suspect_ms;
+};
+
+struct bgap_quarantine_entry;
+
+/**
+ * struct bgap_quarantine - the table; fields are private
+ */
+struct bgap_quarantine
+{
+  struct bgap_quarantine_entry *entries;
+  struct bgap_routing_suspicion *news;
+  uint32_t count;
+  uint32_t news_count;
+  struct bgap_quarantine_desc desc;
+};
+
+/**
+ * bgap_quarantine_setup() - create an empty table
+ *
+ * Return: BGAP_OK, BGAP_ERR_INVALID or BGAP_ERR_NO_MEMORY.
+ */
+enum bgap_status
+bgap_quarantine_setup (struct bgap_quarantine *quarantine,
+                       const struct bgap_quarantine_desc *desc);
+
+/**
+ * bgap_quarantine_shutdown() - free it; allowed on a zeroed table
+ */
+void bgap_quarantine_shutdown (struct bgap_quarantine *quarantine);
+
+/**
+ * bgap_quarantine_suspect() - it was in flight when @server died
+ * @server: XXH3 hash of the server's name
+ *
+ * Return: true if the fingerprint is in quarantine now.
+ */
+bool bgap_quarantine_suspect (struct bgap_quarantine *quarantine,
+                              int64_t now_ms, uint64_t fingerprint,
+                              uint64_t server);
+
+/**
+ * bgap_quarantine_answered() - a server answered it and lived
+ *
+ * Removes a suspicion; a quarantine stays until it expires.
+ */
+void bgap_quarantine_answered (struct bgap_quarantine *quarantine,
+                               int64_t now_ms, uint64_t fingerprint);
+
+/**
+ * bgap_quarantine_holds() - refuse this fingerprint; false for 0
+ */
+bool bgap_quarantine_holds (const struct bgap_quarantine *quarantine,
+                            int64_t now_ms, uint64_t fingerprint);
+
+/**
+ * bgap_quarantine_suspected() - it is a suspect or in quarantine
+ */
+bool bgap_quarantine_suspected (const struct bgap_quarantine *quarantine,
+                                int64_t now_ms, uint64_t fingerprint);
+
+/**
+ * bgap_quarantine_encode() - message with the news since the last call
+ *
+ * Return: true if there is news and @out was extended.
+ */
+bool bgap_quarantine_encode (struct bgap_quarantine *quarantine,
+                             struct bgap_buffer *out);
+
+/**
+ * bgap_quarantine_on_message() - news of another instance
+ *
+ * Return: BGAP_OK, or BGAP_ERR_PROTOCOL, which changes nothing.
+ */
+enum bgap_status
+bgap_quarantine_on_message (struct bgap_quarantine *quarantine, int64_t now_ms,
+                            const void *bytes, size_t size,
+                            struct bgap_error *err);
+
+#endif
--- /dev/null
+++ b/packages/routing/include/banyangap/routing/service.h
@@ -0,0 +1,118 @@
+#ifndef BANYANGAP_ROUTING_SERVICE_H
+#define BANYANGAP_ROUTING_SERVICE_H
+
+/*
+ * Options of a service and of a backend server, from the configuration.
+ *
+ *   struct bgap_service_desc desc = {
+ *     .name = "groeftregister", .repeat_never = true };
+ *   struct bgap_server_desc server = {
+ *     .name = "groeft-1", .zone = "aamosen", .slots = 4,
+ *     .connections = 110, .entry_hosts_max = 12 };
+ */
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "banyangap/routing/types.h"
+
+struct bgap_balancer_ops;
+
+/**
+ * struct bgap_service_desc - options of a service; zero means the default
+ * @name: required, unique; also names the stream once.<name>
+ * @keyed: partitioned by key: the caller of the router passes the holder
+ * @repeat_never: requests that are not idempotent run at most once and need
+ *   an idempotency key
+ * @class_: class of requests that state none; default normal
+ * @deadline_ms: for requests that state none; default 10 000
+ * @deadline_max_ms: upper bound of a request's deadline; default 600 000
+ * @queue_limit: waiting requests; default 4 x the slots of its servers
+ * @attempts_max: attempts per request; default 3
+ * @retry_percent: retries per 100 requests; default 20
+ * @once_window_ms: repeats are recognised for so long; default 3 600 000
+ * @once_keys_max: keys remembered; default 131 072
+ * @once_body_bytes_max: bytes of stored answers; default 8 MiB
+ * @policy: balancer of a service without keys; default bgap_balancer_default
+ */
+struct bgap_service_desc
+{
+  const char *name;
+  bool keyed;
+  bool repeat_never;
+  enum bgap_class class_;
+  int64_t deadline_ms;
+  int64_t deadline_max_ms;
+  uint32_t queue_limit;
+  uint32_t attempts_max;
+  uint32_t retry_percent;
+  int64_t once_window_ms;
+  uint32_t once_keys_max;
+  uint32_t once_body_bytes_max;
+  const struct bgap_balancer_ops *policy;
+};
+
+/**
+ * struct bgap_server_desc - options of a backend server
+ * @name: required, unique within the service
+ * @zone: required
+ * @slots: requests it runs at a time; default 1
+ * @connections: it accepts from all instances together; default 64
+ * @entry_hosts_max: divisor of @connections; default 12
+ * @in_place: the server was already running before the instance started, so
+ *   that no slow start applies
+ */
+struct bgap_server_desc
+{
+  const char *name;
+  const char *zone;
+  uint32_t slots;
+  uint32_t connections;
+  uint32_t entry_hosts_max;
+  bool in_place;
+};
+
+/**
+ * enum bgap_drain_signal - who says that a server is leaving
+ */
+enum bgap_drain_signal
+{
+  BGAP_DRAIN_HOST_LIST,
+  BGAP_DRAIN_REPORT,
+  BGAP_DRAIN_RESOURCE,
+  BGAP_DRAIN_COUNT
+};
+
+/**
+ * struct bgap_server_load - load report of a server
+ * @in_flight: requests it runs
+ * @slots: its own count of slots, 0 if not stated; a smaller count than
+ *   configured lowers the limit
+ * @queued: requests that wait in it
+ * @draining: it reports that it is leaving
+ */
+struct bgap_server_load
+{
+  uint32_t in_flight;
+  uint32_t slots;
+  uint32_t queued;
+  bool draining;
+};
+
+/**
+ * struct bgap_server_status - snapshot of a server for reports
+ */
+struct bgap_server_status
+{
+  const char *name;
+  const char *zone;
+  uint32_t slots;
+  uint32_t in_flight;     /* of this instance */
+  uint32_t in_flight_all; /* with the counts that peers reported */
+  uint32_t quota;         /* connections this instance may open */
+  bool draining;
+  bool ejected;
+  bool lost;
+};
+
+#endif
