resource: parse, validate and replay configuration

One table per kind drives the reader, the diff and the defaults, so that they cannot disagree. A first pass over the events bounds depth, nodes and documents and refuses aliases before anything is loaded.

The number of slices of a keyed service is remembered per owner, because grants name slices by number: a change of it is refused, and one that is left out does not follow the number of servers later.

--- a/packages/resource/include/banyangap/resource/set.h
+++ b/packages/resource/include/banyangap/resource/set.h
@@ -83,7 +83,8 @@
  * bgap_resource_parse() - add the documents of a YAML text to the set
  * @file: name of the text in findings
  *
- * A document with findings is not added.
+ * A document whose name or owner cannot be read is not added. A set with
+ * findings serves only for further validation.
  *
  * Return: BGAP_OK, BGAP_ERR_INVALID if findings were added, or
  * BGAP_ERR_NO_MEMORY.
@@ -96,7 +97,8 @@
 /**
  * bgap_resource_validate() - check references, collisions and combinations
  *
- * Return: BGAP_OK, or BGAP_ERR_INVALID if findings were added.
+ * Return: BGAP_OK, BGAP_ERR_INVALID if findings were added, or
+ * BGAP_ERR_NO_MEMORY.
  */
 enum bgap_status bgap_resource_validate (const struct bgap_resource_set *set,
                                          struct bgap_findings *findings);
@@ -111,7 +113,7 @@
  * bgap_resource_copy() - add copies of the resources of @owner to @set
  * @owner: NULL means all owners
  *
- * Positions are copied too if @from still has them.
+ * Positions are not copied.
  *
  * Return: BGAP_OK or BGAP_ERR_NO_MEMORY.
  */
--- /dev/null
+++ b/packages/resource/src/report.h
@@ -0,0 +1,33 @@
+#ifndef BANYANGAP_RESOURCE_REPORT_H
+#define BANYANGAP_RESOURCE_REPORT_H
+
+/*
+ * Findings about resources of a set, with the position of a field.
+ */
+
+#include "array.h"
+#include "marks.h"
+
+/**
+ * struct bgap_report - what a finding is about
+ * @element: 1 + index of the server in its list, or 0
+ * @field: name of the field, or NULL for the whole resource
+ */
+struct bgap_report
+{
+  const struct bgap_resource_set *set;
+  struct bgap_findings *findings;
+  enum bgap_resource_kind kind;
+  uint32_t index;
+  uint32_t element;
+  const char *field;
+};
+
+/**
+ * bgap_report_add() - add a finding
+ */
+void bgap_report_add (const struct bgap_report *report, const char *remedy,
+                      const char *format, ...)
+    __attribute__ ((format (printf, 3, 4)));
+
+#endif
--- /dev/null
+++ b/packages/resource/tests/support.h
@@ -0,0 +1,32 @@
+#ifndef BANYANGAP_RESOURCE_TESTS_SUPPORT_H
+#define BANYANGAP_RESOURCE_TESTS_SUPPORT_H
+
+#include <stddef.h>
+
+#include "banyangap/base/buffer.h"
+#include "banyangap/resource/set.h"
+
+/**
+ * support_read() - append the content of a file; fails the test if it cannot
+ */
+void support_read (const char *path, struct bgap_buffer *out);
+
+/**
+ * support_load() - parse a file into a set and validate it
+ */
+enum bgap_status support_load (struct bgap_resource_set *set, const char *path,
+                               struct bgap_findings *findings);
+
+/**
+ * support_check_golden() - compare a report with golden/NAME.txt
+ */
+void support_check_golden (struct bgap_findings *findings, const char *name);
+
+/**
+ * support_owner() - documents of an owner with one keyed service "s"
+ * @servers: number of its servers, named OWNER-0, OWNER-1 and so on
+ */
+void support_owner (struct bgap_buffer *out, const char *owner,
+                    unsigned servers, unsigned deadline_ms);
+
+#endif
