--- /dev/null
+++ b/packages/gateway/include/banyangap/gateway/frontend.h
@@ -0,0 +1,241 @@
+#ifndef BANYANGAP_GATEWAY_FRONTEND_H
+#define BANYANGAP_GATEWAY_FRONTEND_H
+
+/*
+ * HTTP server for callers. A request is handed over when its head and body
+ * are complete; its response is streamed.
+ *
+ *   static void
+ *   on_request (void *context, struct bgap_exchange_id id,
+ *               const struct bgap_frontend_request *request)
+ *   {
+ *     bgap_frontend_start (frontend, id, 200, &headers);
+ *     bgap_frontend_write (frontend, id, bytes, size);
+ *     bgap_frontend_finish (frontend, id);
+ *   }
+ *
+ *   struct bgap_frontend *frontend;
+ *   bgap_frontend_setup (&frontend, &(struct bgap_frontend_desc){
+ *     .base = base, .address = "127.0.0.1:8080",
+ *     .ops = { .request = on_request, .cancel = on_cancel,
+ *              .resume = on_resume, .context = daemon } }, &err);
+ *   ...
+ *   bgap_frontend_stop (frontend);      (ops.stopped follows)
+ *   bgap_frontend_shutdown (frontend);
+ *
+ * An exchange (one request and its response) ends with
+ * bgap_frontend_finish(), _break() or _reply(), or with ops.cancel when the
+ * caller goes away or stops reading. Its id is stale from then on, and calls
+ * with a stale id return BGAP_ERR_NOT_FOUND and have no other effect. The
+ * request, its headers and its body stay valid until the exchange ends, so
+ * that an attempt can be repeated from them.
+ *
+ * Requests that the frontend refuses itself (malformed, too large, too slow)
+ * never reach ops.request and are answered with "Bgap-Outcome: not-run".
+ */
+
+#include <event2/event.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "banyangap/base/counters.h"
+#include "banyangap/gateway/headers.h"
+#include "banyangap/gateway/target.h"
+
+/**
+ * struct bgap_exchange_id - handle of one request and its response
+ */
+struct bgap_exchange_id
+{
+  uint32_t id;
+};
+
+/**
+ * struct bgap_frontend_request - a complete request
+ * @method: "GET", "POST" and so on
+ * @target: path and query as received, not decoded
+ * @parts: owner, service and key of @target
+ * @headers: as received, without hop-by-hop fields and Content-Length
+ * @body: complete body, or NULL if it is empty
+ * @body_size: bytes in @body
+ * @peer: numeric address and port of the caller's connection
+ */
+struct bgap_frontend_request
+{
+  const char *method;
+  const char *target;
+  struct bgap_target parts;
+  struct bgap_headers headers;
+  const void *body;
+  size_t body_size;
+  char peer[64];
+};
+
+/**
+ * struct bgap_frontend_ops - what the frontend reports
+ * @request: a complete request
+ * @cancel: the caller went away, or did not read for the idle limit; the
+ *   exchange has ended
+ * @resume: the response buffer, which was above its limit, is below the lower
+ *   one; may be NULL
+ * @stopped: the last exchange has ended after bgap_frontend_stop(); may be
+ *   NULL
+ * @context: first argument of all functions
+ */
+struct bgap_frontend_ops
+{
+  void (*request) (void *context, struct bgap_exchange_id id,
+                   const struct bgap_frontend_request *request);
+  void (*cancel) (void *context, struct bgap_exchange_id id);
+  void (*resume) (void *context, struct bgap_exchange_id id);
+  void (*stopped) (void *context);
+  void *context;
+};
+
+/**
+ * struct bgap_frontend_desc - options
+ * @base: event loop, required
+ * @address: numeric address and port to listen on; port 0 picks one; required
+ * @ops: request and cancel are required
+ * @counters: registry for bgap_frontend_* counters; NULL means none
+ * @connections_max: further ones are accepted and closed; 0 means 1024
+ * @head_size_max: bytes of request line and headers; 0 means 16384
+ * @body_size_max: bytes of one body, larger ones get 413; 0 means 1048576
+ * @bodies_size_max: bytes of all bodies held at a time, a request beyond it
+ *   gets 503; 0 means 67108864
+ * @head_timeout_ms: from the first byte of a head to its end; 0 means 10000
+ * @body_timeout_ms: from the end of a head to the end of its body; 0 means
+ *   30000
+ * @idle_timeout_ms: an open connection without a request, or a response of
+ *   which the caller takes no byte; 0 means 60000
+ * @buffer_high: bytes of response buffered above which
+ *   bgap_frontend_is_full() is true; 0 means 262144
+ * @buffer_low: ops.resume comes when the buffer falls to it; 0 means 65536
+ */
+struct bgap_frontend_desc
+{
+  struct event_base *base;
+  const char *address;
+  struct bgap_frontend_ops ops;
+  struct bgap_counters *counters;
+  uint32_t connections_max;
+  size_t head_size_max;
+  size_t body_size_max;
+  size_t bodies_size_max;
+  uint32_t head_timeout_ms;
+  uint32_t body_timeout_ms;
+  uint32_t idle_timeout_ms;
+  size_t buffer_high;
+  size_t buffer_low;
+};
+
+struct bgap_frontend;
+
+/**
+ * bgap_frontend_setup() - listen
+ *
+ * Return: BGAP_OK, BGAP_ERR_INVALID, BGAP_ERR_NO_MEMORY or BGAP_ERR_IO.
+ */
+enum bgap_status bgap_frontend_setup (struct bgap_frontend **frontend,
+                                      const struct bgap_frontend_desc *desc,
+                                      struct bgap_error *err);
+
+/**
+ * bgap_frontend_port() - port that the frontend listens on
+ */
+uint16_t bgap_frontend_port (const struct bgap_frontend *frontend);
+
+/**
+ * bgap_frontend_request() - request of a running exchange, or NULL
+ */
+const struct bgap_frontend_request *
+bgap_frontend_request (const struct bgap_frontend *frontend,
+                       struct bgap_exchange_id id);
+
+/**
+ * bgap_frontend_start() - send the response's head
+ * @status: HTTP status from 200 to 599
+ * @headers: copied; hop-by-hop fields are left out. With a Content-Length the
+ *   body must have that size, else it is sent in chunks. NULL means none
+ *
+ * Return: BGAP_OK, BGAP_ERR_NOT_FOUND, or BGAP_ERR_INVALID (bad status or
+ * length, or already started).
+ */
+enum bgap_status bgap_frontend_start (struct bgap_frontend *frontend,
+                                      struct bgap_exchange_id id, int status,
+                                      const struct bgap_headers *headers);
+
+/**
+ * bgap_frontend_write() - send a part of the body
+ *
+ * All bytes are taken, so the caller must stop the source while
+ * bgap_frontend_is_full() is true. Bytes for a response without a body (HEAD,
+ * 204, 304) are dropped.
+ *
+ * Return: BGAP_OK, BGAP_ERR_NOT_FOUND, BGAP_ERR_NO_MEMORY, or BGAP_ERR_INVALID
+ * (not started, or more than Content-Length).
+ */
+enum bgap_status bgap_frontend_write (struct bgap_frontend *frontend,
+                                      struct bgap_exchange_id id,
+                                      const void *bytes, size_t size);
+
+/**
+ * bgap_frontend_is_full() - whether to pause the source until ops.resume
+ */
+bool bgap_frontend_is_full (const struct bgap_frontend *frontend,
+                            struct bgap_exchange_id id);
+
+/**
+ * bgap_frontend_finish() - the body is complete; the exchange ends
+ *
+ * A body shorter than its Content-Length breaks the connection instead.
+ *
+ * Return: BGAP_OK, BGAP_ERR_NOT_FOUND, or BGAP_ERR_INVALID (not started, or
+ * the body was too short).
+ */
+enum bgap_status bgap_frontend_finish (struct bgap_frontend *frontend,
+                                       struct bgap_exchange_id id);
+
+/**
+ * bgap_frontend_break() - the body cannot be completed; the exchange ends
+ *
+ * The connection is reset, so that the caller cannot take the response for a
+ * complete one.
+ *
+ * Return: BGAP_OK or BGAP_ERR_NOT_FOUND.
+ */
+enum bgap_status bgap_frontend_break (struct bgap_frontend *frontend,
+                                      struct bgap_exchange_id id);
+
+/**
+ * bgap_frontend_reply() - send a whole response; the exchange ends
+ * @headers: as for bgap_frontend_start(), without Content-Length
+ *
+ * Return: as for bgap_frontend_start().
+ */
+enum bgap_status bgap_frontend_reply (struct bgap_frontend *frontend,
+                                      struct bgap_exchange_id id, int status,
+                                      const struct bgap_headers *headers,
+                                      const void *body, size_t size);
+
+/**
+ * bgap_frontend_exchanges() - number of running exchanges
+ */
+uint32_t bgap_frontend_exchanges (const struct bgap_frontend *frontend);
+
+/**
+ * bgap_frontend_stop() - take no new connections; let running requests finish
+ *
+ * Idle connections are closed, responses carry "Connection: close", and
+ * requests that have been received in part still run. ops.stopped is called
+ * from the event loop once nothing is left, also when nothing was running.
+ */
+void bgap_frontend_stop (struct bgap_frontend *frontend);
+
+/**
+ * bgap_frontend_shutdown() - close all connections, without callbacks
+ * @frontend: NULL is allowed
+ */
+void bgap_frontend_shutdown (struct bgap_frontend *frontend);
+
+#endif
--- /dev/null
+++ b/packages/platform/include/banyangap/platform/log_http.h
@@ -0,0 +1,69 @@
+#ifndef BANYANGAP_PLATFORM_LOG_HTTP_H
+#define BANYANGAP_PLATFORM_LOG_HTTP_H
+
+/*
+ * The log service over HTTP (docs/design.md, section 10), on evhttp's client.
+ *
+ *   struct bgap_log_http *http;
+ *   enum bgap_status status = bgap_log_http_setup (
+ *     &http, &(struct bgap_log_http_desc){
+ *       .base = base, .address = "127.0.0.1:7001" }, &err);
+ *   struct bgap_log_ops log = bgap_log_http_ops (http);
+ *   ...
+ *   bgap_log_http_shutdown (http);
+ */
+
+#include <event2/event.h>
+
+#include "banyangap/platform/log_service.h"
+
+/**
+ * struct bgap_log_http_desc - options
+ * @base: event loop, required
+ * @address: numeric address and port ("127.0.0.1:7001", "[::1]:7001"),
+ *   required
+ * @append_timeout_ms: limit of one append from the moment it is sent; 0 means
+ *   2000
+ * @read_timeout_ms: limit of one read in addition to its wait, and of one
+ *   end; 0 means 2000
+ * @queue_timeout_ms: an append that waited this long behind others of its
+ *   stream is refused without being sent; 0 means 5000
+ * @calls_max: calls in progress, queued appends included; 0 means 256
+ * @record_size_max: bytes of one record; 0 means 262144
+ * @response_size_max: bytes of one response body; 0 means 4194304
+ */
+struct bgap_log_http_desc
+{
+  struct event_base *base;
+  const char *address;
+  uint32_t append_timeout_ms;
+  uint32_t read_timeout_ms;
+  uint32_t queue_timeout_ms;
+  uint32_t calls_max;
+  size_t record_size_max;
+  size_t response_size_max;
+};
+
+struct bgap_log_http;
+
+/**
+ * bgap_log_http_setup() - create the client; connects on the first call
+ *
+ * Return: BGAP_OK, BGAP_ERR_INVALID or BGAP_ERR_NO_MEMORY.
+ */
+enum bgap_status bgap_log_http_setup (struct bgap_log_http **http,
+                                      const struct bgap_log_http_desc *desc,
+                                      struct bgap_error *err);
+
+/**
+ * bgap_log_http_ops() - function table of the client, valid until shutdown
+ */
+struct bgap_log_ops bgap_log_http_ops (struct bgap_log_http *http);
+
+/**
+ * bgap_log_http_shutdown() - drop all calls without completing them
+ * @http: NULL is allowed
+ */
+void bgap_log_http_shutdown (struct bgap_log_http *http);
+
+#endif
