--- /dev/null
+++ b/packages/platform/src/http_client.c
@@ -0,0 +1,357 @@
+#include "http_client.h"
+
+#include <arpa/inet.h>
+#include <event2/buffer.h>
+#include <event2/bufferevent.h>
+#include <event2/event_struct.h>
+#include <event2/util.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <sys/queue.h>
+
+/* Unused connections that are kept open.  */
+#define IDLE_MAX 4
+
+/* Bytes of all response headers.  */
+#define HEADERS_SIZE_MAX 16384
+
+/* Seconds by which evhttp's own limit exceeds the limit of the call, so that
+   the call's timer always decides.  */
+#define EVHTTP_EXTRA_SECONDS 5
+
+struct link
+{
+  LIST_ENTRY (link) next;
+  struct evhttp_connection *connection;
+  struct call *call;
+};
+
+struct call
+{
+  LIST_ENTRY (call) next;
+  struct bgap_http_client *client;
+  struct link *link;
+  struct evhttp_request *request;
+  struct event timer;
+  struct event finish;
+  bool sent;
+  const char *failure;
+  void (*done) (void *user, const struct bgap_http_reply *reply);
+  void *user;
+};
+
+LIST_HEAD (link_list, link);
+LIST_HEAD (call_list, call);
+
+struct bgap_http_client
+{
+  struct event_base *base;
+  char host[INET6_ADDRSTRLEN];
+  char host_header[INET6_ADDRSTRLEN + 16];
+  uint16_t port;
+  size_t body_size_max;
+  struct link_list idle;
+  uint32_t idle_count;
+  struct call_list calls;
+};
+
+static enum bgap_status
+_bgap_http_parse_address (struct bgap_http_client *client, const char *address)
+{
+  struct sockaddr_storage storage;
+  int size = sizeof storage;
+  if (evutil_parse_sockaddr_port (address, (struct sockaddr *)&storage, &size)
+      != 0)
+    return BGAP_ERR_INVALID;
+  const void *ip;
+  if (storage.ss_family == AF_INET6)
+    {
+      const struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)&storage;
+      ip = &in6->sin6_addr;
+      client->port = ntohs (in6->sin6_port);
+    }
+  else
+    {
+      const struct sockaddr_in *in = (struct sockaddr_in *)&storage;
+      ip = &in->sin_addr;
+      client->port = ntohs (in->sin_port);
+    }
+  if (client->port == 0
+      || inet_ntop (storage.ss_family, ip, client->host, sizeof client->host)
+             == NULL)
+    return BGAP_ERR_INVALID;
+  const char *format = storage.ss_family == AF_INET6 ? "[%s]:%u" : "%s:%u";
+  snprintf (client->host_header, sizeof client->host_header, format,
+            client->host, client->port);
+  return BGAP_OK;
+}
+
+enum bgap_status
+bgap_http_client_setup (struct bgap_http_client **client,
+                        struct event_base *base, const char *address,
+                        size_t body_size_max, struct bgap_error *err)
+{
+  struct bgap_http_client *c = calloc (1, sizeof *c);
+  if (c == NULL)
+    return bgap_error_set (err, BGAP_ERR_NO_MEMORY, "out of memory");
+  if (address == NULL || _bgap_http_parse_address (c, address) != BGAP_OK)
+    {
+      free (c);
+      return bgap_error_set (err, BGAP_ERR_INVALID,
+                             "\"%s\" is not a numeric address and port",
+                             address ? address : "");
+    }
+  c->base = base;
+  c->body_size_max = body_size_max;
+  LIST_INIT (&c->idle);
+  LIST_INIT (&c->calls);
+  *client = c;
+  return BGAP_OK;
+}
+
+static void
+_bgap_http_link_free (struct link *link)
+{
+  evhttp_connection_free (link->connection);
+  free (link);
+}
+
+/* Bytes that leave the output buffer count as sent, also when evhttp discards
+   them on a failure: this can only turn "not sent" into "unknown".  */
+static void
+_bgap_http_on_output (struct evbuffer *buffer,
+                      const struct evbuffer_cb_info *info, void *user)
+{
+  struct link *link = user;
+  (void)buffer;
+  if (info->n_deleted > 0 && link->call != NULL)
+    link->call->sent = true;
+}
+
+static struct link *
+_bgap_http_link_new (struct bgap_http_client *client)
+{
+  struct link *link = calloc (1, sizeof *link);
+  if (link == NULL)
+    return NULL;
+  link->connection = evhttp_connection_base_bufferevent_new (
+      client->base, NULL, NULL, client->host, client->port);
+  if (link->connection == NULL)
+    {
+      free (link);
+      return NULL;
+    }
+  evhttp_connection_set_max_body_size (link->connection,
+                                       (ev_ssize_t)client->body_size_max);
+  evhttp_connection_set_max_headers_size (link->connection, HEADERS_SIZE_MAX);
+  struct bufferevent *bev
+      = evhttp_connection_get_bufferevent (link->connection);
+  if (evbuffer_add_cb (bufferevent_get_output (bev), _bgap_http_on_output,
+                       link)
+      == NULL)
+    {
+      _bgap_http_link_free (link);
+      return NULL;
+    }
+  return link;
+}
+
+static struct link *
+_bgap_http_link_take (struct bgap_http_client *client)
+{
+  struct link *link = LIST_FIRST (&client->idle);
+  if (link == NULL)
+    return _bgap_http_link_new (client);
+  LIST_REMOVE (link, next);
+  client->idle_count--;
+  return link;
+}
+
+static void
+_bgap_http_link_give_back (struct bgap_http_client *client, struct link *link,
+                           bool reusable)
+{
+  link->call = NULL;
+  if (!reusable || client->idle_count >= IDLE_MAX)
+    {
+      _bgap_http_link_free (link);
+      return;
+    }
+  LIST_INSERT_HEAD (&client->idle, link, next);
+  client->idle_count++;
+}
+
+static void
+_bgap_http_call_free (struct call *call, bool reusable)
+{
+  LIST_REMOVE (call, next);
+  event_del (&call->timer);
+  event_del (&call->finish);
+  if (call->link != NULL)
+    _bgap_http_link_give_back (call->client, call->link, reusable);
+  if (call->request != NULL)
+    evhttp_request_free (call->request);
+  free (call);
+}
+
+/* Runs in a stack of its own, so that evhttp is not in the middle of using the
+   connection that is freed here.  */
+static void
+_bgap_http_on_finish (evutil_socket_t fd, short events, void *user)
+{
+  struct call *call = user;
+  (void)fd;
+  (void)events;
+  struct bgap_http_reply reply = { .sent = call->sent, .body = "" };
+  int status = evhttp_request_get_response_code (call->request);
+  struct evbuffer *body = evhttp_request_get_input_buffer (call->request);
+  reply.size = evbuffer_get_length (body);
+  if (call->failure == NULL && status != 0 && reply.size > 0)
+    {
+      const char *bytes = (const char *)evbuffer_pullup (body, -1);
+      if (bytes == NULL)
+        call->failure = "out of memory";
+      else
+        reply.body = bytes;
+    }
+  if (call->failure == NULL && status == 0)
+    call->failure = "the connection could not be opened";
+  if (call->failure != NULL)
+    reply.size = 0;
+  else
+    reply.status = status;
+  reply.message = call->failure;
+
+  /* The request, which holds the body, outlives the call.  */
+  void (*done) (void *, const struct bgap_http_reply *) = call->done;
+  void *done_user = call->user;
+  struct evhttp_request *request = call->request;
+  call->request = NULL;
+  _bgap_http_call_free (call, reply.status != 0);
+  done (done_user, &reply);
+  evhttp_request_free (request);
+}
+
+static void
+_bgap_http_on_response (struct evhttp_request *request, void *user)
+{
+  struct call *call = user;
+  if (request == NULL && call->failure == NULL)
+    call->failure = "the connection broke";
+  event_del (&call->timer);
+  event_active (&call->finish, EV_TIMEOUT, 1);
+}
+
+static void
+_bgap_http_on_error (enum evhttp_request_error error, void *user)
+{
+  struct call *call = user;
+  switch (error)
+    {
+    case EVREQ_HTTP_TIMEOUT:
+      call->failure = "no answer in time";
+      break;
+    case EVREQ_HTTP_INVALID_HEADER:
+      call->failure = "the response is malformed";
+      break;
+    case EVREQ_HTTP_DATA_TOO_LONG:
+      call->failure = "the response is too large";
+      break;
+    default:
+      call->failure = "the connection broke";
+      break;
+    }
+}
+
+static void
+_bgap_http_on_timer (evutil_socket_t fd, short events, void *user)
+{
+  struct call *call = user;
+  (void)fd;
+  (void)events;
+  if (call->link == NULL)
+    return;
+  call->failure = "no answer in time";
+  _bgap_http_link_free (call->link);
+  call->link = NULL;
+  event_active (&call->finish, EV_TIMEOUT, 1);
+}
+
+static enum bgap_status
+_bgap_http_request_new (struct call *call,
+                        const struct bgap_http_call_desc *desc)
+{
+  call->request = evhttp_request_new (_bgap_http_on_response, call);
+  if (call->request == NULL)
+    return BGAP_ERR_NO_MEMORY;
+  evhttp_request_own (call->request);
+  evhttp_request_set_error_cb (call->request, _bgap_http_on_error);
+  struct evkeyvalq *headers
+      = evhttp_request_get_output_headers (call->request);
+  if (evhttp_add_header (headers, "Host", call->client->host_header) != 0)
+    return BGAP_ERR_NO_MEMORY;
+  if (desc->body_size == 0)
+    return BGAP_OK;
+  struct evbuffer *body = evhttp_request_get_output_buffer (call->request);
+  if (evhttp_add_header (headers, "Content-Type", "application/json") != 0
+      || evbuffer_add (body, desc->body, desc->body_size) != 0)
+    return BGAP_ERR_NO_MEMORY;
+  return BGAP_OK;
+}
+
+enum bgap_status
+bgap_http_client_start (struct bgap_http_client *client,
+                        const struct bgap_http_call_desc *desc)
+{
+  struct call *call = calloc (1, sizeof *call);
+  if (call == NULL)
+    return BGAP_ERR_NO_MEMORY;
+  call->client = client;
+  call->done = desc->done;
+  call->user = desc->user;
+  event_assign (&call->timer, client->base, -1, 0, _bgap_http_on_timer, call);
+  event_assign (&call->finish, client->base, -1, 0, _bgap_http_on_finish,
+                call);
+  LIST_INSERT_HEAD (&client->calls, call, next);
+  call->link = _bgap_http_link_take (client);
+  if (call->link == NULL || _bgap_http_request_new (call, desc) != BGAP_OK)
+    {
+      _bgap_http_call_free (call, true);
+      return BGAP_ERR_NO_MEMORY;
+    }
+  call->link->call = call;
+  evhttp_connection_set_timeout (call->link->connection,
+                                 (int)(desc->timeout_ms / 1000)
+                                     + EVHTTP_EXTRA_SECONDS);
+  const struct timeval limit = {
+    .tv_sec = desc->timeout_ms / 1000,
+    .tv_usec = (suseconds_t)(desc->timeout_ms % 1000) * 1000,
+  };
+  event_add (&call->timer, &limit);
+  if (evhttp_make_request (call->link->connection, call->request, desc->method,
+                           desc->path)
+      != 0)
+    {
+      call->failure = "the connection could not be opened";
+      event_active (&call->finish, EV_TIMEOUT, 1);
+    }
+  return BGAP_OK;
+}
+
+void
+bgap_http_client_shutdown (struct bgap_http_client *client)
+{
+  if (client == NULL)
+    return;
+  struct call *call;
+  while ((call = LIST_FIRST (&client->calls)) != NULL)
+    _bgap_http_call_free (call, false);
+  struct link *link;
+  while ((link = LIST_FIRST (&client->idle)) != NULL)
+    {
+      LIST_REMOVE (link, next);
+      _bgap_http_link_free (link);
+    }
+  free (client);
+}
