--- a/packages/platform/src/host_list_http.c
+++ b/packages/platform/src/host_list_http.c
@@ -145,8 +145,12 @@
   if (http == NULL)
     return;
   bgap_http_client_shutdown (http->client);
-  struct fetch *fetch;
-  while ((fetch = LIST_FIRST (&http->fetches)) != NULL)
-    _bgap_host_fetch_free (fetch);
+  struct fetch *fetch = LIST_FIRST (&http->fetches);
+  while (fetch != NULL)
+    {
+      struct fetch *next = LIST_NEXT (fetch, next);
+      _bgap_host_fetch_free (fetch);
+      fetch = next;
+    }
   free (http);
 }
--- a/packages/platform/src/http_client.c
+++ b/packages/platform/src/http_client.c
@@ -1,6 +1,7 @@
 #include "http_client.h"
 
 #include <arpa/inet.h>
+#include <errno.h>
 #include <event2/buffer.h>
 #include <event2/bufferevent.h>
 #include <event2/event_struct.h>
@@ -157,15 +158,34 @@
   return link;
 }
 
+/* An append on a connection that the log has closed already would end as
+   unknown although the log never saw it. evhttp reconnects a connection whose
+   end it has noticed; this finds the ends that it has not read yet.  */
+static bool
+_bgap_http_link_is_usable (const struct link *link)
+{
+  evutil_socket_t fd = bufferevent_getfd (
+      evhttp_connection_get_bufferevent (link->connection));
+  char byte;
+  if (fd < 0)
+    return true;
+  return recv (fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0
+         && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 static struct link *
 _bgap_http_link_take (struct bgap_http_client *client)
 {
-  struct link *link = LIST_FIRST (&client->idle);
-  if (link == NULL)
-    return _bgap_http_link_new (client);
-  LIST_REMOVE (link, next);
-  client->idle_count--;
-  return link;
+  struct link *link;
+  while ((link = LIST_FIRST (&client->idle)) != NULL)
+    {
+      LIST_REMOVE (link, next);
+      client->idle_count--;
+      if (_bgap_http_link_is_usable (link))
+        return link;
+      _bgap_http_link_free (link);
+    }
+  return _bgap_http_link_new (client);
 }
 
 static void
@@ -344,14 +364,19 @@
 {
   if (client == NULL)
     return;
-  struct call *call;
-  while ((call = LIST_FIRST (&client->calls)) != NULL)
-    _bgap_http_call_free (call, false);
-  struct link *link;
-  while ((link = LIST_FIRST (&client->idle)) != NULL)
+  struct call *call = LIST_FIRST (&client->calls);
+  while (call != NULL)
     {
-      LIST_REMOVE (link, next);
+      struct call *next = LIST_NEXT (call, next);
+      _bgap_http_call_free (call, false);
+      call = next;
+    }
+  struct link *link = LIST_FIRST (&client->idle);
+  while (link != NULL)
+    {
+      struct link *next = LIST_NEXT (link, next);
       _bgap_http_link_free (link);
+      link = next;
     }
   free (client);
 }
--- /dev/null
+++ b/packages/platform/src/log_call.h
@@ -0,0 +1,104 @@
+#ifndef BANYANGAP_PLATFORM_LOG_CALL_H
+#define BANYANGAP_PLATFORM_LOG_CALL_H
+
+/*
+ * Calls in progress of the log client and its queues of appends.
+ */
+
+#include <event2/event_struct.h>
+#include <stdbool.h>
+#include <sys/queue.h>
+
+#include "banyangap/platform/log_http.h"
+#include "http_client.h"
+
+union log_done
+{
+  void (*append) (void *user, const struct bgap_log_append_result *result);
+  void (*read) (void *user, const struct bgap_log_read_result *result);
+  void (*end) (void *user, const struct bgap_log_end_result *result);
+};
+
+struct log_call
+{
+  LIST_ENTRY (log_call) next;
+  TAILQ_ENTRY (log_call) queued;
+  struct bgap_log_http *http;
+  struct append_queue *queue;
+  struct event timer;
+  union log_done done;
+  void *user;
+  int64_t from;
+  uint32_t limit;
+  size_t size;
+  char record[];
+};
+
+TAILQ_HEAD (log_call_queue, log_call);
+LIST_HEAD (log_call_list, log_call);
+
+/* Appends of one stream; exists while it has any. The first one is running
+   if @running, the others wait.  */
+struct append_queue
+{
+  LIST_ENTRY (append_queue) next;
+  struct log_call_queue calls;
+  bool running;
+  char stream[BGAP_LOG_STREAM_NAME_MAX + 1];
+};
+
+LIST_HEAD (append_queue_list, append_queue);
+
+struct bgap_log_http
+{
+  struct bgap_log_http_desc desc;
+  struct bgap_http_client *client;
+  struct log_call_list calls;
+  uint32_t call_count;
+  struct append_queue_list queues;
+};
+
+/**
+ * bgap_log_stream_is_valid() - whether a stream can have this name
+ */
+bool bgap_log_stream_is_valid (const char *stream);
+
+/**
+ * bgap_log_call_new() - start of a call, with a copy of its record
+ *
+ * Return: BGAP_OK, BGAP_ERR_FULL or BGAP_ERR_NO_MEMORY.
+ */
+enum bgap_status bgap_log_call_new (struct bgap_log_http *http,
+                                    const void *record, size_t size,
+                                    void *user, struct log_call **out);
+
+/**
+ * bgap_log_call_free() - end of a call
+ */
+void bgap_log_call_free (struct log_call *call);
+
+/**
+ * bgap_log_answer_of() - what an HTTP response says about the call's effect
+ */
+enum bgap_answer bgap_log_answer_of (const struct bgap_http_reply *reply);
+
+/**
+ * bgap_log_describe() - reason of a response that is not 200
+ */
+void bgap_log_describe (const struct bgap_http_reply *reply,
+                        struct bgap_error *err);
+
+/**
+ * bgap_log_http_append() - struct bgap_log_ops.append
+ */
+enum bgap_status bgap_log_http_append (
+    void *context, const char *stream, const void *record, size_t size,
+    void (*done) (void *user, const struct bgap_log_append_result *result),
+    void *user);
+
+/**
+ * bgap_log_drop_all() - free all queues and calls without completing them
+ */
+void bgap_log_drop_all (struct bgap_log_http *http);
+
+#endif
--- a/tests/standin/log_server.c
+++ b/tests/standin/log_server.c
@@ -180,10 +180,19 @@
                        struct evhttp_request *request, struct stream *stream,
                        int64_t from, int64_t limit)
 {
+  if (from < stream->first)
+    {
+      _bgap_log_reply (server, request, 410,
+                       json_pack ("{s:I,s:I}", "first",
+                                  (json_int_t)stream->first, "end",
+                                  (json_int_t)stream->end));
+      return;
+    }
   json_t *records = json_array ();
   size_t size = 0;
-  int64_t end = from + limit < stream->end ? from + limit : stream->end;
-  for (int64_t offset = from; offset < end && size < READ_SIZE_MAX; offset++)
+  for (int64_t offset = from; stream->records != NULL && offset < stream->end
+                              && offset < from + limit && size < READ_SIZE_MAX;
+       offset++)
     {
       const struct record *record = &stream->records[offset - stream->first];
       size += json_string_length (record->data);
@@ -264,11 +273,6 @@
   int64_t wait_ms = bgap_standin_query (request, "wait_ms", 0);
   if (from < 1 || limit < 1 || limit > LIMIT_MAX || wait_ms < 0)
     _bgap_log_reply_error (server, request, 400, "bad from, limit or wait_ms");
-  else if (from < stream->first)
-    _bgap_log_reply (server, request, 410,
-                     json_pack ("{s:I,s:I}", "first",
-                                (json_int_t)stream->first, "end",
-                                (json_int_t)stream->end));
   else if (from >= stream->end && wait_ms > 0)
     {
       struct pending *pending = _bgap_log_pending_new (
@@ -389,22 +393,25 @@
 {
   if (server == NULL)
     return;
-  struct pending *pending;
-  while ((pending = LIST_FIRST (&server->pending)) != NULL)
+  struct pending *pending = LIST_FIRST (&server->pending);
+  while (pending != NULL)
     {
+      struct pending *next = LIST_NEXT (pending, next);
       if (evhttp_request_get_connection (pending->request) == NULL)
         evhttp_request_free (pending->request);
       _bgap_log_pending_free (pending);
+      pending = next;
     }
   evhttp_free (server->http);
-  struct stream *stream;
-  while ((stream = LIST_FIRST (&server->streams)) != NULL)
+  struct stream *stream = LIST_FIRST (&server->streams);
+  while (stream != NULL)
     {
-      LIST_REMOVE (stream, next);
+      struct stream *next = LIST_NEXT (stream, next);
       _bgap_log_stream_trim (stream, 0);
       free (stream->records);
       free (stream->name);
       free (stream);
+      stream = next;
     }
   free (server);
 }
--- a/tests/standin/standin.c
+++ b/tests/standin/standin.c
@@ -33,10 +33,15 @@
 static enum bgap_status
 _bgap_standin_bind (struct evhttp *http, const char *address, uint16_t *port)
 {
-  struct sockaddr_storage storage;
+  struct sockaddr_storage storage = { 0 };
   int size = sizeof storage;
-  char host[INET6_ADDRSTRLEN];
-  if (evutil_parse_sockaddr_port (address, (struct sockaddr *)&storage, &size)
+  char host[INET6_ADDRSTRLEN + 8];
+  /* The parser takes no port 0, but an address without a port.  */
+  size_t text_size = strlen (address);
+  if (text_size > 2 && strcmp (address + text_size - 2, ":0") == 0)
+    text_size -= 2;
+  snprintf (host, sizeof host, "%.*s", (int)text_size, address);
+  if (evutil_parse_sockaddr_port (host, (struct sockaddr *)&storage, &size)
           != 0
       || storage.ss_family != AF_INET)
     return BGAP_ERR_INVALID;
@@ -46,7 +51,7 @@
       = evhttp_bind_socket_with_handle (http, host, ntohs (in->sin_port));
   if (bound == NULL)
     return BGAP_ERR_IO;
-  struct sockaddr_in name;
+  struct sockaddr_in name = { 0 };
   socklen_t name_size = sizeof name;
   if (getsockname (evhttp_bound_socket_get_fd (bound),
                    (struct sockaddr *)&name, &name_size)
