--- a/packages/routing/include/banyangap/routing/once_record.h
+++ b/packages/routing/include/banyangap/routing/once_record.h
@@ -27,7 +27,7 @@
 #include "banyangap/routing/uuid7.h"
 
 /* Longest stored answer body in bytes.  */
-#define BGAP_ONCE_BODY_MAX (16 * 1024)
+#define BGAP_ONCE_BODY_MAX 16384
 
 /* Size of a stored content type in bytes, terminating zero included.  */
 #define BGAP_ONCE_CONTENT_TYPE_SIZE 64
--- a/packages/routing/include/banyangap/routing/router.h
+++ b/packages/routing/include/banyangap/routing/router.h
@@ -169,7 +169,7 @@
  * as unknown. A stale handle is ignored.
  */
 void bgap_router_remove_service (struct bgap_router *router, int64_t now_ms,
-                                 struct bgap_service_id service);
+                                 struct bgap_service_id service_id);
 
 /**
  * bgap_router_set_server() - add a server or change its options
@@ -180,7 +180,7 @@
  */
 enum bgap_status bgap_router_set_server (struct bgap_router *router,
                                          int64_t now_ms,
-                                         struct bgap_service_id service,
+                                         struct bgap_service_id service_id,
                                          const struct bgap_server_desc *desc,
                                          struct bgap_server_id *id,
                                          struct bgap_error *err);
@@ -192,7 +192,7 @@
  * last one has ended. A stale handle is ignored.
  */
 void bgap_router_remove_server (struct bgap_router *router, int64_t now_ms,
-                                struct bgap_server_id server);
+                                struct bgap_server_id server_id);
 
 /**
  * bgap_router_find_service() - handle of a name, { 0 } if there is none
@@ -205,7 +205,7 @@
  */
 struct bgap_server_id
 bgap_router_find_server (const struct bgap_router *router,
-                         struct bgap_service_id service, const char *name);
+                         struct bgap_service_id service_id, const char *name);
 
 /**
  * bgap_router_request() - accept, queue or refuse a request
@@ -222,28 +222,28 @@
  * @holder: { 0 } if the key has no holder now; the router asks again while
  *   the deadline allows
  *
- * A stale @request is ignored.
+ * A stale @request_id is ignored.
  */
 void bgap_router_resolved (struct bgap_router *router, int64_t now_ms,
-                           struct bgap_request_id request,
+                           struct bgap_request_id request_id,
                            struct bgap_server_id holder, uint64_t token);
 
 /**
  * bgap_router_on_attempt() - an event of an attempt; stale ones are ignored
  */
 void bgap_router_on_attempt (struct bgap_router *router, int64_t now_ms,
-                             struct bgap_attempt_id attempt,
+                             struct bgap_attempt_id attempt_id,
                              const struct bgap_attempt_result *result);
 
 /**
  * bgap_router_cancel() - the caller has gone away; no FINISH follows
  *
  * An attempt in flight is cancelled, except that of a request that runs at
- * most once: it continues, so that its outcome can be recorded. A DISPATCH
- * for such a request can still follow when its intent was already recorded.
+ * most once: it continues, so that its outcome can be recorded. No DISPATCH
+ * follows.
  */
 void bgap_router_cancel (struct bgap_router *router, int64_t now_ms,
-                         struct bgap_request_id request);
+                         struct bgap_request_id request_id);
 
 /**
  * bgap_router_tick() - deadlines, retries, timers; about every 10 ms
@@ -262,14 +262,14 @@
  * bgap_router_server_load() - load report of a server (hello or renew)
  */
 void bgap_router_server_load (struct bgap_router *router, int64_t now_ms,
-                              struct bgap_server_id server,
+                              struct bgap_server_id server_id,
                               const struct bgap_server_load *load);
 
 /**
  * bgap_router_server_drain() - one of the three drain signals changed
  */
 void bgap_router_server_drain (struct bgap_router *router, int64_t now_ms,
-                               struct bgap_server_id server,
+                               struct bgap_server_id server_id,
                                enum bgap_drain_signal signal, bool on);
 
 /**
@@ -279,7 +279,7 @@
  * ended are cancelled and treated as BROKEN.
  */
 void bgap_router_server_lost (struct bgap_router *router, int64_t now_ms,
-                              struct bgap_server_id server);
+                              struct bgap_server_id server_id);
 
 /**
  * bgap_router_server_alive() - the server answers
@@ -287,7 +287,7 @@
  *   is new: it starts slowly, and its earlier failures are forgotten
  */
 void bgap_router_server_alive (struct bgap_router *router, int64_t now_ms,
-                               struct bgap_server_id server,
+                               struct bgap_server_id server_id,
                                uint64_t incarnation);
 
 /**
@@ -319,7 +319,7 @@
  */
 enum bgap_status bgap_router_on_once_record (struct bgap_router *router,
                                              int64_t now_ms, int64_t wall_ms,
-                                             struct bgap_service_id service,
+                                             struct bgap_service_id service_id,
                                              uint64_t offset,
                                              const void *bytes, size_t size,
                                              struct bgap_error *err);
@@ -329,7 +329,7 @@
  * @end: offset that the next record will get
  */
 void bgap_router_on_once_end (struct bgap_router *router, int64_t now_ms,
-                              struct bgap_service_id service, uint64_t end);
+                              struct bgap_service_id service_id, uint64_t end);
 
 /**
  * bgap_router_once_applied() - newest offset applied, 0 for none
@@ -337,7 +337,7 @@
  * Read the stream from the offset after it.
  */
 uint64_t bgap_router_once_applied (const struct bgap_router *router,
-                                   struct bgap_service_id service);
+                                   struct bgap_service_id service_id);
 
 /**
  * bgap_router_on_append_done() - result of an APPEND
@@ -347,7 +347,7 @@
  * A stale @append_id is ignored.
  */
 void bgap_router_on_append_done (struct bgap_router *router, int64_t now_ms,
-                                 struct bgap_service_id service,
+                                 struct bgap_service_id service_id,
                                  uint32_t append_id, bool ok);
 
 /**
@@ -374,7 +374,7 @@
  * Return: BGAP_OK or BGAP_ERR_NOT_FOUND.
  */
 enum bgap_status bgap_router_server_status (const struct bgap_router *router,
-                                            struct bgap_server_id server,
+                                            struct bgap_server_id server_id,
                                             struct bgap_server_status *status);
 
 /**
--- /dev/null
+++ b/packages/routing/src/balancer_policies.c
@@ -0,0 +1,94 @@
+#include "banyangap/routing/balancer.h"
+
+/* Load above this percentage weighs as little as this one.  */
+#define LOAD_CAP 100u
+
+static size_t
+_bgap_balancer_pick_random (struct bgap_random *random, int64_t now_ms,
+                            struct bgap_server *const *servers, size_t count)
+{
+  (void)now_ms;
+  (void)servers;
+  return bgap_random_below (random, count);
+}
+
+static size_t
+_bgap_balancer_pick_least (struct bgap_random *random, int64_t now_ms,
+                           struct bgap_server *const *servers, size_t count)
+{
+  (void)now_ms;
+  size_t best = 0;
+  uint64_t ties = 1;
+  for (size_t i = 1; i < count; i++)
+    {
+      if (servers[i]->in_flight > servers[best]->in_flight)
+        continue;
+      if (servers[i]->in_flight < servers[best]->in_flight)
+        ties = 0;
+      ties++;
+      if (ties == 1 || bgap_random_below (random, ties) == 0)
+        best = i;
+    }
+  return best;
+}
+
+/* Weight of a server among those with the same own share. A server that all
+   instances believe to be the least loaded would be flooded between two
+   reports, hence weights instead of the minimum.  */
+static uint64_t
+_bgap_balancer_weight (const struct bgap_server *server, int64_t now_ms,
+                       uint32_t limit)
+{
+  uint32_t load = bgap_server_load (server, now_ms);
+  uint32_t peers = server->in_flight_peers * 100 / server->slots;
+  if (peers > load)
+    load = peers;
+  if (load > LOAD_CAP)
+    load = LOAD_CAP;
+  uint64_t room = LOAD_CAP + 10 - load;
+  return room * room * limit;
+}
+
+static size_t
+_bgap_balancer_pick_default (struct bgap_random *random, int64_t now_ms,
+                             struct bgap_server *const *servers, size_t count)
+{
+  size_t best = 0;
+  uint32_t best_limit = 0;
+  uint64_t total = 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      uint32_t limit = bgap_server_limit (servers[i], now_ms);
+      uint64_t share = (uint64_t)servers[i]->in_flight * best_limit;
+      uint64_t best_share = (uint64_t)servers[best]->in_flight * limit;
+      if (i > 0 && share > best_share)
+        continue;
+      if (i == 0 || share < best_share)
+        total = 0;
+      uint64_t weight = _bgap_balancer_weight (servers[i], now_ms, limit);
+      total += weight;
+      /* Each of the equal ones remains with probability weight / total.  */
+      if (total == weight || bgap_random_below (random, total) < weight)
+        {
+          best = i;
+          best_limit = limit;
+        }
+    }
+  return best;
+}
+
+const struct bgap_balancer_ops bgap_balancer_default = {
+  .name = "default",
+  .limited = true,
+  .pick = _bgap_balancer_pick_default,
+};
+
+const struct bgap_balancer_ops bgap_balancer_random = {
+  .name = "random",
+  .pick = _bgap_balancer_pick_random,
+};
+
+const struct bgap_balancer_ops bgap_balancer_least_connections = {
+  .name = "least-connections",
+  .pick = _bgap_balancer_pick_least,
+};
--- /dev/null
+++ b/packages/routing/src/base64.h
@@ -0,0 +1,34 @@
+#ifndef BANYANGAP_ROUTING_BASE64_H
+#define BANYANGAP_ROUTING_BASE64_H
+
+/*
+ * Base64 with padding (RFC 4648, section 4).
+ *
+ *   bgap_base64_encode (&buffer, bytes, size);
+ *   bgap_base64_decode (text, text_size, bytes, &size);
+ */
+
+#include <stddef.h>
+
+#include "banyangap/base/buffer.h"
+#include "banyangap/base/status.h"
+
+/**
+ * bgap_base64_encode() - append the text form to @out
+ *
+ * Return: BGAP_OK or BGAP_ERR_NO_MEMORY.
+ */
+enum bgap_status bgap_base64_encode (struct bgap_buffer *out,
+                                     const void *bytes, size_t size);
+
+/**
+ * bgap_base64_decode() - decode into @bytes
+ * @bytes: room for 3 bytes per 4 characters
+ * @size: gets the number of bytes
+ *
+ * Return: BGAP_OK, or BGAP_ERR_PROTOCOL if the text is malformed.
+ */
+enum bgap_status bgap_base64_decode (const char *text, size_t text_size,
+                                     void *bytes, size_t *size);
+
+#endif
--- /dev/null
+++ b/packages/routing/src/message.c
@@ -0,0 +1,186 @@
+#include "banyangap/routing/message.h"
+
+#include <msgpack.h>
+#include <stdbool.h>
+
+/*
+ * A message is a sequence of unsigned integers: the version, the number of
+ * items and the fields of each item. No arrays: the decoder of msgpack-c
+ * allocates as much as the header of an array announces.
+ */
+#define MESSAGE_VERSION 1u
+
+static int
+_bgap_message_write (void *data, const char *bytes, size_t size)
+{
+  return bgap_buffer_append (data, bytes, size) == BGAP_OK ? 0 : -1;
+}
+
+static enum bgap_status
+_bgap_message_encode (struct bgap_buffer *out, const uint64_t *values,
+                      size_t count)
+{
+  msgpack_packer packer;
+  msgpack_packer_init (&packer, out, _bgap_message_write);
+  for (size_t i = 0; i < count; i++)
+    if (msgpack_pack_uint64 (&packer, values[i]) != 0)
+      return BGAP_ERR_NO_MEMORY;
+  return BGAP_OK;
+}
+
+/* Decoding.  */
+
+struct message_reader
+{
+  const char *bytes;
+  size_t size;
+  size_t offset;
+  msgpack_unpacked unpacked;
+};
+
+static bool
+_bgap_message_is_unsigned (unsigned char type)
+{
+  return type < 0x80 || (type >= 0xcc && type <= 0xcf);
+}
+
+static bool
+_bgap_message_read (struct message_reader *reader, uint64_t max,
+                    uint64_t *value)
+{
+  if (reader->offset >= reader->size
+      || !_bgap_message_is_unsigned (
+          (unsigned char)reader->bytes[reader->offset]))
+    return false;
+  if (msgpack_unpack_next (&reader->unpacked, reader->bytes, reader->size,
+                           &reader->offset)
+      != MSGPACK_UNPACK_SUCCESS)
+    return false;
+  *value = reader->unpacked.data.via.u64;
+  return *value <= max;
+}
+
+static enum bgap_status
+_bgap_message_read_header (struct message_reader *reader, size_t room,
+                           size_t *count, struct bgap_error *err)
+{
+  uint64_t version = 0;
+  uint64_t items = 0;
+  if (!_bgap_message_read (reader, MESSAGE_VERSION, &version)
+      || version != MESSAGE_VERSION
+      || !_bgap_message_read (reader, BGAP_ROUTING_MESSAGE_ITEMS_MAX, &items))
+    return bgap_error_set (err, BGAP_ERR_PROTOCOL, "malformed header");
+  if (items > room)
+    return bgap_error_set (err, BGAP_ERR_FULL, "more than %zu items", room);
+  *count = items;
+  return BGAP_OK;
+}
+
+static struct message_reader
+_bgap_message_reader (const void *bytes, size_t size)
+{
+  struct message_reader reader = { .bytes = bytes, .size = size };
+  msgpack_unpacked_init (&reader.unpacked);
+  return reader;
+}
+
+static enum bgap_status
+_bgap_message_end (struct message_reader *reader, bool complete,
+                   struct bgap_error *err)
+{
+  msgpack_unpacked_destroy (&reader->unpacked);
+  if (!complete || reader->offset != reader->size)
+    return bgap_error_set (err, BGAP_ERR_PROTOCOL, "malformed item");
+  return BGAP_OK;
+}
+
+/* Suspicions.  */
+
+enum bgap_status
+bgap_routing_encode_suspicions (struct bgap_buffer *out,
+                                const struct bgap_routing_suspicion *items,
+                                size_t count)
+{
+  if (count > BGAP_ROUTING_MESSAGE_ITEMS_MAX)
+    return BGAP_ERR_INVALID;
+  const uint64_t header[] = { MESSAGE_VERSION, count };
+  enum bgap_status status = _bgap_message_encode (out, header, 2);
+  for (size_t i = 0; status == BGAP_OK && i < count; i++)
+    {
+      const uint64_t values[] = { items[i].fingerprint, items[i].server,
+                                  (uint64_t)items[i].kind, items[i].left_ms };
+      status = _bgap_message_encode (out, values, 4);
+    }
+  return status;
+}
+
+enum bgap_status
+bgap_routing_decode_suspicions (const void *bytes, size_t size,
+                                struct bgap_routing_suspicion *items,
+                                size_t *count, struct bgap_error *err)
+{
+  struct message_reader reader = _bgap_message_reader (bytes, size);
+  enum bgap_status status
+      = _bgap_message_read_header (&reader, *count, count, err);
+  if (status != BGAP_OK)
+    {
+      msgpack_unpacked_destroy (&reader.unpacked);
+      return status;
+    }
+  bool complete = true;
+  for (size_t i = 0; complete && i < *count; i++)
+    {
+      uint64_t kind = 0;
+      uint64_t left_ms = 0;
+      complete
+          = _bgap_message_read (&reader, UINT64_MAX, &items[i].fingerprint)
+            && _bgap_message_read (&reader, UINT64_MAX, &items[i].server)
+            && _bgap_message_read (&reader, BGAP_SUSPICION_QUARANTINED, &kind)
+            && _bgap_message_read (&reader, UINT32_MAX, &left_ms);
+      items[i].kind = (enum bgap_suspicion_kind)kind;
+      items[i].left_ms = (uint32_t)left_ms;
+    }
+  return _bgap_message_end (&reader, complete, err);
+}
+
+/* Loads.  */
+
+enum bgap_status
+bgap_routing_encode_loads (struct bgap_buffer *out,
+                           const struct bgap_routing_load *items, size_t count)
+{
+  if (count > BGAP_ROUTING_MESSAGE_ITEMS_MAX)
+    return BGAP_ERR_INVALID;
+  const uint64_t header[] = { MESSAGE_VERSION, count };
+  enum bgap_status status = _bgap_message_encode (out, header, 2);
+  for (size_t i = 0; status == BGAP_OK && i < count; i++)
+    {
+      const uint64_t values[] = { items[i].server, items[i].in_flight };
+      status = _bgap_message_encode (out, values, 2);
+    }
+  return status;
+}
+
+enum bgap_status
+bgap_routing_decode_loads (const void *bytes, size_t size,
+                           struct bgap_routing_load *items, size_t *count,
+                           struct bgap_error *err)
+{
+  struct message_reader reader = _bgap_message_reader (bytes, size);
+  enum bgap_status status
+      = _bgap_message_read_header (&reader, *count, count, err);
+  if (status != BGAP_OK)
+    {
+      msgpack_unpacked_destroy (&reader.unpacked);
+      return status;
+    }
+  bool complete = true;
+  for (size_t i = 0; complete && i < *count; i++)
+    {
+      uint64_t in_flight = 0;
+      complete = _bgap_message_read (&reader, UINT64_MAX, &items[i].server)
+                 && _bgap_message_read (&reader, UINT32_MAX, &in_flight);
+      items[i].in_flight = (uint32_t)in_flight;
+    }
+  return _bgap_message_end (&reader, complete, err);
+}
--- /dev/null
+++ b/packages/routing/src/once_entry.c
@@ -0,0 +1,153 @@
+#include <stdlib.h>
+#include <string.h>
+
+#include "once_state.h"
+
+struct bgap_once_entry *
+bgap_once_create (struct bgap_once_state *state, const struct bgap_uuid7 *key)
+{
+  if (HASH_COUNT (state->entries) >= state->desc.keys_max)
+    return NULL;
+  struct bgap_once_entry *entry = calloc (1, sizeof *entry);
+  if (entry == NULL)
+    return NULL;
+  entry->key = *key;
+  bgap_once_hash_add (state, entry);
+  return entry;
+}
+
+static void
+_bgap_once_free_body (struct bgap_once_state *state,
+                      struct bgap_once_entry *entry)
+{
+  state->body_bytes -= entry->body_size;
+  free (entry->body);
+  free (entry->content_type);
+  entry->body = NULL;
+  entry->content_type = NULL;
+  entry->body_size = 0;
+}
+
+void
+bgap_once_free (struct bgap_once_state *state, struct bgap_once_entry *entry)
+{
+  _bgap_once_free_body (state, entry);
+  bgap_once_set_pending (state, &entry->intent, BGAP_ONCE_PENDING_NONE);
+  bgap_once_set_pending (state, &entry->outcome_pending,
+                         BGAP_ONCE_PENDING_NONE);
+  if (entry->queued)
+    DL_DELETE (state->to_append, entry);
+  bgap_once_hash_remove (state, entry);
+  free (entry);
+}
+
+bool
+bgap_once_unused (const struct bgap_once_entry *entry)
+{
+  return !entry->has_winner && entry->outcome == BGAP_OUTCOME_NONE
+         && entry->intent == BGAP_ONCE_PENDING_NONE && entry->waiters == NULL;
+}
+
+void
+bgap_once_drop_unused (struct bgap_once_state *state,
+                       struct bgap_once_entry *entry)
+{
+  if (bgap_once_unused (entry))
+    bgap_once_free (state, entry);
+}
+
+void
+bgap_once_store (struct bgap_once_state *state, struct bgap_once_entry *entry,
+                 const struct bgap_once_answer *answer)
+{
+  _bgap_once_free_body (state, entry);
+  entry->outcome = answer->outcome;
+  entry->winner_lost = false;
+  entry->http_status = answer->http_status;
+  entry->body_dropped = answer->dropped;
+  if (answer->content_type != NULL
+      && strlen (answer->content_type) < BGAP_ONCE_CONTENT_TYPE_SIZE)
+    entry->content_type = strdup (answer->content_type);
+  if (answer->dropped || answer->body_size == 0)
+    return;
+  if (answer->body_size <= state->desc.body_bytes_max - state->body_bytes)
+    entry->body = malloc (answer->body_size);
+  if (entry->body == NULL)
+    {
+      entry->body_dropped = true;
+      return;
+    }
+  memcpy (entry->body, answer->body, answer->body_size);
+  entry->body_size = (uint32_t)answer->body_size;
+  state->body_bytes += entry->body_size;
+}
+
+/* Requests that wait.  */
+
+void
+bgap_once_remove_waiter (struct bgap_once_state *state,
+                         struct bgap_once_waiter *waiter)
+{
+  DL_DELETE (waiter->entry->waiters, waiter);
+  bgap_once_hash_remove_waiter (state, waiter);
+  free (waiter);
+}
+
+bool
+bgap_once_push_event (struct bgap_once_state *state,
+                      const struct bgap_once_waiter *waiter,
+                      enum bgap_once_event_kind kind)
+{
+  struct bgap_once_queued_event *event = calloc (1, sizeof *event);
+  if (event == NULL)
+    return false;
+  event->kind = kind;
+  event->request = waiter->request;
+  event->key = waiter->entry->key;
+  DL_APPEND (state->events, event);
+  return true;
+}
+
+void
+bgap_once_release (struct bgap_once_state *state,
+                   struct bgap_once_entry *entry,
+                   enum bgap_once_event_kind kind)
+{
+  struct bgap_once_waiter *waiter;
+  struct bgap_once_waiter *next;
+  DL_FOREACH_SAFE (entry->waiters, waiter, next)
+  {
+    if (!waiter->running && bgap_once_push_event (state, waiter, kind))
+      bgap_once_remove_waiter (state, waiter);
+  }
+}
+
+bool
+bgap_once_next_event (struct bgap_once *once, struct bgap_once_event *event)
+{
+  struct bgap_once_state *state = once->state;
+  struct bgap_once_queued_event *queued = state->events;
+  if (queued == NULL)
+    return false;
+  DL_DELETE (state->events, queued);
+  *event = (struct bgap_once_event){
+    .kind = queued->kind,
+    .request = queued->request,
+  };
+  const struct bgap_once_entry *entry = bgap_once_find (state, &queued->key);
+  free (queued);
+  if (event->kind != BGAP_ONCE_EVENT_STORED)
+    return true;
+  if (entry == NULL || entry->outcome == BGAP_OUTCOME_NONE)
+    event->kind = BGAP_ONCE_EVENT_LOST;
+  else
+    event->answer = (struct bgap_once_answer){
+      .outcome = entry->outcome,
+      .http_status = entry->http_status,
+      .dropped = entry->body_dropped,
+      .body = entry->body,
+      .body_size = entry->body_size,
+      .content_type = entry->content_type,
+    };
+  return true;
+}
--- /dev/null
+++ b/packages/routing/src/quarantine.c
@@ -0,0 +1,262 @@
+#include "banyangap/routing/quarantine.h"
+
+#include <stdlib.h>
+
+#define DEFAULT_CAPACITY 1024u
+#define DEFAULT_HOLD_MS 300000
+#define DEFAULT_SUSPECT_MS 300000
+
+/**
+ * struct bgap_quarantine_entry - a fingerprint
+ * @server: hash of the first server that died; while only suspected
+ */
+struct bgap_quarantine_entry
+{
+  uint64_t fingerprint;
+  uint64_t server;
+  int64_t until_ms;
+  bool held;
+};
+
+enum bgap_status
+bgap_quarantine_setup (struct bgap_quarantine *quarantine,
+                       const struct bgap_quarantine_desc *desc)
+{
+  *quarantine = (struct bgap_quarantine){ .desc = *desc };
+  if (desc->capacity > BGAP_ROUTING_MESSAGE_ITEMS_MAX || desc->hold_ms < 0
+      || desc->hold_ms > UINT32_MAX || desc->suspect_ms < 0)
+    return BGAP_ERR_INVALID;
+  if (desc->capacity == 0)
+    quarantine->desc.capacity = DEFAULT_CAPACITY;
+  if (desc->hold_ms == 0)
+    quarantine->desc.hold_ms = DEFAULT_HOLD_MS;
+  if (desc->suspect_ms == 0)
+    quarantine->desc.suspect_ms = DEFAULT_SUSPECT_MS;
+  quarantine->entries
+      = calloc (quarantine->desc.capacity, sizeof *quarantine->entries);
+  quarantine->news
+      = calloc (quarantine->desc.capacity, sizeof *quarantine->news);
+  if (quarantine->entries == NULL || quarantine->news == NULL)
+    {
+      bgap_quarantine_shutdown (quarantine);
+      return BGAP_ERR_NO_MEMORY;
+    }
+  return BGAP_OK;
+}
+
+void
+bgap_quarantine_shutdown (struct bgap_quarantine *quarantine)
+{
+  free (quarantine->entries);
+  free (quarantine->news);
+  *quarantine = (struct bgap_quarantine){ 0 };
+}
+
+/* Entries.  */
+
+static struct bgap_quarantine_entry *
+_bgap_quarantine_find (const struct bgap_quarantine *quarantine,
+                       int64_t now_ms, uint64_t fingerprint)
+{
+  if (fingerprint == 0)
+    return NULL;
+  for (uint32_t i = 0; i < quarantine->count; i++)
+    {
+      struct bgap_quarantine_entry *entry = &quarantine->entries[i];
+      if (entry->fingerprint == fingerprint && now_ms < entry->until_ms)
+        return entry;
+    }
+  return NULL;
+}
+
+static void
+_bgap_quarantine_remove (struct bgap_quarantine *quarantine, uint32_t index)
+{
+  quarantine->entries[index] = quarantine->entries[--quarantine->count];
+}
+
+static void
+_bgap_quarantine_expire (struct bgap_quarantine *quarantine, int64_t now_ms)
+{
+  for (uint32_t i = quarantine->count; i-- > 0;)
+    if (now_ms >= quarantine->entries[i].until_ms)
+      _bgap_quarantine_remove (quarantine, i);
+}
+
+/* Takes the place of the entry that expires first if the table is full.  */
+static struct bgap_quarantine_entry *
+_bgap_quarantine_add (struct bgap_quarantine *quarantine, int64_t now_ms,
+                      uint64_t fingerprint)
+{
+  _bgap_quarantine_expire (quarantine, now_ms);
+  if (quarantine->count == quarantine->desc.capacity)
+    {
+      uint32_t first = 0;
+      for (uint32_t i = 1; i < quarantine->count; i++)
+        if (quarantine->entries[i].until_ms
+            < quarantine->entries[first].until_ms)
+          first = i;
+      _bgap_quarantine_remove (quarantine, first);
+    }
+  struct bgap_quarantine_entry *entry
+      = &quarantine->entries[quarantine->count++];
+  *entry = (struct bgap_quarantine_entry){ .fingerprint = fingerprint };
+  return entry;
+}
+
+static void
+_bgap_quarantine_tell (struct bgap_quarantine *quarantine,
+                       const struct bgap_routing_suspicion *item)
+{
+  if (quarantine->news_count < quarantine->desc.capacity)
+    quarantine->news[quarantine->news_count++] = *item;
+}
+
+/* Events.  */
+
+static bool
+_bgap_quarantine_hold (struct bgap_quarantine *quarantine, int64_t now_ms,
+                       struct bgap_quarantine_entry *entry, uint64_t server)
+{
+  entry->held = true;
+  entry->until_ms = now_ms + quarantine->desc.hold_ms;
+  _bgap_quarantine_tell (quarantine,
+                         &(struct bgap_routing_suspicion){
+                             .fingerprint = entry->fingerprint,
+                             .server = server,
+                             .kind = BGAP_SUSPICION_QUARANTINED,
+                             .left_ms = (uint32_t)quarantine->desc.hold_ms });
+  return true;
+}
+
+static bool
+_bgap_quarantine_note (struct bgap_quarantine *quarantine, int64_t now_ms,
+                       uint64_t fingerprint, uint64_t server, bool tell)
+{
+  if (fingerprint == 0)
+    return false;
+  struct bgap_quarantine_entry *entry
+      = _bgap_quarantine_find (quarantine, now_ms, fingerprint);
+  if (entry != NULL && entry->held)
+    return true;
+  if (entry != NULL && entry->server != server)
+    return _bgap_quarantine_hold (quarantine, now_ms, entry, server);
+  if (entry == NULL)
+    entry = _bgap_quarantine_add (quarantine, now_ms, fingerprint);
+  entry->server = server;
+  entry->until_ms = now_ms + quarantine->desc.suspect_ms;
+  if (tell)
+    _bgap_quarantine_tell (quarantine, &(struct bgap_routing_suspicion){
+                                           .fingerprint = fingerprint,
+                                           .server = server,
+                                           .kind = BGAP_SUSPICION_SUSPECT });
+  return false;
+}
+
+bool
+bgap_quarantine_suspect (struct bgap_quarantine *quarantine, int64_t now_ms,
+                         uint64_t fingerprint, uint64_t server)
+{
+  return _bgap_quarantine_note (quarantine, now_ms, fingerprint, server, true);
+}
+
+static bool
+_bgap_quarantine_clear (struct bgap_quarantine *quarantine, int64_t now_ms,
+                        uint64_t fingerprint)
+{
+  const struct bgap_quarantine_entry *entry
+      = _bgap_quarantine_find (quarantine, now_ms, fingerprint);
+  if (entry == NULL || entry->held)
+    return false;
+  _bgap_quarantine_remove (quarantine,
+                           (uint32_t)(entry - quarantine->entries));
+  return true;
+}
+
+void
+bgap_quarantine_answered (struct bgap_quarantine *quarantine, int64_t now_ms,
+                          uint64_t fingerprint)
+{
+  if (_bgap_quarantine_clear (quarantine, now_ms, fingerprint))
+    _bgap_quarantine_tell (quarantine, &(struct bgap_routing_suspicion){
+                                           .fingerprint = fingerprint,
+                                           .kind = BGAP_SUSPICION_CLEARED });
+}
+
+bool
+bgap_quarantine_holds (const struct bgap_quarantine *quarantine,
+                       int64_t now_ms, uint64_t fingerprint)
+{
+  const struct bgap_quarantine_entry *entry
+      = _bgap_quarantine_find (quarantine, now_ms, fingerprint);
+  return entry != NULL && entry->held;
+}
+
+bool
+bgap_quarantine_suspected (const struct bgap_quarantine *quarantine,
+                           int64_t now_ms, uint64_t fingerprint)
+{
+  return _bgap_quarantine_find (quarantine, now_ms, fingerprint) != NULL;
+}
+
+/* Peers.  */
+
+bool
+bgap_quarantine_encode (struct bgap_quarantine *quarantine,
+                        struct bgap_buffer *out)
+{
+  if (quarantine->news_count == 0)
+    return false;
+  enum bgap_status status = bgap_routing_encode_suspicions (
+      out, quarantine->news, quarantine->news_count);
+  quarantine->news_count = 0;
+  return status == BGAP_OK;
+}
+
+static void
+_bgap_quarantine_apply (struct bgap_quarantine *quarantine, int64_t now_ms,
+                        const struct bgap_routing_suspicion *item)
+{
+  if (item->fingerprint == 0)
+    return;
+  struct bgap_quarantine_entry *entry;
+  switch (item->kind)
+    {
+    case BGAP_SUSPICION_SUSPECT:
+      _bgap_quarantine_note (quarantine, now_ms, item->fingerprint,
+                             item->server, false);
+      return;
+    case BGAP_SUSPICION_CLEARED:
+      _bgap_quarantine_clear (quarantine, now_ms, item->fingerprint);
+      return;
+    case BGAP_SUSPICION_QUARANTINED:
+      break;
+    }
+  entry = _bgap_quarantine_find (quarantine, now_ms, item->fingerprint);
+  if (entry != NULL && entry->held)
+    return;
+  if (entry == NULL)
+    entry = _bgap_quarantine_add (quarantine, now_ms, item->fingerprint);
+  int64_t left_ms = item->left_ms;
+  if (left_ms > quarantine->desc.hold_ms)
+    left_ms = quarantine->desc.hold_ms;
+  entry->held = true;
+  entry->until_ms = now_ms + left_ms;
+}
+
+enum bgap_status
+bgap_quarantine_on_message (struct bgap_quarantine *quarantine, int64_t now_ms,
+                            const void *bytes, size_t size,
+                            struct bgap_error *err)
+{
+  size_t count = BGAP_ROUTING_MESSAGE_ITEMS_MAX;
+  struct bgap_routing_suspicion *items = malloc (count * sizeof *items);
+  if (items == NULL)
+    return bgap_error_set (err, BGAP_ERR_NO_MEMORY, "no memory for a message");
+  enum bgap_status status
+      = bgap_routing_decode_suspicions (bytes, size, items, &count, err);
+  for (size_t i = 0; status == BGAP_OK && i < count; i++)
+    _bgap_quarantine_apply (quarantine, now_ms, &items[i]);
+  free (items);
+  return status;
+}
--- /dev/null
+++ b/packages/routing/src/router_attempt.c
@@ -0,0 +1,215 @@
+#include "router_state.h"
+
+#define SMOOTHING 0.1
+#define BACKOFF_SHIFT_MAX 4u
+
+void
+bgap_router_end_attempt (struct bgap_router_state *state, int64_t now_ms,
+                         struct bgap_router_request *request)
+{
+  (void)now_ms;
+  const struct bgap_router_attempt *attempt
+      = bgap_pool_get (&state->attempts, request->attempt);
+  struct bgap_router_server *server
+      = bgap_router_server (state, attempt->server);
+  bgap_pool_free (&state->attempts, request->attempt);
+  request->attempt = BGAP_INVALID_ID;
+  request->state = BGAP_REQUEST_NEW;
+  server->server.suspects -= request->suspect_counted;
+  request->suspect_counted = false;
+  bgap_server_on_end (&server->server);
+  if (server->server.removed && server->server.in_flight == 0)
+    bgap_router_free_server (state, server);
+}
+
+void
+bgap_router_cancel_attempt (struct bgap_router_state *state, int64_t now_ms,
+                            struct bgap_router_request *request)
+{
+  const struct bgap_router_attempt *attempt
+      = bgap_pool_get (&state->attempts, request->attempt);
+  bgap_router_emit (
+      state, &(struct bgap_router_action){ .kind = BGAP_ACTION_CANCEL_ATTEMPT,
+                                           .request = { request->id },
+                                           .context = request->context,
+                                           .attempt = { request->attempt },
+                                           .service = { request->service },
+                                           .server = { attempt->server } });
+  bgap_router_end_attempt (state, now_ms, request);
+}
+
+/* Retries a request in state NEW.  */
+static void
+_bgap_router_retry (struct bgap_router_state *state, int64_t now_ms,
+                    struct bgap_router_request *request,
+                    enum bgap_reason reason)
+{
+  struct bgap_router_service *service
+      = bgap_router_service (state, request->service);
+  if (request->detached || request->attempts >= service->desc.attempts_max)
+    {
+      bgap_router_finish (state, now_ms, request, reason);
+      return;
+    }
+  if (service->desc.policy->limited
+      && !bgap_retry_budget_take (&service->budget))
+    {
+      bgap_router_finish (state, now_ms, request, BGAP_REASON_BUDGET);
+      return;
+    }
+  state->counts.retries++;
+  uint32_t shift = request->attempts - 1;
+  if (shift == 0 && !service->desc.keyed)
+    {
+      bgap_router_route (state, now_ms, request);
+      return;
+    }
+  if (shift > BACKOFF_SHIFT_MAX)
+    shift = BACKOFF_SHIFT_MAX;
+  bgap_router_wait (state, now_ms, request,
+                    (int64_t)BGAP_ROUTER_BACKOFF_MS << shift, false);
+}
+
+void
+bgap_router_broken (struct bgap_router_state *state, int64_t now_ms,
+                    struct bgap_router_request *request,
+                    enum bgap_reason reason)
+{
+  request->maybe_ran = true;
+  request->broken++;
+  /* A request that broke twice may be the reason; it is not tried again.  */
+  if (!request->idempotent || request->started || request->broken > 1)
+    bgap_router_finish (state, now_ms, request, reason);
+  else
+    _bgap_router_retry (state, now_ms, request, reason);
+}
+
+static void
+_bgap_router_remember_broken (struct bgap_server *server, int64_t now_ms,
+                              uint64_t fingerprint)
+{
+  server->broken[server->broken_next] = (struct bgap_server_broken){
+    .fingerprint = fingerprint,
+    .at_ms = now_ms,
+  };
+  server->broken_next = (server->broken_next + 1) % BGAP_SERVER_BROKEN_MAX;
+}
+
+/* Ejects a server unless that left less than half of the service.  */
+static void
+_bgap_router_eject (int64_t now_ms, struct bgap_router_service *service,
+                    struct bgap_server *server)
+{
+  uint32_t ejected = 1;
+  for (uint32_t i = 0; i < service->server_count; i++)
+    ejected += service->servers[i] != server
+               && bgap_server_ejected (service->servers[i], now_ms);
+  if (service->desc.policy->limited && 2 * ejected <= service->server_count)
+    bgap_server_eject (server, now_ms);
+}
+
+/* Lets the server's state learn from a result. A timeout shorter than usual
+   only shows an impatient caller.  */
+static void
+_bgap_router_learn (struct bgap_router_state *state, int64_t now_ms,
+                    const struct bgap_router_request *request,
+                    struct bgap_router_server *server,
+                    enum bgap_result_kind kind)
+{
+  struct bgap_router_service *service
+      = bgap_router_service (state, request->service);
+  double took_ms = (double)(now_ms - request->dispatched_at_ms);
+  if (kind == BGAP_RESULT_TIMEOUT
+      && service->samples >= BGAP_ROUTER_SAMPLES_MIN
+      && took_ms < 2 * service->service_ms)
+    return;
+  if (kind == BGAP_RESULT_BROKEN)
+    _bgap_router_remember_broken (&server->server, now_ms,
+                                  request->fingerprint);
+  if (bgap_server_on_result (&server->server, now_ms, kind))
+    _bgap_router_eject (now_ms, service, &server->server);
+  if (kind != BGAP_RESULT_COMPLETE)
+    return;
+  if (service->samples == 0)
+    service->service_ms = took_ms;
+  else
+    service->service_ms += SMOOTHING * (took_ms - service->service_ms);
+  if (service->samples < BGAP_ROUTER_SAMPLES_MIN)
+    service->samples++;
+  if (bgap_quarantine_suspected (&state->quarantine, now_ms,
+                                 request->fingerprint))
+    {
+      bgap_quarantine_answered (&state->quarantine, now_ms,
+                                request->fingerprint);
+      bgap_router_send_news (state);
+    }
+}
+
+static void
+_bgap_router_ended (struct bgap_router_state *state, int64_t now_ms,
+                    struct bgap_router_request *request,
+                    const struct bgap_attempt_result *result)
+{
+  switch (result->kind)
+    {
+    case BGAP_RESULT_COMPLETE:
+      bgap_router_finish_answered (state, now_ms, request, result);
+      return;
+    case BGAP_RESULT_FENCED:
+    case BGAP_RESULT_DRAINING:
+      if (bgap_router_service (state, request->service)->desc.keyed
+          && !request->detached)
+        bgap_router_resolve (state, now_ms, request);
+      else
+        _bgap_router_retry (state, now_ms, request, BGAP_REASON_REFUSED);
+      return;
+    case BGAP_RESULT_SHED:
+    case BGAP_RESULT_NO_CONNECT:
+      _bgap_router_retry (state, now_ms, request, BGAP_REASON_REFUSED);
+      return;
+    case BGAP_RESULT_TIMEOUT:
+      bgap_router_broken (state, now_ms, request, BGAP_REASON_DEADLINE);
+      return;
+    case BGAP_RESULT_BROKEN:
+    case BGAP_RESULT_STARTED:
+    case BGAP_RESULT_COUNT:
+      break;
+    }
+  bgap_router_broken (state, now_ms, request, BGAP_REASON_BROKEN);
+}
+
+void
+bgap_router_on_attempt (struct bgap_router *router, int64_t now_ms,
+                        struct bgap_attempt_id attempt_id,
+                        const struct bgap_attempt_result *result)
+{
+  struct bgap_router_state *state = router->state;
+  const struct bgap_router_attempt *attempt
+      = bgap_pool_get (&state->attempts, attempt_id.id);
+  if (attempt == NULL || result->kind >= BGAP_RESULT_COUNT)
+    return;
+  struct bgap_router_request *request
+      = bgap_router_open_request (state, attempt->request);
+  uint32_t server_id = attempt->server;
+  uint32_t service_id = request->service;
+  if (result->kind == BGAP_RESULT_STARTED)
+    {
+      request->started = true;
+      return;
+    }
+  struct bgap_attempt_result checked = *result;
+  /* After the status line of an answer nothing proves that it did not run. */
+  if (request->started && bgap_result_proves_not_run (result->kind))
+    checked.kind = BGAP_RESULT_BROKEN;
+  _bgap_router_learn (state, now_ms, request,
+                      bgap_router_server (state, server_id), checked.kind);
+  bgap_router_end_attempt (state, now_ms, request);
+  _bgap_router_ended (state, now_ms, request, &checked);
+  struct bgap_router_server *server = bgap_router_server (state, server_id);
+  if (server != NULL)
+    bgap_router_pump_server (state, now_ms, server);
+  struct bgap_router_service *service
+      = bgap_router_service (state, service_id);
+  if (service != NULL)
+    bgap_router_pump (state, now_ms, service);
+}
--- /dev/null
+++ b/packages/routing/src/router_dispatch.c
@@ -0,0 +1,194 @@
+#include "router_state.h"
+
+static bool
+_bgap_router_server_full (const struct bgap_router_service *service,
+                          int64_t now_ms, const struct bgap_server *server)
+{
+  uint32_t limit = service->desc.policy->limited
+                       ? bgap_server_limit (server, now_ms)
+                       : server->quota;
+  return server->in_flight >= limit;
+}
+
+/* Sends a request in state NEW.  */
+static void
+_bgap_router_dispatch (struct bgap_router_state *state, int64_t now_ms,
+                       struct bgap_router_request *request,
+                       struct bgap_router_server *server)
+{
+  uint32_t id = bgap_pool_alloc (&state->attempts);
+  struct bgap_router_attempt *attempt = bgap_pool_get (&state->attempts, id);
+  attempt->request = request->id;
+  attempt->server = server->id;
+  request->attempt = id;
+  request->state = BGAP_REQUEST_IN_FLIGHT;
+  request->dispatched_at_ms = now_ms;
+  request->tried[request->attempts % BGAP_ROUTER_TRIED_MAX] = server->id;
+  request->attempts++;
+  request->suspect_counted = bgap_quarantine_suspected (
+      &state->quarantine, now_ms, request->fingerprint);
+  server->server.suspects += request->suspect_counted;
+  bgap_server_on_dispatch (&server->server);
+  state->counts.dispatches++;
+  bgap_router_set_timer (state, request);
+  bgap_router_emit (state, &(struct bgap_router_action){
+                               .kind = BGAP_ACTION_DISPATCH,
+                               .request = { request->id },
+                               .context = request->context,
+                               .attempt = { id },
+                               .service = { request->service },
+                               .server = { server->id },
+                               .token = request->token,
+                               .deadline_ms = request->deadline_at_ms - now_ms,
+                               .keep_body = request->once_won });
+}
+
+/* Ends a request that must not be dispatched.  */
+static bool
+_bgap_router_must_end (struct bgap_router_state *state, int64_t now_ms,
+                       struct bgap_router_request *request)
+{
+  if (request->deadline_at_ms <= now_ms)
+    {
+      bgap_router_finish (state, now_ms, request, BGAP_REASON_DEADLINE);
+      return true;
+    }
+  if (bgap_quarantine_holds (&state->quarantine, now_ms, request->fingerprint))
+    {
+      bgap_router_finish (state, now_ms, request, BGAP_REASON_QUARANTINED);
+      return true;
+    }
+  return false;
+}
+
+static struct bgap_router_server *
+_bgap_router_choose (struct bgap_router_state *state, int64_t now_ms,
+                     struct bgap_router_service *service,
+                     const struct bgap_router_request *request)
+{
+  struct bgap_server *exclude[BGAP_ROUTER_TRIED_MAX];
+  size_t count = 0;
+  for (size_t i = 0; i < BGAP_ROUTER_TRIED_MAX; i++)
+    {
+      struct bgap_router_server *tried
+          = bgap_router_server (state, request->tried[i]);
+      if (tried != NULL)
+        exclude[count++] = &tried->server;
+    }
+  const struct bgap_balancer_query query = {
+    .servers = service->servers,
+    .count = service->server_count,
+    .exclude = exclude,
+    .exclude_count = count,
+    .suspect = bgap_quarantine_suspected (&state->quarantine, now_ms,
+                                          request->fingerprint),
+  };
+  return (struct bgap_router_server *)bgap_balancer_pick (&service->balancer,
+                                                          now_ms, &query);
+}
+
+static void
+_bgap_router_route_to_holder (struct bgap_router_state *state, int64_t now_ms,
+                              struct bgap_router_service *service,
+                              struct bgap_router_request *request)
+{
+  struct bgap_router_server *holder
+      = bgap_router_server (state, request->holder);
+  if (holder == NULL || holder->server.service.id != request->service
+      || !bgap_server_holder_eligible (&holder->server, now_ms))
+    bgap_router_resolve (state, now_ms, request);
+  else if (holder->lane.count > 0
+           || _bgap_router_server_full (service, now_ms, &holder->server))
+    {
+      bgap_router_enqueue (state, now_ms, request);
+      bgap_router_pump_server (state, now_ms, holder);
+    }
+  else
+    _bgap_router_dispatch (state, now_ms, request, holder);
+}
+
+void
+bgap_router_route (struct bgap_router_state *state, int64_t now_ms,
+                   struct bgap_router_request *request)
+{
+  struct bgap_router_service *service
+      = bgap_router_service (state, request->service);
+  if (_bgap_router_must_end (state, now_ms, request))
+    return;
+  if (service->desc.keyed)
+    {
+      _bgap_router_route_to_holder (state, now_ms, service, request);
+      return;
+    }
+  if (service->server_count == 0)
+    {
+      bgap_router_finish (state, now_ms, request, BGAP_REASON_NO_SERVER);
+      return;
+    }
+  if (service->lane.count == 0)
+    {
+      struct bgap_router_server *server
+          = _bgap_router_choose (state, now_ms, service, request);
+      if (server != NULL)
+        {
+          _bgap_router_dispatch (state, now_ms, request, server);
+          return;
+        }
+    }
+  bgap_router_enqueue (state, now_ms, request);
+  bgap_router_pump (state, now_ms, service);
+}
+
+void
+bgap_router_pump (struct bgap_router_state *state, int64_t now_ms,
+                  struct bgap_router_service *service)
+{
+  if (service->pumping)
+    return;
+  service->pumping = true;
+  const struct bgap_heap_item *top;
+  while ((top = bgap_heap_top (&service->lane)) != NULL)
+    {
+      struct bgap_router_request *request
+          = bgap_router_open_request (state, top->id);
+      if (_bgap_router_must_end (state, now_ms, request))
+        continue;
+      struct bgap_router_server *server
+          = _bgap_router_choose (state, now_ms, service, request);
+      if (server == NULL)
+        break;
+      bgap_router_leave_state (state, request);
+      _bgap_router_dispatch (state, now_ms, request, server);
+    }
+  service->pumping = false;
+}
+
+void
+bgap_router_pump_server (struct bgap_router_state *state, int64_t now_ms,
+                         struct bgap_router_server *server)
+{
+  struct bgap_router_service *service
+      = bgap_router_service (state, server->server.service.id);
+  if (service == NULL || service->pumping)
+    return;
+  service->pumping = true;
+  const struct bgap_heap_item *top;
+  while ((top = bgap_heap_top (&server->lane)) != NULL)
+    {
+      struct bgap_router_request *request
+          = bgap_router_open_request (state, top->id);
+      if (_bgap_router_must_end (state, now_ms, request))
+        continue;
+      if (!bgap_server_holder_eligible (&server->server, now_ms))
+        {
+          bgap_router_leave_state (state, request);
+          bgap_router_resolve (state, now_ms, request);
+          continue;
+        }
+      if (_bgap_router_server_full (service, now_ms, &server->server))
+        break;
+      bgap_router_leave_state (state, request);
+      _bgap_router_dispatch (state, now_ms, request, server);
+    }
+  service->pumping = false;
+}
--- /dev/null
+++ b/packages/routing/src/router_dump.c
@@ -0,0 +1,78 @@
+#include <inttypes.h>
+
+#include "router_state.h"
+
+struct bgap_router_counts
+bgap_router_counts (const struct bgap_router *router)
+{
+  const struct bgap_router_state *state = router->state;
+  struct bgap_router_counts counts = state->counts;
+  counts.in_flight = state->attempts.used;
+  counts.open = state->requests.used;
+  counts.queued = 0;
+  for (uint32_t id = bgap_pool_next (&state->services, BGAP_INVALID_ID);
+       id != BGAP_INVALID_ID; id = bgap_pool_next (&state->services, id))
+    counts.queued += bgap_router_service (state, id)->waiting;
+  return counts;
+}
+
+static enum bgap_status
+_bgap_router_dump_server (const struct bgap_server *server,
+                          struct bgap_buffer *out)
+{
+  return bgap_buffer_printf (
+      out,
+      "  server %s zone=%s slots=%" PRIu32 " quota=%" PRIu32
+      " in_flight=%" PRIu32 " peers=%" PRIu32 " window=%" PRIu32
+      "/16 load=%" PRIu32 "%% failures=%" PRIu32 " drain=%" PRIu32
+      " ejected_until_ms=%" PRId64 " lost=%d incarnation=%" PRIx64 "\n",
+      server->name, server->zone, server->slots, server->quota,
+      server->in_flight, server->in_flight_peers, server->window,
+      server->load_percent, server->failures, server->drain,
+      server->ejected_until_ms, server->lost, server->incarnation);
+}
+
+static enum bgap_status
+_bgap_router_dump_service (const struct bgap_router_service *service,
+                           struct bgap_buffer *out)
+{
+  enum bgap_status status = bgap_buffer_printf (
+      out,
+      "service %s keyed=%d repeat_never=%d policy=%s waiting=%" PRIu32
+      " once_waiting=%" PRIu32 " service_ms=%.1f retries_left=%" PRIu32 "\n",
+      service->name, service->desc.keyed, service->desc.repeat_never,
+      service->desc.policy->name, service->waiting, service->once_waiting,
+      service->service_ms, service->budget.hundredths / 100);
+  if (status == BGAP_OK && service->once.state != NULL)
+    {
+      struct bgap_once_counts once = bgap_once_counts (&service->once);
+      status = bgap_buffer_printf (
+          out,
+          "  once ready=%d applied=%" PRIu64 " keys=%" PRIu32
+          " waiting=%" PRIu32 " body_bytes=%" PRIu32 " to_append=%" PRIu32
+          "\n",
+          bgap_once_ready (&service->once), bgap_once_applied (&service->once),
+          once.keys, once.waiting, once.body_bytes, once.to_append);
+    }
+  for (uint32_t i = 0; status == BGAP_OK && i < service->server_count; i++)
+    status = _bgap_router_dump_server (service->servers[i], out);
+  return status;
+}
+
+enum bgap_status
+bgap_router_dump (const struct bgap_router *router, struct bgap_buffer *out)
+{
+  const struct bgap_router_state *state = router->state;
+  struct bgap_router_counts counts = bgap_router_counts (router);
+  enum bgap_status status = bgap_buffer_printf (
+      out,
+      "router %s zone=%s leaving=%d open=%" PRIu32 " in_flight=%" PRIu32
+      " queued=%" PRIu32 " suspects=%" PRIu32 "\n",
+      state->instance, state->zone, state->leaving, counts.open,
+      counts.in_flight, counts.queued, state->quarantine.count);
+  for (uint32_t id = bgap_pool_next (&state->services, BGAP_INVALID_ID);
+       status == BGAP_OK && id != BGAP_INVALID_ID;
+       id = bgap_pool_next (&state->services, id))
+    status = _bgap_router_dump_service (bgap_router_service (state, id), out);
+  return status;
+}
--- /dev/null
+++ b/packages/routing/src/router_queue.c
@@ -0,0 +1,214 @@
+#include "router_state.h"
+
+#define QUEUE_PER_SLOT 4u
+
+/* The service time shrinks by this factor with each request refused by an
+   estimate, so that an outdated estimate does not refuse for ever.  */
+#define ESTIMATE_DECAY 0.98
+
+enum bgap_status
+bgap_router_set_timer (struct bgap_router_state *state,
+                       struct bgap_router_request *request)
+{
+  int64_t at_ms = request->deadline_at_ms;
+  if (request->state == BGAP_REQUEST_BACKOFF && request->wake_at_ms < at_ms)
+    at_ms = request->wake_at_ms;
+  bgap_heap_remove (&state->timers, request->id);
+  return bgap_heap_push (&state->timers, at_ms, 0, request->id);
+}
+
+static struct bgap_heap *
+_bgap_router_lane (struct bgap_router_state *state,
+                   const struct bgap_router_request *request)
+{
+  struct bgap_router_service *service
+      = bgap_router_service (state, request->service);
+  if (!service->desc.keyed)
+    return &service->lane;
+  struct bgap_router_server *holder
+      = bgap_router_server (state, request->holder);
+  return holder ? &holder->lane : NULL;
+}
+
+void
+bgap_router_leave_state (struct bgap_router_state *state,
+                         struct bgap_router_request *request)
+{
+  struct bgap_router_service *service
+      = bgap_router_service (state, request->service);
+  struct bgap_heap *lane;
+  switch (request->state)
+    {
+    case BGAP_REQUEST_QUEUED:
+      lane = _bgap_router_lane (state, request);
+      if (lane != NULL)
+        bgap_heap_remove (lane, request->id);
+      service->waiting--;
+      break;
+    case BGAP_REQUEST_RESOLVING:
+    case BGAP_REQUEST_BACKOFF:
+      service->waiting--;
+      break;
+    case BGAP_REQUEST_ONCE:
+      service->once_waiting--;
+      break;
+    case BGAP_REQUEST_NEW:
+    case BGAP_REQUEST_IN_FLIGHT:
+      break;
+    }
+  request->state = BGAP_REQUEST_NEW;
+}
+
+/* Room in the queue.  */
+
+uint32_t
+bgap_router_queue_limit (const struct bgap_router_service *service)
+{
+  if (service->desc.queue_limit)
+    return service->desc.queue_limit;
+  uint32_t slots = 0;
+  for (uint32_t i = 0; i < service->server_count; i++)
+    slots += service->servers[i]->slots;
+  return slots ? slots * QUEUE_PER_SLOT : QUEUE_PER_SLOT;
+}
+
+static struct bgap_router_request *
+_bgap_router_least_urgent (struct bgap_router_state *state,
+                           const struct bgap_router_request *request)
+{
+  const struct bgap_heap *lane = _bgap_router_lane (state, request);
+  const struct bgap_heap_item *worst = NULL;
+  for (uint32_t i = 0; lane != NULL && i < lane->count; i++)
+    {
+      const struct bgap_heap_item *item = &lane->items[i];
+      if (item->major <= (int64_t)request->class_)
+        continue;
+      if (worst == NULL || item->major > worst->major
+          || (item->major == worst->major && item->minor > worst->minor))
+        worst = item;
+    }
+  return worst ? bgap_router_open_request (state, worst->id) : NULL;
+}
+
+bool
+bgap_router_admit (struct bgap_router_state *state, int64_t now_ms,
+                   struct bgap_router_request *request)
+{
+  struct bgap_router_service *service
+      = bgap_router_service (state, request->service);
+  while (service->waiting >= bgap_router_queue_limit (service))
+    {
+      struct bgap_router_request *worst
+          = _bgap_router_least_urgent (state, request);
+      if (worst == NULL)
+        {
+          bgap_router_finish (state, now_ms, request, BGAP_REASON_QUEUE_FULL);
+          return false;
+        }
+      bgap_router_finish (state, now_ms, worst, BGAP_REASON_QUEUE_FULL);
+    }
+  return true;
+}
+
+/* Deadline.  */
+
+static uint32_t
+_bgap_router_capacity (struct bgap_router_state *state, int64_t now_ms,
+                       const struct bgap_router_service *service,
+                       const struct bgap_router_request *request)
+{
+  if (service->desc.keyed)
+    {
+      const struct bgap_router_server *holder
+          = bgap_router_server (state, request->holder);
+      return holder ? bgap_server_limit (&holder->server, now_ms) : 0;
+    }
+  uint32_t capacity = 0;
+  for (uint32_t i = 0; i < service->server_count; i++)
+    if (bgap_balancer_usable (&service->balancer, now_ms, service->servers[i]))
+      capacity += bgap_server_limit (service->servers[i], now_ms);
+  return capacity;
+}
+
+static bool
+_bgap_router_too_late (struct bgap_router_state *state, int64_t now_ms,
+                       struct bgap_router_service *service,
+                       const struct bgap_router_request *request,
+                       const struct bgap_heap *lane)
+{
+  if (!service->desc.policy->limited
+      || service->samples < BGAP_ROUTER_SAMPLES_MIN)
+    return false;
+  uint32_t capacity = _bgap_router_capacity (state, now_ms, service, request);
+  if (capacity == 0)
+    return false;
+  uint32_t ahead = 1;
+  for (uint32_t i = 0; i < lane->count; i++)
+    if (lane->items[i].major < (int64_t)request->class_
+        || (lane->items[i].major == (int64_t)request->class_
+            && lane->items[i].minor <= request->deadline_at_ms))
+      ahead++;
+  double wait_ms = service->service_ms * ahead / capacity;
+  double left_ms = (double)(request->deadline_at_ms - now_ms);
+  if (wait_ms + service->service_ms <= left_ms)
+    return false;
+  service->service_ms *= ESTIMATE_DECAY;
+  return true;
+}
+
+/* Waiting.  */
+
+void
+bgap_router_enqueue (struct bgap_router_state *state, int64_t now_ms,
+                     struct bgap_router_request *request)
+{
+  struct bgap_router_service *service
+      = bgap_router_service (state, request->service);
+  struct bgap_heap *lane = _bgap_router_lane (state, request);
+  if (_bgap_router_too_late (state, now_ms, service, request, lane))
+    {
+      bgap_router_finish (state, now_ms, request, BGAP_REASON_DEADLINE);
+      return;
+    }
+  if (!bgap_router_admit (state, now_ms, request))
+    return;
+  if (bgap_heap_push (lane, (int64_t)request->class_, request->deadline_at_ms,
+                      request->id)
+      != BGAP_OK)
+    {
+      bgap_router_finish (state, now_ms, request, BGAP_REASON_QUEUE_FULL);
+      return;
+    }
+  service->waiting++;
+  request->state = BGAP_REQUEST_QUEUED;
+}
+
+void
+bgap_router_wait (struct bgap_router_state *state, int64_t now_ms,
+                  struct bgap_router_request *request, int64_t delay_ms,
+                  bool resolve)
+{
+  if (!bgap_router_admit (state, now_ms, request))
+    return;
+  bgap_router_service (state, request->service)->waiting++;
+  request->state = BGAP_REQUEST_BACKOFF;
+  request->wake_at_ms = now_ms + delay_ms;
+  request->resolve = resolve;
+  bgap_router_set_timer (state, request);
+}
+
+void
+bgap_router_resolve (struct bgap_router_state *state, int64_t now_ms,
+                     struct bgap_router_request *request)
+{
+  if (!bgap_router_admit (state, now_ms, request))
+    return;
+  bgap_router_service (state, request->service)->waiting++;
+  request->state = BGAP_REQUEST_RESOLVING;
+  request->resolves++;
+  bgap_router_emit (
+      state, &(struct bgap_router_action){ .kind = BGAP_ACTION_RESOLVE,
+                                           .request = { request->id },
+                                           .context = request->context,
+                                           .service = { request->service } });
+}
--- /dev/null
+++ b/packages/routing/src/router_request.c
@@ -0,0 +1,137 @@
+#include "router_state.h"
+
+static int64_t
+_bgap_request_deadline (const struct bgap_router_service *service,
+                        const struct bgap_request_desc *desc)
+{
+  int64_t deadline_ms
+      = desc->deadline_ms ? desc->deadline_ms : service->desc.deadline_ms;
+  if (deadline_ms > service->desc.deadline_max_ms)
+    deadline_ms = service->desc.deadline_max_ms;
+  return deadline_ms;
+}
+
+static struct bgap_router_request *
+_bgap_request_create (struct bgap_router_state *state, int64_t now_ms,
+                      const struct bgap_router_service *service,
+                      const struct bgap_request_desc *desc)
+{
+  uint32_t id = bgap_pool_alloc (&state->requests);
+  struct bgap_router_request *request = bgap_router_open_request (state, id);
+  if (request == NULL)
+    return NULL;
+  *request = (struct bgap_router_request){
+    .id = id,
+    .service = desc->service.id,
+    .holder = desc->holder.id,
+    .token = desc->token,
+    .digest = desc->digest,
+    .fingerprint = desc->fingerprint,
+    .context = desc->context,
+    .class_ = BGAP_CLASS_NORMAL,
+    .idempotent = desc->idempotent,
+    .deadline_at_ms = now_ms,
+  };
+  if (desc->class_ > BGAP_CLASS_DEFAULT && desc->class_ < BGAP_CLASS_COUNT)
+    request->class_ = desc->class_;
+  else if (service != NULL)
+    request->class_ = service->desc.class_;
+  if (service != NULL)
+    request->deadline_at_ms += _bgap_request_deadline (service, desc);
+  if (bgap_router_set_timer (state, request) != BGAP_OK)
+    {
+      bgap_pool_free (&state->requests, id);
+      return NULL;
+    }
+  state->counts.requests++;
+  return request;
+}
+
+struct bgap_request_id
+bgap_router_request (struct bgap_router *router, int64_t now_ms,
+                     const struct bgap_request_desc *desc)
+{
+  struct bgap_router_state *state = router->state;
+  struct bgap_router_service *service
+      = bgap_router_service (state, desc->service.id);
+  struct bgap_router_request *request
+      = _bgap_request_create (state, now_ms, service, desc);
+  if (request == NULL)
+    return (struct bgap_request_id){ BGAP_INVALID_ID };
+  struct bgap_request_id request_id = { request->id };
+  if (service == NULL)
+    bgap_router_finish (state, now_ms, request, BGAP_REASON_REMOVED);
+  else if (state->leaving)
+    bgap_router_finish (state, now_ms, request, BGAP_REASON_SHUTDOWN);
+  else if (request->deadline_at_ms <= now_ms)
+    bgap_router_finish (state, now_ms, request, BGAP_REASON_DEADLINE);
+  else
+    {
+      bgap_retry_budget_on_request (&service->budget);
+      if (service->desc.repeat_never && !request->idempotent)
+        bgap_router_begin_once (state, now_ms, request, desc);
+      else
+        bgap_router_route (state, now_ms, request);
+    }
+  return request_id;
+}
+
+void
+bgap_router_resolved (struct bgap_router *router, int64_t now_ms,
+                      struct bgap_request_id request_id,
+                      struct bgap_server_id holder, uint64_t token)
+{
+  struct bgap_router_state *state = router->state;
+  struct bgap_router_request *request
+      = bgap_router_open_request (state, request_id.id);
+  if (request == NULL || request->state != BGAP_REQUEST_RESOLVING)
+    return;
+  bgap_router_leave_state (state, request);
+  const struct bgap_router_server *server
+      = bgap_router_server (state, holder.id);
+  int64_t delay_ms = (int64_t)BGAP_ROUTER_RESOLVE_MS
+                     << (request->resolves < 4 ? request->resolves - 1 : 3);
+  if (server == NULL || server->server.service.id != request->service
+      || !bgap_server_holder_eligible (&server->server, now_ms))
+    {
+      bgap_router_wait (state, now_ms, request, delay_ms, true);
+      return;
+    }
+  /* The same grant was refused before: its lease may have to be renewed.  */
+  bool same = request->holder == holder.id && request->token == token
+              && request->attempts > 0;
+  request->holder = holder.id;
+  request->token = token;
+  if (same)
+    bgap_router_wait (state, now_ms, request, delay_ms, false);
+  else
+    bgap_router_route (state, now_ms, request);
+}
+
+void
+bgap_router_cancel (struct bgap_router *router, int64_t now_ms,
+                    struct bgap_request_id request_id)
+{
+  struct bgap_router_state *state = router->state;
+  struct bgap_router_request *request
+      = bgap_router_open_request (state, request_id.id);
+  if (request == NULL || request->detached)
+    return;
+  state->counts.cancelled++;
+  request->detached = true;
+  request->context = NULL;
+  struct bgap_router_service *service
+      = bgap_router_service (state, request->service);
+  uint32_t holder = request->holder;
+  if (request->state == BGAP_REQUEST_IN_FLIGHT)
+    {
+      if (request->once_won)
+        return;
+      bgap_router_cancel_attempt (state, now_ms, request);
+    }
+  bgap_router_finish (state, now_ms, request, BGAP_REASON_DEADLINE);
+  struct bgap_router_server *server = bgap_router_server (state, holder);
+  if (server != NULL)
+    bgap_router_pump_server (state, now_ms, server);
+  bgap_router_pump (state, now_ms, service);
+}
--- /dev/null
+++ b/packages/routing/src/router_server.c
@@ -0,0 +1,292 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "banyangap/base/hash.h"
+#include "router_state.h"
+
+static uint64_t
+_bgap_server_full_hash (const struct bgap_router_service *service,
+                        const char *name)
+{
+  char text[2 * BGAP_ROUTING_NAME_SIZE];
+  int size = snprintf (text, sizeof text, "%s/%s", service->name, name);
+  return bgap_hash64 (text, (size_t)size);
+}
+
+struct bgap_server_id
+bgap_router_find_server (const struct bgap_router *router,
+                         struct bgap_service_id service_id, const char *name)
+{
+  const struct bgap_router_state *state = router->state;
+  const struct bgap_router_service *service
+      = bgap_router_service (state, service_id.id);
+  if (service == NULL || strlen (name) >= BGAP_ROUTING_NAME_SIZE)
+    return (struct bgap_server_id){ BGAP_INVALID_ID };
+  const struct bgap_router_server *server
+      = bgap_router_hash_find (state, _bgap_server_full_hash (service, name));
+  if (server == NULL)
+    return (struct bgap_server_id){ BGAP_INVALID_ID };
+  return (struct bgap_server_id){ server->id };
+}
+
+static enum bgap_status
+_bgap_service_add_server (struct bgap_router_service *service,
+                          struct bgap_server *server)
+{
+  if (service->server_count == service->server_capacity)
+    {
+      uint32_t capacity
+          = service->server_capacity ? service->server_capacity * 2 : 8;
+      struct bgap_server **servers = realloc (
+          service->servers, capacity * sizeof (struct bgap_server *));
+      if (servers == NULL)
+        return BGAP_ERR_NO_MEMORY;
+      service->servers = servers;
+      service->server_capacity = capacity;
+    }
+  service->servers[service->server_count++] = server;
+  return BGAP_OK;
+}
+
+static enum bgap_status
+_bgap_server_create (struct bgap_router_state *state, int64_t now_ms,
+                     struct bgap_router_service *service,
+                     const struct bgap_server_desc *desc, uint32_t *id)
+{
+  *id = bgap_pool_alloc (&state->servers);
+  struct bgap_router_server *server = bgap_router_server (state, *id);
+  if (server == NULL)
+    return BGAP_ERR_FULL;
+  bgap_server_setup (&server->server, now_ms, desc);
+  server->id = *id;
+  server->lane.positions = state->lane_positions;
+  server->server.service.id = service->id;
+  server->server.hash_full = _bgap_server_full_hash (service, desc->name);
+  server->peers = calloc (state->desc.peers_max, sizeof *server->peers);
+  if (server->peers == NULL
+      || _bgap_service_add_server (service, &server->server) != BGAP_OK)
+    {
+      free (server->peers);
+      bgap_pool_free (&state->servers, *id);
+      *id = BGAP_INVALID_ID;
+      return BGAP_ERR_NO_MEMORY;
+    }
+  bgap_router_hash_add (state, server);
+  return BGAP_OK;
+}
+
+enum bgap_status
+bgap_router_set_server (struct bgap_router *router, int64_t now_ms,
+                        struct bgap_service_id service_id,
+                        const struct bgap_server_desc *desc,
+                        struct bgap_server_id *id, struct bgap_error *err)
+{
+  struct bgap_router_state *state = router->state;
+  struct bgap_router_service *service
+      = bgap_router_service (state, service_id.id);
+  if (service == NULL)
+    return bgap_error_set (err, BGAP_ERR_NOT_FOUND, "no such service");
+  if (!bgap_server_desc_valid (desc))
+    return bgap_error_set (err, BGAP_ERR_INVALID,
+                           "a server of %s has an invalid name, zone or "
+                           "number of slots",
+                           service->name);
+  *id = bgap_router_find_server (router, service_id, desc->name);
+  struct bgap_router_server *server = bgap_router_server (state, id->id);
+  if (server != NULL)
+    bgap_server_update (&server->server, desc);
+  else
+    {
+      enum bgap_status status
+          = _bgap_server_create (state, now_ms, service, desc, &id->id);
+      if (status != BGAP_OK)
+        return bgap_error_set (err, status, "server %s: %s", desc->name,
+                               bgap_status_name (status));
+      server = bgap_router_server (state, id->id);
+    }
+  server->server.local = strcmp (desc->zone, state->zone) == 0;
+  bgap_router_pump (state, now_ms, service);
+  return BGAP_OK;
+}
+
+void
+bgap_router_free_server (struct bgap_router_state *state,
+                         struct bgap_router_server *server)
+{
+  bgap_heap_shutdown (&server->lane);
+  free (server->peers);
+  bgap_pool_free (&state->servers, server->id);
+}
+
+void
+bgap_router_remove_server (struct bgap_router *router, int64_t now_ms,
+                           struct bgap_server_id server_id)
+{
+  struct bgap_router_state *state = router->state;
+  struct bgap_router_server *server = bgap_router_server (state, server_id.id);
+  if (server == NULL || server->server.removed)
+    return;
+  struct bgap_router_service *service
+      = bgap_router_service (state, server->server.service.id);
+  for (uint32_t i = 0; i < service->server_count; i++)
+    if (service->servers[i] == &server->server)
+      {
+        service->servers[i] = service->servers[--service->server_count];
+        break;
+      }
+  bgap_router_hash_remove (state, server);
+  server->server.removed = true;
+  bgap_router_pump_server (state, now_ms, server);
+  if (server->server.in_flight == 0)
+    bgap_router_free_server (state, server);
+}
+
+/* Signals.  */
+
+static void
+_bgap_server_changed (struct bgap_router_state *state, int64_t now_ms,
+                      struct bgap_router_server *server)
+{
+  bgap_router_pump_server (state, now_ms, server);
+  struct bgap_router_service *service
+      = bgap_router_service (state, server->server.service.id);
+  if (service != NULL)
+    bgap_router_pump (state, now_ms, service);
+}
+
+void
+bgap_router_server_load (struct bgap_router *router, int64_t now_ms,
+                         struct bgap_server_id server_id,
+                         const struct bgap_server_load *load)
+{
+  struct bgap_router_server *server
+      = bgap_router_server (router->state, server_id.id);
+  if (server == NULL)
+    return;
+  bgap_server_on_load (&server->server, now_ms, load);
+  _bgap_server_changed (router->state, now_ms, server);
+}
+
+void
+bgap_router_server_drain (struct bgap_router *router, int64_t now_ms,
+                          struct bgap_server_id server_id,
+                          enum bgap_drain_signal signal, bool on)
+{
+  struct bgap_router_server *server
+      = bgap_router_server (router->state, server_id.id);
+  if (server == NULL || signal >= BGAP_DRAIN_COUNT)
+    return;
+  bgap_server_drain (&server->server, now_ms, signal, on);
+  _bgap_server_changed (router->state, now_ms, server);
+}
+
+/* The process of a server has ended: what ran on it is lost.  */
+static void
+_bgap_server_died (struct bgap_router_state *state, int64_t now_ms,
+                   struct bgap_router_server *server)
+{
+  uint64_t hash = server->server.hash;
+  for (uint32_t i = 0; i < BGAP_SERVER_BROKEN_MAX; i++)
+    {
+      struct bgap_server_broken *broken = &server->server.broken[i];
+      if (broken->fingerprint != 0
+          && now_ms - broken->at_ms <= BGAP_ROUTER_DEATH_MS)
+        bgap_quarantine_suspect (&state->quarantine, now_ms,
+                                 broken->fingerprint, hash);
+      *broken = (struct bgap_server_broken){ 0 };
+    }
+  uint32_t next;
+  for (uint32_t id = bgap_pool_next (&state->attempts, BGAP_INVALID_ID);
+       id != BGAP_INVALID_ID; id = next)
+    {
+      next = bgap_pool_next (&state->attempts, id);
+      const struct bgap_router_attempt *attempt
+          = bgap_pool_get (&state->attempts, id);
+      if (attempt->server != server->id)
+        continue;
+      struct bgap_router_request *request
+          = bgap_router_open_request (state, attempt->request);
+      bgap_quarantine_suspect (&state->quarantine, now_ms,
+                               request->fingerprint, hash);
+    }
+  for (uint32_t id = bgap_pool_next (&state->attempts, BGAP_INVALID_ID);
+       id != BGAP_INVALID_ID; id = next)
+    {
+      next = bgap_pool_next (&state->attempts, id);
+      const struct bgap_router_attempt *attempt
+          = bgap_pool_get (&state->attempts, id);
+      if (attempt == NULL || attempt->server != server->id)
+        continue;
+      struct bgap_router_request *request
+          = bgap_router_open_request (state, attempt->request);
+      bgap_router_cancel_attempt (state, now_ms, request);
+      bgap_router_broken (state, now_ms, request, BGAP_REASON_CRASH_SUSPECT);
+    }
+  bgap_router_send_news (state);
+}
+
+void
+bgap_router_server_lost (struct bgap_router *router, int64_t now_ms,
+                         struct bgap_server_id server_id)
+{
+  struct bgap_router_state *state = router->state;
+  struct bgap_router_server *server = bgap_router_server (state, server_id.id);
+  if (server == NULL || server->server.lost)
+    return;
+  server->server.lost = true;
+  /* A removed server is freed with its last attempt; keep it until the end
+     of this function.  */
+  server->server.in_flight++;
+  _bgap_server_died (state, now_ms, server);
+  server->server.in_flight--;
+  if (server->server.removed && server->server.in_flight == 0)
+    {
+      bgap_router_free_server (state, server);
+      return;
+    }
+  _bgap_server_changed (state, now_ms, server);
+}
+
+void
+bgap_router_server_alive (struct bgap_router *router, int64_t now_ms,
+                          struct bgap_server_id server_id,
+                          uint64_t incarnation)
+{
+  struct bgap_router_state *state = router->state;
+  struct bgap_router_server *server = bgap_router_server (state, server_id.id);
+  if (server == NULL)
+    return;
+  if (server->server.has_incarnation && !server->server.lost
+      && server->server.incarnation != incarnation)
+    bgap_router_server_lost (router, now_ms, server_id);
+  server = bgap_router_server (state, server_id.id);
+  if (server == NULL)
+    return;
+  bgap_server_on_alive (&server->server, now_ms, incarnation);
+  _bgap_server_changed (state, now_ms, server);
+}
+
+enum bgap_status
+bgap_router_server_status (const struct bgap_router *router,
+                           struct bgap_server_id server_id,
+                           struct bgap_server_status *status)
+{
+  const struct bgap_router_server *item
+      = bgap_router_server (router->state, server_id.id);
+  if (item == NULL)
+    return BGAP_ERR_NOT_FOUND;
+  const struct bgap_server *server = &item->server;
+  *status = (struct bgap_server_status){
+    .name = server->name,
+    .zone = server->zone,
+    .slots = server->slots,
+    .in_flight = server->in_flight,
+    .in_flight_all = server->in_flight + server->in_flight_peers,
+    .quota = server->quota,
+    .draining = bgap_server_draining (server),
+    .ejected = server->ejected_until_ms > 0,
+    .lost = server->lost,
+  };
+  return BGAP_OK;
+}
--- /dev/null
+++ b/packages/routing/src/router_service.c
@@ -0,0 +1,189 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "router_state.h"
+
+#define DEFAULT_DEADLINE_MS 10000
+#define DEFAULT_DEADLINE_MAX_MS 600000
+#define DEFAULT_ATTEMPTS_MAX 3u
+
+static struct bgap_service_desc
+_bgap_service_defaults (const struct bgap_service_desc *desc)
+{
+  struct bgap_service_desc full = *desc;
+  if (full.class_ == BGAP_CLASS_DEFAULT)
+    full.class_ = BGAP_CLASS_NORMAL;
+  if (full.deadline_ms == 0)
+    full.deadline_ms = DEFAULT_DEADLINE_MS;
+  if (full.deadline_max_ms == 0)
+    full.deadline_max_ms = DEFAULT_DEADLINE_MAX_MS;
+  if (full.attempts_max == 0)
+    full.attempts_max = DEFAULT_ATTEMPTS_MAX;
+  if (full.policy == NULL)
+    full.policy = &bgap_balancer_default;
+  return full;
+}
+
+static enum bgap_status
+_bgap_service_check (const struct bgap_service_desc *desc,
+                     struct bgap_error *err)
+{
+  if (desc->name == NULL || desc->name[0] == '\0'
+      || strlen (desc->name) >= BGAP_ROUTING_NAME_SIZE)
+    return bgap_error_set (err, BGAP_ERR_INVALID,
+                           "a service needs a name of 1 to %d bytes",
+                           BGAP_ROUTING_NAME_SIZE - 1);
+  if (desc->class_ >= BGAP_CLASS_COUNT || desc->deadline_ms < 0
+      || desc->deadline_max_ms < 0 || desc->once_window_ms < 0)
+    return bgap_error_set (err, BGAP_ERR_INVALID,
+                           "service %s has a class or time out of range",
+                           desc->name);
+  return BGAP_OK;
+}
+
+static enum bgap_status
+_bgap_service_setup_once (struct bgap_router_state *state,
+                          struct bgap_router_service *service,
+                          struct bgap_error *err)
+{
+  /* A new incarnation for every table: a table that was dropped with its
+     service may have run attempts whose intents this one reads.  */
+  const struct bgap_once_desc once = {
+    .instance = state->instance,
+    .incarnation = bgap_random_next (&state->random),
+    .window_ms = service->desc.once_window_ms,
+    .keys_max = service->desc.once_keys_max,
+    .body_bytes_max = service->desc.once_body_bytes_max,
+  };
+  return bgap_once_setup (&service->once, &once, err);
+}
+
+static void
+_bgap_service_apply (struct bgap_router_state *state,
+                     struct bgap_router_service *service,
+                     const struct bgap_service_desc *desc)
+{
+  bool first = service->name[0] == '\0';
+  uint32_t percent = service->desc.retry_percent;
+  snprintf (service->name, sizeof service->name, "%s", desc->name);
+  service->desc = _bgap_service_defaults (desc);
+  service->desc.name = service->name;
+  service->balancer = (struct bgap_balancer){ .ops = service->desc.policy,
+                                              .random = &state->random };
+  if (first || percent != desc->retry_percent)
+    bgap_retry_budget_setup (
+        &service->budget,
+        &(struct bgap_retry_budget_desc){ .percent = desc->retry_percent });
+}
+
+static enum bgap_status
+_bgap_service_change (struct bgap_router_state *state,
+                      struct bgap_router_service *service,
+                      const struct bgap_service_desc *desc,
+                      struct bgap_error *err)
+{
+  const struct bgap_service_desc *old = &service->desc;
+  if (old->keyed != desc->keyed || old->repeat_never != desc->repeat_never
+      || old->once_window_ms != desc->once_window_ms
+      || old->once_keys_max != desc->once_keys_max
+      || old->once_body_bytes_max != desc->once_body_bytes_max)
+    return bgap_error_set (err, BGAP_ERR_INVALID,
+                           "service %s cannot change keyed, repeat_never or "
+                           "the limits of its once stream",
+                           desc->name);
+  _bgap_service_apply (state, service, desc);
+  return BGAP_OK;
+}
+
+enum bgap_status
+bgap_router_set_service (struct bgap_router *router, int64_t now_ms,
+                         const struct bgap_service_desc *desc,
+                         struct bgap_service_id *id, struct bgap_error *err)
+{
+  struct bgap_router_state *state = router->state;
+  enum bgap_status status = _bgap_service_check (desc, err);
+  if (status != BGAP_OK)
+    return status;
+  *id = bgap_router_find_service (router, desc->name);
+  struct bgap_router_service *service = bgap_router_service (state, id->id);
+  if (service != NULL)
+    {
+      status = _bgap_service_change (state, service, desc, err);
+      bgap_router_pump (state, now_ms, service);
+      return status;
+    }
+  id->id = bgap_pool_alloc (&state->services);
+  service = bgap_router_service (state, id->id);
+  if (service == NULL)
+    return bgap_error_set (err, BGAP_ERR_FULL, "more than %u services",
+                           state->desc.services_max);
+  service->id = id->id;
+  service->lane.positions = state->lane_positions;
+  _bgap_service_apply (state, service, desc);
+  if (desc->repeat_never)
+    status = _bgap_service_setup_once (state, service, err);
+  if (status != BGAP_OK)
+    {
+      bgap_pool_free (&state->services, id->id);
+      id->id = BGAP_INVALID_ID;
+    }
+  return status;
+}
+
+static void
+_bgap_service_end_requests (struct bgap_router_state *state, int64_t now_ms,
+                            uint32_t service)
+{
+  uint32_t next;
+  for (uint32_t id = bgap_pool_next (&state->requests, BGAP_INVALID_ID);
+       id != BGAP_INVALID_ID; id = next)
+    {
+      next = bgap_pool_next (&state->requests, id);
+      struct bgap_router_request *request
+          = bgap_router_open_request (state, id);
+      if (request == NULL || request->service != service)
+        continue;
+      if (request->state == BGAP_REQUEST_IN_FLIGHT)
+        {
+          request->maybe_ran = true;
+          bgap_router_cancel_attempt (state, now_ms, request);
+        }
+      bgap_router_finish (state, now_ms, request, BGAP_REASON_REMOVED);
+    }
+}
+
+void
+bgap_router_remove_service (struct bgap_router *router, int64_t now_ms,
+                            struct bgap_service_id service_id)
+{
+  struct bgap_router_state *state = router->state;
+  struct bgap_router_service *service
+      = bgap_router_service (state, service_id.id);
+  if (service == NULL)
+    return;
+  service->pumping = true; /* nothing is dispatched any more */
+  _bgap_service_end_requests (state, now_ms, service_id.id);
+  while (service->server_count > 0)
+    {
+      struct bgap_router_server *server
+          = (struct bgap_router_server *)service->servers[0];
+      bgap_router_remove_server (router, now_ms,
+                                 (struct bgap_server_id){ server->id });
+    }
+  bgap_heap_shutdown (&service->lane);
+  bgap_once_shutdown (&service->once);
+  free (service->servers);
+  bgap_pool_free (&state->services, service_id.id);
+}
+
+struct bgap_service_id
+bgap_router_find_service (const struct bgap_router *router, const char *name)
+{
+  const struct bgap_router_state *state = router->state;
+  for (uint32_t id = bgap_pool_next (&state->services, BGAP_INVALID_ID);
+       id != BGAP_INVALID_ID; id = bgap_pool_next (&state->services, id))
+    if (strcmp (bgap_router_service (state, id)->name, name) == 0)
+      return (struct bgap_service_id){ id };
+  return (struct bgap_service_id){ BGAP_INVALID_ID };
+}
--- /dev/null
+++ b/packages/routing/src/router_tick.c
@@ -0,0 +1,102 @@
+#include "router_state.h"
+
+#define TICK_MAX_MS 1000
+#define TICK_ONCE_MS 20
+
+static void
+_bgap_router_on_timer (struct bgap_router_state *state, int64_t now_ms,
+                       struct bgap_router_request *request)
+{
+  if (request->deadline_at_ms > now_ms)
+    {
+      /* Only BACKOFF has a timer before the deadline.  */
+      bool resolve = request->resolve;
+      bgap_router_leave_state (state, request);
+      bgap_router_set_timer (state, request);
+      if (resolve)
+        bgap_router_resolve (state, now_ms, request);
+      else
+        bgap_router_route (state, now_ms, request);
+      return;
+    }
+  if (request->state == BGAP_REQUEST_IN_FLIGHT)
+    {
+      const struct bgap_router_attempt *attempt
+          = bgap_pool_get (&state->attempts, request->attempt);
+      struct bgap_router_server *server
+          = bgap_router_server (state, attempt->server);
+      server->server.failures++;
+      request->maybe_ran = true;
+      bgap_router_cancel_attempt (state, now_ms, request);
+    }
+  bgap_router_finish (state, now_ms, request, BGAP_REASON_DEADLINE);
+}
+
+static void
+_bgap_router_tick_services (struct bgap_router_state *state, int64_t now_ms,
+                            int64_t wall_ms)
+{
+  for (uint32_t id = bgap_pool_next (&state->services, BGAP_INVALID_ID);
+       id != BGAP_INVALID_ID; id = bgap_pool_next (&state->services, id))
+    {
+      struct bgap_router_service *service = bgap_router_service (state, id);
+      if (service->once.state != NULL)
+        {
+          bgap_once_tick (&service->once, now_ms, wall_ms);
+          bgap_router_drain_once (state, now_ms, service);
+        }
+      for (uint32_t i = 0; i < service->server_count; i++)
+        {
+          struct bgap_router_server *server
+              = (struct bgap_router_server *)service->servers[i];
+          if (!bgap_server_ejected (&server->server, now_ms))
+            server->server.ejected_until_ms = 0;
+          if (server->lane.count > 0)
+            bgap_router_pump_server (state, now_ms, server);
+        }
+      if (service->lane.count > 0)
+        bgap_router_pump (state, now_ms, service);
+    }
+}
+
+void
+bgap_router_tick (struct bgap_router *router, int64_t now_ms, int64_t wall_ms)
+{
+  struct bgap_router_state *state = router->state;
+  const struct bgap_heap_item *top;
+  while ((top = bgap_heap_top (&state->timers)) != NULL
+         && top->major <= now_ms)
+    _bgap_router_on_timer (state, now_ms,
+                           bgap_router_open_request (state, top->id));
+  _bgap_router_tick_services (state, now_ms, wall_ms);
+  if (state->desc.load_interval_ms > 0 && now_ms >= state->loads_due_ms)
+    {
+      state->loads_due_ms = now_ms + state->desc.load_interval_ms;
+      bgap_router_send_loads (state);
+    }
+}
+
+int64_t
+bgap_router_next_tick_ms (const struct bgap_router *router, int64_t now_ms)
+{
+  const struct bgap_router_state *state = router->state;
+  int64_t wait_ms = TICK_MAX_MS;
+  const struct bgap_heap_item *top = bgap_heap_top (&state->timers);
+  if (top != NULL && top->major - now_ms < wait_ms)
+    wait_ms = top->major - now_ms;
+  if (state->desc.load_interval_ms > 0
+      && state->loads_due_ms - now_ms < wait_ms)
+    wait_ms = state->loads_due_ms - now_ms;
+  for (uint32_t id = bgap_pool_next (&state->services, BGAP_INVALID_ID);
+       id != BGAP_INVALID_ID; id = bgap_pool_next (&state->services, id))
+    {
+      const struct bgap_router_service *service
+          = bgap_router_service (state, id);
+      if ((service->waiting > 0
+           || (service->once.state != NULL
+               && bgap_once_counts (&service->once).to_append > 0))
+          && wait_ms > TICK_ONCE_MS)
+        wait_ms = TICK_ONCE_MS;
+    }
+  return wait_ms > 0 ? wait_ms : 0;
+}
--- /dev/null
+++ b/packages/routing/src/server.c
@@ -0,0 +1,246 @@
+#include "banyangap/routing/server.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "banyangap/base/hash.h"
+
+#define DEFAULT_SLOTS 1u
+#define DEFAULT_CONNECTIONS 64u
+#define DEFAULT_ENTRY_HOSTS_MAX 12u
+#define MAX_SLOTS 65535u
+#define PERCENT 100u
+#define MAX_LOAD_PERCENT 1000u
+
+/* The window counts sixteenths of an attempt, so that it grows by one attempt
+   per window of completed ones.  */
+#define WINDOW_ONE 16u
+
+/* After this many half-lives a load report counts nothing.  */
+#define MAX_HALF_LIVES 10
+
+static bool
+_bgap_server_name_valid (const char *name)
+{
+  return name != NULL && name[0] != '\0'
+         && strlen (name) < BGAP_ROUTING_NAME_SIZE;
+}
+
+bool
+bgap_server_desc_valid (const struct bgap_server_desc *desc)
+{
+  return _bgap_server_name_valid (desc->name)
+         && _bgap_server_name_valid (desc->zone) && desc->slots <= MAX_SLOTS;
+}
+
+void
+bgap_server_update (struct bgap_server *server,
+                    const struct bgap_server_desc *desc)
+{
+  uint32_t connections
+      = desc->connections ? desc->connections : DEFAULT_CONNECTIONS;
+  uint32_t hosts = desc->entry_hosts_max ? desc->entry_hosts_max
+                                         : DEFAULT_ENTRY_HOSTS_MAX;
+  uint32_t quota = connections / hosts;
+  uint32_t slots = desc->slots ? desc->slots : DEFAULT_SLOTS;
+  snprintf (server->zone, sizeof server->zone, "%s", desc->zone);
+  if (slots != server->slots)
+    server->window = slots * WINDOW_ONE;
+  server->slots = slots;
+  server->quota = quota ? quota : 1;
+}
+
+void
+bgap_server_setup (struct bgap_server *server, int64_t now_ms,
+                   const struct bgap_server_desc *desc)
+{
+  *server = (struct bgap_server){
+    .hash = bgap_hash64 (desc->name, strlen (desc->name)),
+    .started_ms = desc->in_place ? now_ms - BGAP_SLOW_START_MS : now_ms,
+  };
+  snprintf (server->name, sizeof server->name, "%s", desc->name);
+  bgap_server_update (server, desc);
+}
+
+/* Drain and ejection.  */
+
+bool
+bgap_server_draining (const struct bgap_server *server)
+{
+  return server->drain != 0;
+}
+
+void
+bgap_server_drain (struct bgap_server *server, int64_t now_ms,
+                   enum bgap_drain_signal signal, bool on)
+{
+  uint32_t before = server->drain;
+  if (on)
+    server->drain |= 1u << signal;
+  else
+    server->drain &= ~(1u << signal);
+  if (before == 0 && server->drain != 0)
+    server->drain_since_ms = now_ms;
+}
+
+bool
+bgap_server_ejected (const struct bgap_server *server, int64_t now_ms)
+{
+  return now_ms < server->ejected_until_ms;
+}
+
+void
+bgap_server_eject (struct bgap_server *server, int64_t now_ms)
+{
+  int64_t duration = BGAP_EJECT_MS;
+  for (uint32_t i = 0; i < server->ejections && duration < BGAP_EJECT_MAX_MS;
+       i++)
+    duration *= 2;
+  if (duration > BGAP_EJECT_MAX_MS)
+    duration = BGAP_EJECT_MAX_MS;
+  server->ejections++;
+  server->failures = 0;
+  server->ejected_until_ms = now_ms + duration;
+}
+
+bool
+bgap_server_eligible (const struct bgap_server *server, int64_t now_ms)
+{
+  return !server->lost && !server->removed && server->drain == 0
+         && !bgap_server_ejected (server, now_ms);
+}
+
+bool
+bgap_server_holder_eligible (const struct bgap_server *server, int64_t now_ms)
+{
+  if (server->lost || server->removed)
+    return false;
+  return server->drain == 0
+         || now_ms - server->drain_since_ms < BGAP_DRAIN_GRACE_MS;
+}
+
+/* Limits and load.  */
+
+uint32_t
+bgap_server_hard_limit (const struct bgap_server *server)
+{
+  uint32_t limit = server->slots;
+  if (server->slots_reported > 0 && server->slots_reported < limit)
+    limit = server->slots_reported;
+  return limit < server->quota ? limit : server->quota;
+}
+
+uint32_t
+bgap_server_limit (const struct bgap_server *server, int64_t now_ms)
+{
+  uint32_t limit = bgap_server_hard_limit (server);
+  uint32_t window = server->window / WINDOW_ONE;
+  if (window < limit)
+    limit = window;
+  int64_t age = now_ms - server->started_ms;
+  if (age >= 0 && age < BGAP_SLOW_START_MS)
+    limit = (uint32_t)(limit * age / BGAP_SLOW_START_MS);
+  return limit ? limit : 1;
+}
+
+uint32_t
+bgap_server_load (const struct bgap_server *server, int64_t now_ms)
+{
+  if (!server->has_load)
+    return 0;
+  int64_t age = now_ms - server->load_at_ms;
+  if (age < 0)
+    age = 0;
+  int64_t halves = age / BGAP_LOAD_HALF_LIFE_MS;
+  if (halves >= MAX_HALF_LIVES)
+    return 0;
+  uint32_t whole = server->load_percent >> halves;
+  /* Linear between the half-lives.  */
+  int64_t rest = age % BGAP_LOAD_HALF_LIFE_MS;
+  return (uint32_t)(whole - whole * rest / 2 / BGAP_LOAD_HALF_LIFE_MS);
+}
+
+void
+bgap_server_on_load (struct bgap_server *server, int64_t now_ms,
+                     const struct bgap_server_load *load)
+{
+  uint32_t slots = load->slots ? load->slots : server->slots;
+  uint64_t busy = (uint64_t)load->in_flight + load->queued;
+  uint64_t percent = busy * PERCENT / slots;
+  server->load_percent
+      = percent > MAX_LOAD_PERCENT ? MAX_LOAD_PERCENT : (uint32_t)percent;
+  server->load_at_ms = now_ms;
+  server->has_load = true;
+  server->slots_reported = load->slots;
+  bgap_server_drain (server, now_ms, BGAP_DRAIN_REPORT, load->draining);
+}
+
+/* Attempts.  */
+
+void
+bgap_server_on_dispatch (struct bgap_server *server)
+{
+  server->in_flight++;
+}
+
+void
+bgap_server_on_end (struct bgap_server *server)
+{
+  if (server->in_flight > 0)
+    server->in_flight--;
+}
+
+bool
+bgap_server_on_result (struct bgap_server *server, int64_t now_ms,
+                       enum bgap_result_kind kind)
+{
+  switch (kind)
+    {
+    case BGAP_RESULT_COMPLETE:
+      server->failures = 0;
+      server->ejections = 0;
+      if (server->window < server->slots * WINDOW_ONE)
+        server->window += WINDOW_ONE * WINDOW_ONE / server->window + 1;
+      return false;
+    case BGAP_RESULT_SHED:
+      /* Other instances use its slots: leave them a quarter of ours.  */
+      server->window -= server->window / 4;
+      if (server->window < WINDOW_ONE)
+        server->window = WINDOW_ONE;
+      return false;
+    case BGAP_RESULT_DRAINING:
+      bgap_server_drain (server, now_ms, BGAP_DRAIN_REPORT, true);
+      return false;
+    case BGAP_RESULT_NO_CONNECT:
+    case BGAP_RESULT_BROKEN:
+    case BGAP_RESULT_TIMEOUT:
+      server->failures++;
+      return server->failures >= BGAP_EJECT_FAILURES;
+    case BGAP_RESULT_STARTED:
+    case BGAP_RESULT_FENCED:
+    case BGAP_RESULT_COUNT:
+      break;
+    }
+  return false;
+}
+
+bool
+bgap_server_on_alive (struct bgap_server *server, int64_t now_ms,
+                      uint64_t incarnation)
+{
+  bool is_new = server->has_incarnation && server->incarnation != incarnation;
+  server->lost = false;
+  server->has_incarnation = true;
+  server->incarnation = incarnation;
+  if (!is_new)
+    return false;
+  server->started_ms = now_ms;
+  server->failures = 0;
+  server->ejections = 0;
+  server->ejected_until_ms = 0;
+  server->has_load = false;
+  server->slots_reported = 0;
+  server->window = server->slots * WINDOW_ONE;
+  bgap_server_drain (server, now_ms, BGAP_DRAIN_REPORT, false);
+  return true;
+}
