Add the instance program

Cause: the packages need one process that joins them on an event loop. Ruled out: one translation unit for routing and backend connections, whose headers use the same name for their attempt handles.

--- /dev/null
+++ b/programs/banyangapd/control_call.c
@@ -0,0 +1,100 @@
+#include "control_call.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+
+/* A server that takes longer misses this renewal; the next one follows after
+   200 ms.  */
+#define CONTROL_DEADLINE_MS 400
+
+/* Longest answer kept.  */
+#define ANSWER_MAX 65536
+
+struct control_call
+{
+  char upstream[BGAP_UPSTREAM_NAME_SIZE];
+  struct bgap_buffer request;
+  struct bgap_buffer answer;
+  int status;
+  void (*done) (void *context, const struct bgap_control_result *result);
+  void *context;
+};
+
+static void
+_bgap_control_free (struct control_call *call)
+{
+  bgap_buffer_shutdown (&call->request);
+  bgap_buffer_shutdown (&call->answer);
+  free (call);
+}
+
+static void
+_bgap_control_on_head (void *user, int status,
+                       const struct bgap_headers *headers)
+{
+  struct control_call *call = user;
+  (void)headers;
+  call->status = status;
+}
+
+static void
+_bgap_control_on_body (void *user, const void *bytes, size_t size)
+{
+  struct control_call *call = user;
+  if (call->answer.size + size <= ANSWER_MAX)
+    bgap_buffer_append (&call->answer, bytes, size);
+}
+
+static void
+_bgap_control_on_end (void *user, enum bgap_call_end end)
+{
+  struct control_call *call = user;
+  const struct bgap_control_result result = {
+    .upstream = call->upstream,
+    .end = end,
+    .status = end == BGAP_CALL_COMPLETE ? call->status : 0,
+    .body = call->answer.data,
+    .body_size = call->answer.size,
+  };
+  call->done (call->context, &result);
+  _bgap_control_free (call);
+}
+
+static const struct bgap_call_ops control_ops = {
+  .head = _bgap_control_on_head,
+  .body = _bgap_control_on_body,
+  .end = _bgap_control_on_end,
+};
+
+enum bgap_status
+bgap_control_call (struct bgap_upstreams *upstreams,
+                   const struct bgap_upstream *upstream, const char *target,
+                   const void *bytes, size_t size,
+                   void (*done) (void *context,
+                                 const struct bgap_control_result *result),
+                   void *context)
+{
+  struct control_call *call = calloc (1, sizeof *call);
+  if (call == NULL)
+    return BGAP_ERR_NO_MEMORY;
+  snprintf (call->upstream, sizeof call->upstream, "%s", upstream->name);
+  call->done = done;
+  call->context = context;
+  enum bgap_status status = bgap_buffer_append (&call->request, bytes, size);
+  uint32_t id = 0;
+  if (status == BGAP_OK)
+    status = bgap_upstream_call (
+        upstreams, upstream,
+        &(struct bgap_call){ .control = true,
+                             .method = "POST",
+                             .target = target,
+                             .body = call->request.data,
+                             .body_size = call->request.size,
+                             .deadline_ms = CONTROL_DEADLINE_MS,
+                             .ops = &control_ops,
+                             .user = call },
+        &id);
+  if (status != BGAP_OK)
+    _bgap_control_free (call);
+  return status;
+}
--- /dev/null
+++ b/programs/banyangapd/exchange.c
@@ -0,0 +1,336 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "banyangap/routing/once.h"
+#include "now.h"
+#include "requests_private.h"
+
+static bool
+_bgap_exchange_copy (struct bgap_exchange *exchange,
+                     const struct bgap_frontend_request *request)
+{
+  exchange->parts = request->parts;
+  snprintf (exchange->method, sizeof exchange->method, "%s", request->method);
+  exchange->target = strdup (request->target + request->parts.path_offset);
+  return exchange->target != NULL
+         && bgap_headers_copy (&exchange->headers, &request->headers)
+                == BGAP_OK
+         && bgap_buffer_append (&exchange->body, request->body,
+                                request->body_size)
+                == BGAP_OK;
+}
+
+struct bgap_exchange *
+bgap_exchange_new (struct bgap_requests *requests, struct bgap_exchange_id id,
+                   const struct bgap_frontend_request *request)
+{
+  struct bgap_exchange *exchange = calloc (1, sizeof *exchange);
+  if (exchange == NULL)
+    return NULL;
+  exchange->requests = requests;
+  exchange->id = id.id;
+  int size = snprintf (exchange->service, sizeof exchange->service, "%s.%s",
+                       request->parts.owner, request->parts.service);
+  if (size >= (int)sizeof exchange->service
+      || !_bgap_exchange_copy (exchange, request))
+    {
+      exchange->gone = true;
+      bgap_exchange_free (exchange);
+      return NULL;
+    }
+  HASH_ADD_INT (requests->exchanges, id, exchange);
+  return exchange;
+}
+
+void
+bgap_exchange_free (struct bgap_exchange *exchange)
+{
+  if (!exchange->gone)
+    HASH_DEL (exchange->requests->exchanges, exchange);
+  bgap_headers_shutdown (&exchange->headers);
+  bgap_buffer_shutdown (&exchange->body);
+  bgap_buffer_shutdown (&exchange->kept);
+  free (exchange->target);
+  free (exchange);
+}
+
+struct bgap_server_id
+bgap_exchange_lookup (struct bgap_exchange *exchange)
+{
+  const struct bgap_requests_desc *desc = &exchange->requests->desc;
+  const struct bgap_server_id none = { 0 };
+  exchange->route = (struct bgap_cell_route){ 0 };
+  if (!bgap_cells_lookup (desc->cells, exchange->service, exchange->parts.key,
+                          exchange->parts.key_size, &exchange->route)
+      || !exchange->route.held)
+    return none;
+  /* A server that does not check grants gets work only from the instance that
+     holds its lease.  */
+  if (exchange->route.via != NULL
+      && strcmp (exchange->route.via, desc->settings->name) != 0)
+    return none;
+  const struct bgap_upstream *upstream
+      = bgap_upstreams_find (desc->upstreams, exchange->route.server);
+  if (upstream == NULL)
+    return none;
+  return (struct bgap_server_id){ upstream->router_id };
+}
+
+static void
+_bgap_exchange_result (struct bgap_exchange *exchange,
+                       const struct bgap_attempt_result *result)
+{
+  struct bgap_requests *requests = exchange->requests;
+  bgap_router_on_attempt (&requests->router, bgap_now_ms (), exchange->attempt,
+                          result);
+}
+
+static void
+_bgap_exchange_start_response (struct bgap_exchange *exchange,
+                               const struct bgap_headers *headers)
+{
+  struct bgap_headers answer = { 0 };
+  if (bgap_headers_copy (&answer, headers) != BGAP_OK
+      || bgap_headers_set (&answer, "Bgap-Outcome", "answered") != BGAP_OK
+      || bgap_frontend_start (exchange->requests->frontend,
+                              (struct bgap_exchange_id){ exchange->id },
+                              exchange->status, &answer)
+             != BGAP_OK)
+    bgap_frontend_break (exchange->requests->frontend,
+                         (struct bgap_exchange_id){ exchange->id });
+  exchange->streaming = true;
+  bgap_headers_shutdown (&answer);
+}
+
+static void
+_bgap_exchange_on_head (void *user, int status,
+                        const struct bgap_headers *headers)
+{
+  struct bgap_exchange *exchange = user;
+  const char *type = bgap_headers_find (headers, "Content-Type");
+  exchange->status = status;
+  snprintf (exchange->content_type, sizeof exchange->content_type, "%s",
+            type != NULL ? type : "");
+  _bgap_exchange_result (
+      exchange, &(struct bgap_attempt_result){ .kind = BGAP_RESULT_STARTED,
+                                               .http_status = status });
+  if (!exchange->gone)
+    _bgap_exchange_start_response (exchange, headers);
+  bgap_requests_run (exchange->requests);
+}
+
+static void
+_bgap_exchange_keep (struct bgap_exchange *exchange, const void *bytes,
+                     size_t size)
+{
+  if (!exchange->keep || exchange->kept_dropped)
+    return;
+  if (exchange->kept.size + size > BGAP_ONCE_BODY_MAX
+      || bgap_buffer_append (&exchange->kept, bytes, size) != BGAP_OK)
+    {
+      exchange->kept_dropped = true;
+      bgap_buffer_shutdown (&exchange->kept);
+    }
+}
+
+static void
+_bgap_exchange_on_body (void *user, const void *bytes, size_t size)
+{
+  struct bgap_exchange *exchange = user;
+  struct bgap_exchange_id id = { exchange->id };
+  _bgap_exchange_keep (exchange, bytes, size);
+  if (exchange->gone)
+    return;
+  struct bgap_requests *requests = exchange->requests;
+  bgap_frontend_write (requests->frontend, id, bytes, size);
+  if (bgap_frontend_is_full (requests->frontend, id))
+    bgap_upstreams_pause (requests->desc.upstreams, exchange->call, true);
+}
+
+static void
+_bgap_exchange_on_end (void *user, enum bgap_call_end end)
+{
+  static const enum bgap_result_kind kinds[] = {
+    [BGAP_CALL_COMPLETE] = BGAP_RESULT_COMPLETE,
+    [BGAP_CALL_FENCED] = BGAP_RESULT_FENCED,
+    [BGAP_CALL_SHED] = BGAP_RESULT_SHED,
+    [BGAP_CALL_DRAINING] = BGAP_RESULT_DRAINING,
+    [BGAP_CALL_NO_CONNECT] = BGAP_RESULT_NO_CONNECT,
+    [BGAP_CALL_BROKEN] = BGAP_RESULT_BROKEN,
+    [BGAP_CALL_TIMEOUT] = BGAP_RESULT_TIMEOUT,
+  };
+  struct bgap_exchange *exchange = user;
+  struct bgap_requests *requests = exchange->requests;
+  exchange->calling = false;
+  const struct bgap_attempt_result result = {
+    .kind = kinds[end],
+    .http_status = exchange->status,
+    .body = exchange->kept.data,
+    .body_size = exchange->kept.size,
+    .body_dropped = exchange->kept_dropped || !exchange->keep,
+    .content_type = exchange->content_type,
+  };
+  if (end == BGAP_CALL_BROKEN || end == BGAP_CALL_NO_CONNECT)
+    bgap_probes_now (requests->probes, exchange->server);
+  _bgap_exchange_result (exchange, &result);
+  if (exchange->gone)
+    bgap_exchange_free (exchange);
+  bgap_requests_run (requests);
+}
+
+static const struct bgap_call_ops call_ops = {
+  .head = _bgap_exchange_on_head,
+  .body = _bgap_exchange_on_body,
+  .end = _bgap_exchange_on_end,
+};
+
+static enum bgap_status
+_bgap_exchange_headers (struct bgap_exchange *exchange,
+                        const struct bgap_router_action *action)
+{
+  struct bgap_headers *headers = &exchange->headers;
+  char text[64];
+  snprintf (text, sizeof text, "%016llx-%llx",
+            (unsigned long long)exchange->requests->request_prefix,
+            (unsigned long long)++exchange->requests->next_request);
+  enum bgap_status status
+      = bgap_headers_set (headers, "Bgap-Request-Id", text);
+  snprintf (text, sizeof text, "%lld", (long long)action->deadline_ms);
+  if (status == BGAP_OK)
+    status = bgap_headers_set (headers, "Bgap-Deadline-Ms", text);
+  bgap_headers_remove (headers, "Bgap-Token");
+  bgap_headers_remove (headers, "Bgap-Slice");
+  if (!exchange->keyed || status != BGAP_OK)
+    return status;
+  snprintf (text, sizeof text, "%llu", (unsigned long long)action->token);
+  status = bgap_headers_set (headers, "Bgap-Token", text);
+  snprintf (text, sizeof text, "%u", exchange->route.slice);
+  if (status == BGAP_OK)
+    status = bgap_headers_set (headers, "Bgap-Slice", text);
+  return status;
+}
+
+static const struct bgap_upstream *
+_bgap_exchange_upstream (const struct bgap_exchange *exchange,
+                         const struct bgap_router_action *action)
+{
+  struct bgap_server_status status = { 0 };
+  if (bgap_router_server_status (&exchange->requests->router, action->server,
+                                 &status)
+      != BGAP_OK)
+    return NULL;
+  return bgap_upstreams_find (exchange->requests->desc.upstreams, status.name);
+}
+
+void
+bgap_exchange_dispatch (struct bgap_exchange *exchange,
+                        const struct bgap_router_action *action)
+{
+  struct bgap_requests *requests = exchange->requests;
+  exchange->attempt = action->attempt;
+  exchange->keep = action->keep_body;
+  exchange->kept_dropped = false;
+  bgap_buffer_shutdown (&exchange->kept);
+  const struct bgap_upstream *upstream
+      = _bgap_exchange_upstream (exchange, action);
+  enum bgap_status status = BGAP_ERR_NOT_FOUND;
+  if (upstream != NULL)
+    status = _bgap_exchange_headers (exchange, action);
+  if (status == BGAP_OK)
+    {
+      snprintf (exchange->server, sizeof exchange->server, "%s",
+                upstream->name);
+      const struct bgap_call call = {
+        .method = exchange->method,
+        .target = exchange->target,
+        .headers = &exchange->headers,
+        .body = exchange->body.data,
+        .body_size = exchange->body.size,
+        .deadline_ms = (uint32_t)action->deadline_ms,
+        .ops = &call_ops,
+        .user = exchange,
+      };
+      status = bgap_upstream_call (requests->desc.upstreams, upstream, &call,
+                                   &exchange->call);
+    }
+  exchange->calling = status == BGAP_OK;
+  if (!exchange->calling)
+    _bgap_exchange_result (exchange, &(struct bgap_attempt_result){
+                                         .kind = BGAP_RESULT_NO_CONNECT });
+}
+
+void
+bgap_exchange_reply_error (struct bgap_frontend *frontend,
+                           struct bgap_exchange_id id, int status,
+                           enum bgap_outcome outcome, const char *reason,
+                           int retry_after_s)
+{
+  struct bgap_headers headers = { 0 };
+  char text[256];
+  bgap_headers_add (&headers, "Content-Type", "application/json");
+  bgap_headers_add (&headers, "Bgap-Outcome", bgap_outcome_name (outcome));
+  snprintf (text, sizeof text, "%d", retry_after_s);
+  if (retry_after_s > 0)
+    bgap_headers_add (&headers, "Retry-After", text);
+  int size = snprintf (text, sizeof text,
+                       "{\"outcome\": \"%s\", \"reason\": \"%s\"}\n",
+                       bgap_outcome_name (outcome), reason);
+  bgap_frontend_reply (frontend, id, status, &headers, text, (size_t)size);
+  bgap_headers_shutdown (&headers);
+}
+
+static void
+_bgap_exchange_reply_stored (struct bgap_exchange *exchange,
+                             const struct bgap_router_action *action)
+{
+  struct bgap_headers headers = { 0 };
+  bgap_headers_add (&headers, "Bgap-Outcome", "answered");
+  if (action->content_type != NULL && action->content_type[0] != '\0')
+    bgap_headers_add (&headers, "Content-Type", action->content_type);
+  bgap_frontend_reply (
+      exchange->requests->frontend, (struct bgap_exchange_id){ exchange->id },
+      action->http_status, &headers, action->bytes, action->size);
+  bgap_headers_shutdown (&headers);
+}
+
+static void
+_bgap_exchange_count_fault (const struct bgap_exchange *exchange,
+                            const struct bgap_router_action *action)
+{
+  bool good = action->reason == BGAP_REASON_ANSWERED
+              || action->reason == BGAP_REASON_STORED
+              || action->reason == BGAP_REASON_STORED_DROPPED;
+  if (good)
+    return;
+  char message[64];
+  snprintf (message, sizeof message, "status %d, outcome %s",
+            action->http_status, bgap_outcome_name (action->outcome));
+  bgap_faults_add (
+      exchange->requests->desc.faults,
+      &(struct bgap_fault){ .owner = exchange->parts.owner,
+                            .service = exchange->parts.service,
+                            .server = exchange->server,
+                            .kind = bgap_reason_name (action->reason),
+                            .message = message });
+}
+
+void
+bgap_exchange_finish (struct bgap_exchange *exchange,
+                      const struct bgap_router_action *action)
+{
+  struct bgap_frontend *frontend = exchange->requests->frontend;
+  struct bgap_exchange_id id = { exchange->id };
+  _bgap_exchange_count_fault (exchange, action);
+  if (exchange->streaming && action->reason == BGAP_REASON_ANSWERED)
+    bgap_frontend_finish (frontend, id);
+  else if (exchange->streaming)
+    bgap_frontend_break (frontend, id);
+  else if (action->reason == BGAP_REASON_STORED)
+    _bgap_exchange_reply_stored (exchange, action);
+  else
+    bgap_exchange_reply_error (
+        frontend, id, action->http_status, action->outcome,
+        bgap_reason_name (action->reason), action->retry_after_s);
+  bgap_exchange_free (exchange);
+}
--- /dev/null
+++ b/programs/banyangapd/now.h
@@ -0,0 +1,29 @@
+#ifndef BGAPD_NOW_H
+#define BGAPD_NOW_H
+
+#include "banyangap/base/clock.h"
+
+/**
+ * bgap_now_ms() - monotonic time that counts suspended time
+ *
+ * Read for each event: leases must not be judged by a time that an event loop
+ * cached before the process was paused.
+ */
+static inline int64_t
+bgap_now_ms (void)
+{
+  const struct bgap_clock *clock = bgap_clock_system ();
+  return clock->now_ms (clock->context);
+}
+
+/**
+ * bgap_wall_ms() - milliseconds since 1970-01-01 UTC
+ */
+static inline int64_t
+bgap_wall_ms (void)
+{
+  const struct bgap_clock *clock = bgap_clock_system ();
+  return clock->wall_ms (clock->context);
+}
+
+#endif
--- /dev/null
+++ b/programs/banyangapd/once_streams.c
@@ -0,0 +1,217 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "banyangap/base/log.h"
+#include "now.h"
+#include "requests_private.h"
+#include "tail.h"
+
+/* One at-most-once stream.  */
+struct stream
+{
+  char service[BGAP_UPSTREAM_NAME_SIZE];
+  char name[BGAP_LOG_STREAM_NAME_MAX + 1];
+  struct bgap_service_id id;
+  struct bgap_requests *requests;
+  struct bgap_tail *tail;
+  int64_t first;
+  struct stream *next;
+};
+
+struct bgap_once_streams
+{
+  struct bgap_requests *requests;
+  struct stream *list;
+};
+
+/* An append until the log answers; refers to the service by its handle, since
+   the stream may be removed in between.  */
+struct append
+{
+  struct bgap_requests *requests;
+  struct bgap_service_id service;
+  uint32_t id;
+};
+
+enum bgap_status
+bgap_once_streams_setup (struct bgap_requests *requests,
+                         struct bgap_once_streams **out)
+{
+  struct bgap_once_streams *streams = calloc (1, sizeof *streams);
+  if (streams == NULL)
+    return BGAP_ERR_NO_MEMORY;
+  streams->requests = requests;
+  *out = streams;
+  return BGAP_OK;
+}
+
+static void
+_bgap_once_stream_free (struct stream *stream)
+{
+  bgap_tail_shutdown (stream->tail);
+  free (stream);
+}
+
+void
+bgap_once_streams_shutdown (struct bgap_once_streams *streams)
+{
+  if (streams == NULL)
+    return;
+  while (streams->list != NULL)
+    {
+      struct stream *stream = streams->list;
+      streams->list = stream->next;
+      _bgap_once_stream_free (stream);
+    }
+  free (streams);
+}
+
+static int64_t
+_bgap_once_stream_next (void *context)
+{
+  const struct stream *stream = context;
+  int64_t next = (int64_t)bgap_router_once_applied (&stream->requests->router,
+                                                    stream->id)
+                 + 1;
+  return next > stream->first ? next : stream->first;
+}
+
+static void
+_bgap_once_stream_on_record (void *context,
+                             const struct bgap_log_record *record)
+{
+  struct stream *stream = context;
+  struct bgap_error err = { 0 };
+  enum bgap_status status = bgap_router_on_once_record (
+      &stream->requests->router, bgap_now_ms (), bgap_wall_ms (), stream->id,
+      (uint64_t)record->offset, record->data, record->size, &err);
+  if (status == BGAP_ERR_PROTOCOL || status == BGAP_ERR_UNAVAILABLE)
+    bgap_log_warn ("routing", "record refused; stream=%s offset=%lld %s",
+                   stream->name, (long long)record->offset, err.message);
+}
+
+static void
+_bgap_once_stream_on_truncated (void *context, int64_t first)
+{
+  struct stream *stream = context;
+  stream->first = first;
+}
+
+static void
+_bgap_once_stream_on_end (void *context, int64_t end)
+{
+  struct stream *stream = context;
+  bgap_router_on_once_end (&stream->requests->router, bgap_now_ms (),
+                           stream->id, (uint64_t)end);
+  bgap_requests_run (stream->requests);
+}
+
+static const struct bgap_tail_ops tail_ops = {
+  .next = _bgap_once_stream_next,
+  .record = _bgap_once_stream_on_record,
+  .truncated = _bgap_once_stream_on_truncated,
+  .end = _bgap_once_stream_on_end,
+};
+
+static struct stream *
+_bgap_once_streams_find (const struct bgap_once_streams *streams,
+                         struct bgap_service_id id)
+{
+  for (struct stream *stream = streams->list; stream != NULL;
+       stream = stream->next)
+    if (stream->id.id == id.id)
+      return stream;
+  return NULL;
+}
+
+void
+bgap_once_streams_add (struct bgap_once_streams *streams, const char *service,
+                       struct bgap_service_id id)
+{
+  struct bgap_error err = { 0 };
+  if (_bgap_once_streams_find (streams, id) != NULL)
+    return;
+  struct stream *stream = calloc (1, sizeof *stream);
+  if (stream == NULL)
+    return;
+  stream->requests = streams->requests;
+  stream->id = id;
+  stream->first = 1;
+  snprintf (stream->service, sizeof stream->service, "%s", service);
+  snprintf (stream->name, sizeof stream->name, "once.%s", service);
+  const struct bgap_requests_desc *desc = &streams->requests->desc;
+  if (bgap_tail_setup (&(struct bgap_tail_desc){ .base = desc->base,
+                                                 .log = desc->log,
+                                                 .stream = stream->name,
+                                                 .ops = &tail_ops,
+                                                 .context = stream },
+                       &stream->tail, &err)
+      != BGAP_OK)
+    {
+      free (stream);
+      return;
+    }
+  stream->next = streams->list;
+  streams->list = stream;
+}
+
+void
+bgap_once_streams_remove (struct bgap_once_streams *streams,
+                          const char *service)
+{
+  for (struct stream **at = &streams->list; *at != NULL; at = &(*at)->next)
+    {
+      struct stream *stream = *at;
+      if (strcmp (stream->service, service) != 0)
+        continue;
+      *at = stream->next;
+      _bgap_once_stream_free (stream);
+      return;
+    }
+}
+
+bool
+bgap_once_streams_has (const struct bgap_once_streams *streams,
+                       struct bgap_service_id id)
+{
+  return _bgap_once_streams_find (streams, id) != NULL;
+}
+
+static void
+_bgap_once_streams_on_append (void *user,
+                              const struct bgap_log_append_result *result)
+{
+  struct append *append = user;
+  bgap_router_on_append_done (&append->requests->router, bgap_now_ms (),
+                              append->service, append->id,
+                              result->answer == BGAP_ANSWER_OK);
+  bgap_requests_run (append->requests);
+  free (append);
+}
+
+void
+bgap_once_streams_append (struct bgap_once_streams *streams,
+                          const struct bgap_router_action *action)
+{
+  struct bgap_requests *requests = streams->requests;
+  const struct bgap_log_ops *log = requests->desc.log;
+  const struct stream *stream
+      = _bgap_once_streams_find (streams, action->service);
+  struct append *append = calloc (1, sizeof *append);
+  enum bgap_status status = BGAP_ERR_NOT_FOUND;
+  if (append != NULL && stream != NULL)
+    {
+      append->requests = requests;
+      append->service = action->service;
+      append->id = action->append_id;
+      status
+          = log->append (log->context, stream->name, action->bytes,
+                         action->size, _bgap_once_streams_on_append, append);
+    }
+  if (status == BGAP_OK)
+    return;
+  free (append);
+  bgap_router_on_append_done (&requests->router, bgap_now_ms (),
+                              action->service, action->append_id, false);
+}
--- /dev/null
+++ b/programs/banyangapd/requests_sync.c
@@ -0,0 +1,206 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "banyangap/base/log.h"
+#include "now.h"
+#include "requests_private.h"
+
+/* Services removed in one change.  */
+#define REMOVED_MAX 64
+
+static enum bgap_class _bgap_requests_class (enum bgap_resource_class class)
+{
+  static const enum bgap_class classes[] = {
+    [BGAP_RESOURCE_CLASS_URGENT] = BGAP_CLASS_URGENT,
+    [BGAP_RESOURCE_CLASS_NORMAL] = BGAP_CLASS_NORMAL,
+    [BGAP_RESOURCE_CLASS_BULK] = BGAP_CLASS_BULK,
+  };
+  return classes[class];
+}
+
+static bool
+_bgap_requests_full_name (char name[BGAP_UPSTREAM_NAME_SIZE],
+                          const char *owner, const char *service)
+{
+  int size = snprintf (name, BGAP_UPSTREAM_NAME_SIZE, "%s.%s", owner, service);
+  return size < BGAP_UPSTREAM_NAME_SIZE;
+}
+
+static void
+_bgap_requests_set_service (struct bgap_requests *requests,
+                            const struct bgap_resource_service *service)
+{
+  char name[BGAP_UPSTREAM_NAME_SIZE];
+  struct bgap_error err = { 0 };
+  struct bgap_service_id id = { 0 };
+  if (!_bgap_requests_full_name (name, service->owner, service->name))
+    {
+      bgap_log_error ("routing", "name is too long; service=%s",
+                      service->name);
+      return;
+    }
+  const struct bgap_service_desc desc = {
+    .name = name,
+    .keyed = service->keyed,
+    .repeat_never = service->repeat == BGAP_RESOURCE_REPEAT_NEVER,
+    .class_ = _bgap_requests_class (service->class),
+    .deadline_ms = service->deadline_ms,
+    .queue_limit = service->queue_limit,
+    .retry_percent = service->retry_budget_percent,
+    .once_window_ms = (int64_t)service->repeat_window_s * 1000,
+  };
+  if (bgap_router_set_service (&requests->router, bgap_now_ms (), &desc, &id,
+                               &err)
+      != BGAP_OK)
+    {
+      bgap_log_error ("routing", "service refused; service=%s reason=%s", name,
+                      err.message);
+      return;
+    }
+  if (desc.repeat_never)
+    bgap_once_streams_add (requests->once, name, id);
+}
+
+static bool
+_bgap_requests_in_set (const struct bgap_resource_set *set, const char *name)
+{
+  char full[BGAP_UPSTREAM_NAME_SIZE];
+  for (uint32_t i = 0; i < set->service_count; i++)
+    if (_bgap_requests_full_name (full, set->services[i].owner,
+                                  set->services[i].name)
+        && strcmp (full, name) == 0)
+      return true;
+  return false;
+}
+
+/* Removes the services of servers that are configured no longer.  */
+static void
+_bgap_requests_remove_services (struct bgap_requests *requests,
+                                const struct bgap_resource_set *set)
+{
+  for (const struct bgap_upstream *upstream
+       = bgap_upstreams_first (requests->desc.upstreams);
+       upstream != NULL; upstream = upstream->hh.next)
+    {
+      struct bgap_service_id id
+          = bgap_router_find_service (&requests->router, upstream->service);
+      if (id.id == BGAP_INVALID_ID
+          || _bgap_requests_in_set (set, upstream->service))
+        continue;
+      bgap_once_streams_remove (requests->once, upstream->service);
+      bgap_router_remove_service (&requests->router, bgap_now_ms (), id);
+    }
+}
+
+void
+bgap_requests_sync_services (struct bgap_requests *requests,
+                             const struct bgap_resource_set *set)
+{
+  _bgap_requests_remove_services (requests, set);
+  for (uint32_t i = 0; i < set->service_count; i++)
+    _bgap_requests_set_service (requests, &set->services[i]);
+  bgap_requests_run (requests);
+}
+
+void
+bgap_requests_server_added (struct bgap_requests *requests,
+                            struct bgap_upstream *upstream)
+{
+  struct bgap_error err = { 0 };
+  struct bgap_server_id id = { 0 };
+  int64_t now_ms = bgap_now_ms ();
+  struct bgap_service_id service
+      = bgap_router_find_service (&requests->router, upstream->service);
+  const struct bgap_server_desc desc = {
+    .name = upstream->name,
+    .zone = upstream->resource.zone,
+    .slots = upstream->resource.slots,
+    .connections = upstream->resource.connections,
+    .entry_hosts_max = upstream->entry_hosts_max,
+    /* Whether the server is cold is seen by its incarnation.  */
+    .in_place = true,
+  };
+  if (bgap_router_set_server (&requests->router, now_ms, service, &desc, &id,
+                              &err)
+      != BGAP_OK)
+    {
+      bgap_log_error ("routing", "server refused; server=%s reason=%s",
+                      upstream->name, err.message);
+      return;
+    }
+  upstream->router_id = id.id;
+  bgap_router_server_drain (&requests->router, now_ms, id, BGAP_DRAIN_RESOURCE,
+                            upstream->resource.draining);
+}
+
+void
+bgap_requests_server_removed (struct bgap_requests *requests,
+                              struct bgap_upstream *upstream)
+{
+  bgap_router_remove_server (&requests->router, bgap_now_ms (),
+                             (struct bgap_server_id){ upstream->router_id });
+}
+
+static bool
+_bgap_requests_host_leaving (const struct bgap_requests *requests,
+                             const struct bgap_upstream *upstream)
+{
+  const struct bgap_members *members = requests->desc.members;
+  for (uint32_t i = 0; i < bgap_members_count (members); i++)
+    {
+      const struct bgap_member *member = bgap_members_at (members, i);
+      if (member->role == BGAP_HOST_BACKEND && member->leaving
+          && strcmp (member->address, upstream->resource.address) == 0)
+        return true;
+    }
+  return false;
+}
+
+void
+bgap_requests_sync_hosts (struct bgap_requests *requests)
+{
+  int64_t now_ms = bgap_now_ms ();
+  for (const struct bgap_upstream *upstream
+       = bgap_upstreams_first (requests->desc.upstreams);
+       upstream != NULL; upstream = upstream->hh.next)
+    bgap_router_server_drain (
+        &requests->router, now_ms,
+        (struct bgap_server_id){ upstream->router_id }, BGAP_DRAIN_HOST_LIST,
+        _bgap_requests_host_leaving (requests, upstream));
+  bgap_requests_run (requests);
+}
+
+static void
+_bgap_requests_set_counter (struct bgap_requests *requests, const char *name,
+                            const char *labels, uint64_t value)
+{
+  *bgap_counters_get (requests->desc.counters, name, labels) = value;
+}
+
+void
+bgap_requests_count (struct bgap_requests *requests)
+{
+  struct bgap_router_counts counts = bgap_router_counts (&requests->router);
+  char labels[96];
+  _bgap_requests_set_counter (requests, "bgap_requests_total", "",
+                              counts.requests);
+  _bgap_requests_set_counter (requests, "bgap_dispatches_total", "",
+                              counts.dispatches);
+  _bgap_requests_set_counter (requests, "bgap_retries_total", "",
+                              counts.retries);
+  _bgap_requests_set_counter (requests, "bgap_cancelled_total", "",
+                              counts.cancelled);
+  _bgap_requests_set_counter (requests, "bgap_rejected_input_total", "",
+                              counts.rejected_input);
+  _bgap_requests_set_counter (requests, "bgap_requests_in_flight", "",
+                              counts.in_flight);
+  _bgap_requests_set_counter (requests, "bgap_requests_queued", "",
+                              counts.queued);
+  for (int i = 0; i < BGAP_REASON_COUNT; i++)
+    {
+      snprintf (labels, sizeof labels, "reason=\"%s\"", bgap_reason_name (i));
+      if (counts.reasons[i] > 0)
+        _bgap_requests_set_counter (requests, "bgap_finished_total", labels,
+                                    counts.reasons[i]);
+    }
+}
