--- a/packages/gateway/include/banyangap/gateway/target.h
+++ b/packages/gateway/include/banyangap/gateway/target.h
@@ -46,9 +46,9 @@
  * bgap_target_parse() - split a target
  * @text: the target as received, not decoded
  *
- * Owner and service consist of ASCII letters, digits, '.', '_' and '-'. A
- * dot segment, encoded or not, is refused in place of the owner, the service
- * or the key, so that a server cannot resolve the path to another key.
+ * Owner and service consist of ASCII letters, digits, '.', '_' and '-'; the
+ * '/' after the service is required. A dot segment, encoded or not, is refused
+ * anywhere in the path, so that a server cannot resolve it to another key.
  *
  * Return: BGAP_OK, or BGAP_ERR_INVALID with the reason in @err.
  */
--- /dev/null
+++ b/packages/gateway/src/backend_private.h
@@ -0,0 +1,141 @@
+#ifndef BANYANGAP_GATEWAY_BACKEND_PRIVATE_H
+#define BANYANGAP_GATEWAY_BACKEND_PRIVATE_H
+
+/*
+ * State shared by backend.c (servers and attempts) and backend_connection.c
+ * (one connection and the response on it).
+ */
+
+#include <event2/bufferevent.h>
+#include <event2/event_struct.h>
+#include <sys/queue.h>
+
+#include "address.h"
+#include "banyangap/base/pool.h"
+#include "banyangap/gateway/backend.h"
+#include "http_body.h"
+
+/**
+ * enum backend_state - what a connection is doing
+ */
+enum backend_state
+{
+  BACKEND_CONNECTING,
+  BACKEND_HEAD, /* waits for the head of a response */
+  BACKEND_BODY, /* reads the body of a response */
+  BACKEND_IDLE, /* open, without an attempt */
+  BACKEND_DEAD  /* closed; freed from the event loop */
+};
+
+struct backend_connection;
+LIST_HEAD (backend_connection_list, backend_connection);
+
+/**
+ * struct backend_server - one server
+ * @open: connections that are open or being opened
+ */
+struct backend_server
+{
+  struct bgap_address address;
+  char name[BGAP_ADDRESS_TEXT_SIZE];
+  uint32_t limit;
+  uint32_t open;
+  uint32_t idle_count;
+  struct backend_connection_list idle;
+};
+
+/**
+ * struct backend_connection - a connection and the attempt on it
+ * @server: NULL once the server was removed
+ * @wake: continues with what has been read, from the event loop
+ * @attempt: handle in the pool of attempts
+ * @sent: a byte of the request may have been sent
+ * @broken: the connection cannot be reused
+ * @ended: the other side has closed; what was read before still counts
+ */
+struct backend_connection
+{
+  LIST_ENTRY (backend_connection) next;
+  LIST_ENTRY (backend_connection) next_idle;
+  struct bgap_backend *backend;
+  struct backend_server *server;
+  struct bufferevent *bev;
+  struct event timer;
+  struct event wake;
+  enum backend_state state;
+  bool reused;
+  bool broken;
+  bool ended;
+  bool removed;
+
+  uint32_t attempt;
+  const struct bgap_backend_ops *ops;
+  void *user;
+  int64_t deadline_at_ms;
+  bool is_head_request;
+  bool sent;
+  bool paused;
+  bool head_done;
+  uint32_t interim_count;
+  uint64_t discarded;
+  enum bgap_refusal refusal;
+  struct bgap_http_body body;
+};
+
+struct bgap_backend
+{
+  struct bgap_backend_desc desc;
+  struct bgap_pool servers;
+  struct bgap_pool attempts; /* of pointers to connections */
+  struct backend_connection_list connections;
+  struct backend_connection_list dead;
+  uint32_t connection_count;
+  struct event reap;
+  uint64_t unused;
+  uint64_t *attempts_total;
+  uint64_t *opened_total;
+  uint64_t *connections_open;
+  uint64_t *refusals_total[BGAP_REFUSAL_COUNT];
+  uint64_t *failures_total[BGAP_FAILURE_COUNT];
+};
+
+/**
+ * bgap_backend_now_ms() - time that deadlines refer to
+ */
+int64_t bgap_backend_now_ms (void);
+
+/**
+ * bgap_backend_connection_new() - open a connection to a server
+ *
+ * Return: NULL if memory is short.
+ */
+struct backend_connection *
+bgap_backend_connection_new (struct bgap_backend *backend,
+                             struct backend_server *server);
+
+/**
+ * bgap_backend_connection_take_idle() - an open connection that the server has
+ * not closed, or NULL
+ */
+struct backend_connection *
+bgap_backend_connection_take_idle (struct backend_server *server);
+
+/**
+ * bgap_backend_connection_start() - wait for the response; the request is in
+ * the output buffer
+ */
+void bgap_backend_connection_start (struct backend_connection *connection,
+                                    uint32_t deadline_ms);
+
+/**
+ * bgap_backend_connection_close() - close; the structure lives until the event
+ * loop runs
+ */
+void bgap_backend_connection_close (struct backend_connection *connection);
+
+/**
+ * bgap_backend_reap() - free closed connections
+ */
+void bgap_backend_reap (struct bgap_backend *backend);
+
+#endif
--- /dev/null
+++ b/packages/gateway/src/http_body.c
@@ -0,0 +1,154 @@
+#include "http_body.h"
+
+/* Bytes of one chunk's extensions, and of all trailer fields.  */
+#define LINE_SIZE_MAX 8192
+
+/* A chunk size stays below 2^48, so that it cannot wrap around.  */
+#define CHUNK_SIZE_LIMIT (1ULL << 44)
+
+enum state
+{
+  STATE_SIZE_START,
+  STATE_SIZE,
+  STATE_EXTENSION,
+  STATE_SIZE_LF,
+  STATE_DATA,
+  STATE_DATA_CR,
+  STATE_DATA_LF,
+  STATE_TRAILER_START,
+  STATE_TRAILER,
+  STATE_TRAILER_LF,
+  STATE_LAST_LF
+};
+
+void
+bgap_http_body_start (struct bgap_http_body *body,
+                      enum bgap_http_framing framing, uint64_t length)
+{
+  *body = (struct bgap_http_body){
+    .is_chunked = framing == BGAP_HTTP_CHUNKED,
+    .state = STATE_SIZE_START,
+    .left = framing == BGAP_HTTP_LENGTH ? length : 0,
+  };
+  body->done = !body->is_chunked && body->left == 0;
+}
+
+static int
+_bgap_body_hex (char c)
+{
+  if (c >= '0' && c <= '9')
+    return c - '0';
+  if (c >= 'a' && c <= 'f')
+    return c - 'a' + 10;
+  if (c >= 'A' && c <= 'F')
+    return c - 'A' + 10;
+  return -1;
+}
+
+static enum bgap_status
+_bgap_body_expect (struct bgap_http_body *body, char c, char expected,
+                   enum state next)
+{
+  body->state = (int)next;
+  return c == expected ? BGAP_OK : BGAP_ERR_PROTOCOL;
+}
+
+static enum bgap_status
+_bgap_body_read_size (struct bgap_http_body *body, char c)
+{
+  int digit = _bgap_body_hex (c);
+  if (digit >= 0)
+    {
+      if (body->left >= CHUNK_SIZE_LIMIT)
+        return BGAP_ERR_PROTOCOL;
+      body->left = body->left * 16 + (uint64_t)digit;
+      body->state = STATE_SIZE;
+      return BGAP_OK;
+    }
+  if (body->state == STATE_SIZE_START)
+    return BGAP_ERR_PROTOCOL;
+  if (c == '\r')
+    body->state = STATE_SIZE_LF;
+  else if (c == ';' || c == ' ' || c == '\t')
+    body->state = STATE_EXTENSION;
+  else
+    return BGAP_ERR_PROTOCOL;
+  return BGAP_OK;
+}
+
+/* Extensions and trailer fields are skipped.  */
+static enum bgap_status
+_bgap_body_skip_line (struct bgap_http_body *body, char c, enum state at_end)
+{
+  if (++body->line_size > LINE_SIZE_MAX || c == '\n')
+    return BGAP_ERR_PROTOCOL;
+  if (c == '\r')
+    body->state = (int)at_end;
+  return BGAP_OK;
+}
+
+static enum bgap_status
+_bgap_body_read_control (struct bgap_http_body *body, char c)
+{
+  enum bgap_status status = BGAP_OK;
+  switch (body->state)
+    {
+    case STATE_SIZE_START:
+    case STATE_SIZE:
+      return _bgap_body_read_size (body, c);
+    case STATE_EXTENSION:
+      return _bgap_body_skip_line (body, c, STATE_SIZE_LF);
+    case STATE_SIZE_LF:
+      status = _bgap_body_expect (
+          body, c, '\n', body->left > 0 ? STATE_DATA : STATE_TRAILER_START);
+      body->line_size = 0;
+      return status;
+    case STATE_DATA_CR:
+      return _bgap_body_expect (body, c, '\r', STATE_DATA_LF);
+    case STATE_DATA_LF:
+      return _bgap_body_expect (body, c, '\n', STATE_SIZE_START);
+    case STATE_TRAILER_START:
+      body->state = STATE_TRAILER;
+      if (c != '\r')
+        return _bgap_body_skip_line (body, c, STATE_TRAILER_LF);
+      body->state = STATE_LAST_LF;
+      return BGAP_OK;
+    case STATE_TRAILER:
+      return _bgap_body_skip_line (body, c, STATE_TRAILER_LF);
+    case STATE_TRAILER_LF:
+      return _bgap_body_expect (body, c, '\n', STATE_TRAILER_START);
+    default:
+      body->done = true;
+      return c == '\n' ? BGAP_OK : BGAP_ERR_PROTOCOL;
+    }
+}
+
+enum bgap_status
+bgap_http_body_next (struct bgap_http_body *body, const char *bytes,
+                     size_t size, size_t *used, const char **data,
+                     size_t *data_size)
+{
+  size_t i = 0;
+  *data = bytes;
+  *data_size = 0;
+  *used = 0;
+  while (body->is_chunked && body->state != STATE_DATA && i < size
+         && !body->done)
+    if (_bgap_body_read_control (body, bytes[i++]) != BGAP_OK)
+      return BGAP_ERR_PROTOCOL;
+  *used = i;
+  if (body->done || body->left == 0)
+    return BGAP_OK;
+  if (body->is_chunked && body->state != STATE_DATA)
+    return BGAP_OK;
+  uint64_t rest = size - i;
+  *data = bytes + i;
+  *data_size = (size_t)(rest < body->left ? rest : body->left);
+  *used = i + *data_size;
+  body->left -= *data_size;
+  if (body->left == 0 && body->is_chunked)
+    body->state = STATE_DATA_CR;
+  else if (body->left == 0)
+    body->done = true;
+  return BGAP_OK;
+}
--- /dev/null
+++ b/packages/gateway/src/http_body.h
@@ -0,0 +1,55 @@
+#ifndef BANYANGAP_GATEWAY_HTTP_BODY_H
+#define BANYANGAP_GATEWAY_HTTP_BODY_H
+
+/*
+ * Decoder of message bodies that finds their end.
+ *
+ *   struct bgap_http_body body;
+ *   bgap_http_body_start (&body, framing, length);
+ *   while (!body.done)
+ *     {
+ *       enum bgap_status status = bgap_http_body_next (
+ *         &body, bytes, size, &used, &data, &data_size);
+ *       ...
+ *     }
+ */
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "http_head.h"
+
+/**
+ * struct bgap_http_body - state; only @done is public
+ * @done: whether the end of the body has been read
+ */
+struct bgap_http_body
+{
+  bool done;
+  bool is_chunked;
+  int state;
+  uint64_t left;
+  uint32_t line_size;
+};
+
+/**
+ * bgap_http_body_start() - start a body; without a length it is empty
+ */
+void bgap_http_body_start (struct bgap_http_body *body,
+                           enum bgap_http_framing framing, uint64_t length);
+
+/**
+ * bgap_http_body_next() - decode from the start of @bytes
+ * @used: gets the bytes read, at least 1 unless @size is 0 or the end is read
+ * @data: gets the start of content within @bytes
+ * @data_size: gets the bytes of content, possibly 0
+ *
+ * Return: BGAP_OK or BGAP_ERR_PROTOCOL.
+ */
+enum bgap_status bgap_http_body_next (struct bgap_http_body *body,
+                                      const char *bytes, size_t size,
+                                      size_t *used, const char **data,
+                                      size_t *data_size);
+
+#endif
