routing: test the once table, drain, ejection, slow start and quarantine

A table that was ready before it read its first record did not notice that records before it were missing; it now treats the keys as possibly run.

--- a/packages/routing/src/once_replay.c
+++ b/packages/routing/src/once_replay.c
@@ -103,11 +103,10 @@
 /* Outcomes.  */
 
 static void
-_bgap_once_on_outcome (struct bgap_once_state *state, int64_t wall_ms,
+_bgap_once_on_outcome (struct bgap_once_state *state,
                        const struct bgap_once_item *item)
 {
-  struct bgap_once_entry *entry
-      = _bgap_once_entry_of_record (state, wall_ms, &item->key);
+  struct bgap_once_entry *entry = bgap_once_find (state, &item->key);
   if (entry == NULL || !entry->has_winner
       || !_bgap_once_same (&entry->winner, &item->attempt))
     return;
@@ -206,7 +205,8 @@
   if (offset <= state->applied)
     return bgap_error_set (err, BGAP_ERR_STALE,
                            "offset %" PRIu64 " was applied before", offset);
-  if (state->applied > 0 && offset != state->applied + 1)
+  if ((state->applied > 0 || bgap_once_ready (once))
+      && offset != state->applied + 1)
     {
       int64_t missed_ms = wall_ms + SKEWS_OF_RECORDS * state->desc.skew_ms;
       if (missed_ms > state->dropped_until_ms)
@@ -227,7 +227,7 @@
     {
       _bgap_once_see_instance (state, instance, item.attempt.incarnation);
       if (item.is_outcome)
-        _bgap_once_on_outcome (state, wall_ms, &item);
+        _bgap_once_on_outcome (state, &item);
       else
         _bgap_once_on_intent (state, wall_ms, &item, instance);
     }
--- /dev/null
+++ b/packages/routing/tests/test_once.c
@@ -0,0 +1,382 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "banyangap/routing/once.h"
+
+#define WALL_MS INT64_C (1700000000000)
+#define WINDOW_MS 3600000
+#define LOG_MAX 32
+
+/* Stream that all tables of a test read.  */
+struct stream
+{
+  char *records[LOG_MAX];
+  size_t count;
+};
+
+static struct stream stream;
+static int64_t now_ms;
+
+static int
+stream_reset (void **state)
+{
+  (void)state;
+  for (size_t i = 0; i < stream.count; i++)
+    free (stream.records[i]);
+  stream.count = 0;
+  now_ms = 1000;
+  return 0;
+}
+
+static void
+stream_append (const void *bytes, size_t size)
+{
+  assert_true (stream.count < LOG_MAX);
+  char *copy = malloc (size + 1);
+  memcpy (copy, bytes, size);
+  copy[size] = '\0';
+  stream.records[stream.count++] = copy;
+}
+
+static void
+stream_read (struct bgap_once *once)
+{
+  uint64_t offset;
+  while ((offset = bgap_once_applied (once) + 1) <= stream.count)
+    assert_int_equal (bgap_once_on_record (once, now_ms, WALL_MS + now_ms,
+                                           offset, stream.records[offset - 1],
+                                           strlen (stream.records[offset - 1]),
+                                           NULL),
+                      BGAP_OK);
+}
+
+/* Appends what is due. @lost_response: the record is written, but the
+   instance is told that the append failed.  */
+static bool
+flush (struct bgap_once *once, bool lost_response)
+{
+  now_ms += 200;
+  struct bgap_once_append append;
+  if (!bgap_once_next_append (once, now_ms, &append))
+    return false;
+  stream_append (append.bytes, append.size);
+  bgap_once_on_append_done (once, now_ms, append.id, !lost_response);
+  return true;
+}
+
+static struct bgap_once
+open_table (const char *instance, uint64_t incarnation)
+{
+  struct bgap_once once;
+  const struct bgap_once_desc desc
+      = { .instance = instance, .incarnation = incarnation, .keys_max = 4 };
+  assert_int_equal (bgap_once_setup (&once, &desc, NULL), BGAP_OK);
+  bgap_once_on_end (&once, stream.count + 1);
+  stream_read (&once);
+  assert_true (bgap_once_ready (&once));
+  return once;
+}
+
+static enum bgap_once_begin_result
+begin_at (struct bgap_once *once, int64_t key_ms, uint64_t digest,
+          uint32_t request)
+{
+  char key[64];
+  snprintf (key, sizeof key, "%08" PRIx64 "-%04" PRIx64 "-7000-8000-%012x",
+            (uint64_t)key_ms >> 16, (uint64_t)key_ms & 0xffff, 1u);
+  struct bgap_once_answer answer;
+  return bgap_once_begin (once, now_ms, WALL_MS + now_ms, key, strlen (key),
+                          digest, request, &answer);
+}
+
+static enum bgap_once_begin_result
+begin (struct bgap_once *once, uint32_t request)
+{
+  return begin_at (once, WALL_MS, 7, request);
+}
+
+static void
+expect_event (struct bgap_once *once, enum bgap_once_event_kind kind,
+              uint32_t request)
+{
+  struct bgap_once_event event;
+  assert_true (bgap_once_next_event (once, &event));
+  assert_int_equal (event.kind, kind);
+  assert_int_equal (event.request, request);
+}
+
+static void
+expect_no_event (struct bgap_once *once)
+{
+  struct bgap_once_event event;
+  assert_false (bgap_once_next_event (once, &event));
+}
+
+static void
+finish (struct bgap_once *once, uint32_t request, enum bgap_outcome outcome)
+{
+  const struct bgap_once_answer answer = { .outcome = outcome,
+                                           .http_status = 201,
+                                           .body = "done",
+                                           .body_size = 4,
+                                           .content_type = "text/plain" };
+  bgap_once_finish (once, now_ms, request, &answer);
+}
+
+/* Guards against two instances that run the same key, and against a loser
+   that does not get the stored answer.  */
+static void
+test_one_of_two_instances_runs (void **state)
+{
+  (void)state;
+  struct bgap_once a = open_table ("a", 1);
+  struct bgap_once b = open_table ("b", 2);
+  assert_int_equal (begin (&a, 10), BGAP_ONCE_WAITING);
+  assert_int_equal (begin (&b, 20), BGAP_ONCE_WAITING);
+  flush (&b, false);
+  flush (&a, false);
+  stream_read (&a);
+  stream_read (&b);
+  expect_event (&b, BGAP_ONCE_EVENT_WON, 20);
+  expect_no_event (&a);
+  finish (&b, 20, BGAP_OUTCOME_ANSWERED);
+  flush (&b, true); /* written, but reported as failed: written again */
+  assert_true (flush (&b, false));
+  stream_read (&a);
+  struct bgap_once_event event;
+  assert_true (bgap_once_next_event (&a, &event));
+  assert_int_equal (event.kind, BGAP_ONCE_EVENT_STORED);
+  assert_int_equal (event.answer.http_status, 201);
+  assert_memory_equal (event.answer.body, "done", 4);
+  assert_int_equal (begin (&a, 11), BGAP_ONCE_STORED);
+  assert_int_equal (begin_at (&a, WALL_MS, 8, 12), BGAP_ONCE_DIGEST);
+  stream_read (&b);
+  assert_int_equal (bgap_once_counts (&b).to_append, 0);
+  bgap_once_shutdown (&a);
+  bgap_once_shutdown (&b);
+}
+
+/* Guards against an abandoned intent that appears late and blocks its key, or
+   is run although its caller was told "not run".  */
+static void
+test_abandoned_intent_is_closed (void **state)
+{
+  (void)state;
+  struct bgap_once a = open_table ("a", 1);
+  struct bgap_once b = open_table ("b", 2);
+  assert_int_equal (begin (&a, 10), BGAP_ONCE_WAITING);
+  flush (&a, true);
+  assert_int_equal (bgap_once_give_up (&a, 10), BGAP_ONCE_WAIT_INTENT);
+  assert_int_equal (begin (&b, 20), BGAP_ONCE_WAITING);
+  flush (&b, false);
+  stream_read (&b);
+  expect_no_event (&b);
+  stream_read (&a);
+  expect_no_event (&a);
+  assert_true (flush (&a, false));
+  stream_read (&b);
+  assert_true (flush (&b, false));
+  stream_read (&b);
+  expect_event (&b, BGAP_ONCE_EVENT_WON, 20);
+  bgap_once_shutdown (&a);
+  bgap_once_shutdown (&b);
+}
+
+/* Guards against a repeated record: the intent and the outcome "not run" of an
+   abandoned attempt are both written twice. The second outcome must not free
+   the key while a later attempt of the same instance runs.  */
+static void
+test_repeated_outcome_frees_nothing (void **state)
+{
+  (void)state;
+  struct bgap_once a = open_table ("a", 1);
+  struct bgap_once b = open_table ("b", 2);
+  assert_int_equal (begin (&a, 10), BGAP_ONCE_WAITING);
+  flush (&a, true);
+  bgap_once_give_up (&a, 10);
+  assert_int_equal (begin (&a, 11), BGAP_ONCE_WAITING);
+  stream_read (&a);
+  /* The record of the abandoned attempt won; it is closed, not run.  */
+  expect_no_event (&a);
+  flush (&a, true);
+  stream_append (stream.records[0], strlen (stream.records[0]));
+  stream_append (stream.records[1], strlen (stream.records[1]));
+  for (int i = 0; i < 8; i++)
+    {
+      stream_read (&a);
+      flush (&a, false);
+    }
+  expect_event (&a, BGAP_ONCE_EVENT_WON, 11);
+  stream_append (stream.records[1], strlen (stream.records[1]));
+  stream_read (&a);
+  assert_int_equal (begin (&b, 20), BGAP_ONCE_WAITING);
+  flush (&b, false);
+  stream_read (&b);
+  expect_no_event (&b);
+  bgap_once_shutdown (&a);
+  bgap_once_shutdown (&b);
+}
+
+/* Guards against a restarted instance that takes over, or closes, an intent of
+   its predecessor, which may have run.  */
+static void
+test_restart_does_not_take_over (void **state)
+{
+  (void)state;
+  struct bgap_once a = open_table ("a", 1);
+  assert_int_equal (begin (&a, 10), BGAP_ONCE_WAITING);
+  flush (&a, false);
+  stream_read (&a);
+  expect_event (&a, BGAP_ONCE_EVENT_WON, 10);
+  bgap_once_shutdown (&a);
+  struct bgap_once next = open_table ("a", 3);
+  struct bgap_once b = open_table ("b", 2);
+  assert_false (flush (&next, false));
+  assert_int_equal (begin (&next, 11), BGAP_ONCE_WAITING);
+  assert_false (flush (&next, false));
+  assert_int_equal (bgap_once_give_up (&next, 11), BGAP_ONCE_WAIT_OUTCOME);
+  assert_int_equal (begin (&b, 20), BGAP_ONCE_WAITING);
+  bgap_once_on_instance_lost (&b, "a");
+  expect_event (&b, BGAP_ONCE_EVENT_LOST, 20);
+  bgap_once_shutdown (&next);
+  bgap_once_shutdown (&b);
+}
+
+/* Guards against keys outside the window, against requests before the replay
+   has ended, and against an intent that is read back after its key expired. */
+static void
+test_window (void **state)
+{
+  (void)state;
+  struct bgap_once a = { 0 };
+  const struct bgap_once_desc desc = { .instance = "a", .incarnation = 1 };
+  assert_int_equal (bgap_once_setup (&a, &desc, NULL), BGAP_OK);
+  assert_int_equal (begin (&a, 1), BGAP_ONCE_NOT_READY);
+  bgap_once_on_end (&a, 1);
+  int64_t wall_ms = WALL_MS + now_ms;
+  assert_int_equal (begin_at (&a, wall_ms - WINDOW_MS - 1, 7, 2),
+                    BGAP_ONCE_KEY_EXPIRED);
+  assert_int_equal (begin_at (&a, wall_ms + 60001, 7, 3),
+                    BGAP_ONCE_KEY_FUTURE);
+  struct bgap_once_answer answer;
+  const char version_4[] = "018bcfe5-6800-4000-8000-000000000001";
+  assert_int_equal (bgap_once_begin (&a, now_ms, wall_ms, version_4,
+                                     strlen (version_4), 7, 4, &answer),
+                    BGAP_ONCE_KEY_INVALID);
+  assert_int_equal (begin_at (&a, wall_ms - WINDOW_MS, 7, 5),
+                    BGAP_ONCE_WAITING);
+  flush (&a, false);
+  stream_read (&a);
+  expect_event (&a, BGAP_ONCE_EVENT_EXPIRED, 5);
+  bgap_once_shutdown (&a);
+}
+
+/* Guards against a table that has lost records and runs a key again.  */
+static void
+test_incomplete_history_refuses (void **state)
+{
+  (void)state;
+  struct bgap_once a = open_table ("a", 1);
+  struct bgap_once b = open_table ("b", 2);
+  for (uint32_t i = 0; i < 4; i++)
+    assert_int_equal (begin_at (&a, WALL_MS + i, 7, i + 1), BGAP_ONCE_WAITING);
+  assert_int_equal (begin_at (&a, WALL_MS + 4, 7, 9), BGAP_ONCE_FULL);
+  assert_int_equal (begin_at (&b, WALL_MS + 5, 7, 1), BGAP_ONCE_WAITING);
+  flush (&b, false);
+  stream_read (&a);
+  for (uint32_t i = 0; i < 4; i++)
+    bgap_once_give_up (&a, i + 1);
+  assert_int_equal (bgap_once_counts (&a).keys, 0);
+  assert_int_equal (begin_at (&a, WALL_MS + 5, 7, 1), BGAP_ONCE_FULL);
+  assert_int_equal (begin_at (&a, WALL_MS + 6, 7, 2), BGAP_ONCE_WAITING);
+  /* A gap between offsets.  */
+  assert_int_equal (bgap_once_on_record (&b, now_ms, WALL_MS + now_ms, 5,
+                                         stream.records[0],
+                                         strlen (stream.records[0]), NULL),
+                    BGAP_OK);
+  assert_int_equal (begin_at (&b, WALL_MS + 7, 7, 3), BGAP_ONCE_FULL);
+  bgap_once_shutdown (&a);
+  bgap_once_shutdown (&b);
+}
+
+/* Guards against more than one append in flight, and against an append for
+   every request.  */
+static void
+test_group_commit (void **state)
+{
+  (void)state;
+  struct bgap_once a = open_table ("a", 1);
+  struct bgap_once_append append;
+  begin_at (&a, WALL_MS, 7, 1);
+  assert_true (bgap_once_next_append (&a, 1000, &append));
+  begin_at (&a, WALL_MS + 1, 7, 2);
+  begin_at (&a, WALL_MS + 2, 7, 3);
+  assert_false (bgap_once_next_append (&a, 1100, &append));
+  bgap_once_on_append_done (&a, 1005, append.id, true);
+  assert_false (bgap_once_next_append (&a, 1019, &append));
+  assert_true (bgap_once_next_append (&a, 1020, &append));
+  struct bgap_once_record record;
+  assert_int_equal (
+      bgap_once_record_parse (&record, append.bytes, append.size, NULL),
+      BGAP_OK);
+  assert_int_equal (json_array_size (record.items), 2);
+  bgap_once_record_shutdown (&record);
+  bgap_once_shutdown (&a);
+}
+
+/* Guards against a malformed record that changes the state, and against a
+   newer schema that is read as if it were understood.  */
+static void
+test_bad_records (void **state)
+{
+  (void)state;
+  static const char *const bad[] = {
+    "",
+    "[]",
+    "{\"type\":\"once\",\"schema\":1}",
+    "{\"type\":\"once\",\"schema\":1,\"instance\":\"a\",\"items\":[{}]}",
+    "{\"type\":\"once\",\"schema\":1,\"instance\":\"a\",\"items\":[{"
+    "\"outcome\""
+    ":\"018bcfe5-6800-7000-8000-000000000001\",\"attempt\":"
+    "\"00000000000000010000000000000001\",\"result\":\"answered\","
+    "\"status\":200,\"type\":\"a\\r\\nb\"}]}",
+  };
+  struct bgap_once a = open_table ("a", 1);
+  uint64_t offset = 0;
+  for (size_t i = 0; i < sizeof bad / sizeof bad[0]; i++)
+    assert_int_equal (bgap_once_on_record (&a, 0, WALL_MS, ++offset, bad[i],
+                                           strlen (bad[i]), NULL),
+                      BGAP_ERR_PROTOCOL);
+  assert_int_equal (bgap_once_counts (&a).keys, 0);
+  assert_true (bgap_once_ready (&a));
+  static const char newer[] = "{\"type\":\"once\",\"schema\":2}";
+  assert_int_equal (bgap_once_on_record (&a, 0, WALL_MS, ++offset, newer,
+                                         strlen (newer), NULL),
+                    BGAP_ERR_UNAVAILABLE);
+  assert_false (bgap_once_ready (&a));
+  bgap_once_shutdown (&a);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test_setup (test_one_of_two_instances_runs, stream_reset),
+    cmocka_unit_test_setup (test_abandoned_intent_is_closed, stream_reset),
+    cmocka_unit_test_setup (test_repeated_outcome_frees_nothing, stream_reset),
+    cmocka_unit_test_setup (test_restart_does_not_take_over, stream_reset),
+    cmocka_unit_test_setup (test_window, stream_reset),
+    cmocka_unit_test_setup (test_incomplete_history_refuses, stream_reset),
+    cmocka_unit_test_setup (test_group_commit, stream_reset),
+    cmocka_unit_test_setup (test_bad_records, stream_reset),
+  };
+  return cmocka_run_group_tests (tests, NULL, stream_reset);
+}
--- /dev/null
+++ b/packages/routing/tests/test_server.c
@@ -0,0 +1,215 @@
+#include <string.h>
+
+#include "banyangap/base/hash.h"
+#include "banyangap/routing/message.h"
+#include "banyangap/routing/server.h"
+#include "fixture.h"
+
+static const struct bgap_service_desc plain = { .name = "s" };
+
+static struct bgap_server_status
+status_of (struct fixture *f, struct bgap_server_id id)
+{
+  struct bgap_server_status status = { 0 };
+  assert_int_equal (bgap_router_server_status (&f->router, id, &status),
+                    BGAP_OK);
+  return status;
+}
+
+/* Guards against new work for a server that leaves, for each of the signals,
+   and against one signal that cancels another.  */
+static void
+test_drain_signals (void **state)
+{
+  (void)state;
+  struct fixture f;
+  fixture_setup (&f, &plain);
+  struct bgap_server_id a = fixture_server (&f, "a", "z1", 4);
+  struct bgap_server_id b = fixture_server (&f, "b", "z2", 4);
+  for (int signal = 0; signal < BGAP_DRAIN_COUNT; signal++)
+    {
+      bgap_router_server_drain (&f.router, f.now_ms, a,
+                                (enum bgap_drain_signal)signal, true);
+      bgap_router_server_drain (
+          &f.router, f.now_ms, a,
+          (enum bgap_drain_signal) ((signal + 1) % BGAP_DRAIN_COUNT), false);
+      fixture_request (&f, NULL);
+      struct bgap_router_action d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+      assert_int_equal (d.server.id, b.id);
+      bgap_router_server_drain (&f.router, f.now_ms, a,
+                                (enum bgap_drain_signal)signal, false);
+    }
+  fixture_request (&f, NULL);
+  assert_int_equal (fixture_expect (&f, BGAP_ACTION_DISPATCH).server.id, a.id);
+  fixture_shutdown (&f);
+}
+
+/* Guards against a failing server that keeps getting requests, and against an
+   ejection of more than half of the servers.  */
+static void
+test_ejection_has_a_floor (void **state)
+{
+  (void)state;
+  struct fixture f;
+  fixture_setup (&f, &plain);
+  struct bgap_server_id servers[3];
+  for (int i = 0; i < 3; i++)
+    servers[i]
+        = fixture_server (&f, (const char *[]){ "a", "b", "c" }[i], "z1", 1);
+  struct bgap_router_action action;
+  for (int i = 0; i < 300; i++)
+    {
+      fixture_request (&f, &(struct bgap_request_desc){ 0 });
+      while (bgap_router_next_action (&f.router, &action))
+        if (action.kind == BGAP_ACTION_DISPATCH)
+          fixture_result (&f, action.attempt, BGAP_RESULT_BROKEN);
+    }
+  int ejected = 0;
+  for (int i = 0; i < 3; i++)
+    ejected += status_of (&f, servers[i]).ejected;
+  assert_int_equal (ejected, 1);
+  fixture_wait (&f, 30000);
+  for (int i = 0; i < 3; i++)
+    assert_false (status_of (&f, servers[i]).ejected);
+  fixture_shutdown (&f);
+}
+
+/* Guards against a full share for a cold server.  */
+static void
+test_slow_start (void **state)
+{
+  (void)state;
+  struct bgap_server server;
+  const struct bgap_server_desc desc
+      = { .name = "a", .zone = "z", .slots = 8, .connections = 120 };
+  bgap_server_setup (&server, 0, &desc);
+  assert_int_equal (bgap_server_limit (&server, 0), 1);
+  assert_int_equal (bgap_server_limit (&server, 5000), 4);
+  assert_int_equal (bgap_server_limit (&server, 10000), 8);
+  assert_false (bgap_server_on_alive (&server, 20000, 1));
+  assert_int_equal (bgap_server_limit (&server, 20000), 8);
+  assert_true (bgap_server_on_alive (&server, 20000, 2));
+  assert_int_equal (bgap_server_limit (&server, 20000), 1);
+}
+
+/* Guards against a limit above the instance's share of the connections, and
+   against an old report that counts like a new one.  */
+static void
+test_quota_and_load (void **state)
+{
+  (void)state;
+  struct bgap_server server;
+  const struct bgap_server_desc desc = {
+    .name = "a", .zone = "z", .slots = 8, .connections = 36, .in_place = true
+  };
+  bgap_server_setup (&server, 0, &desc);
+  assert_int_equal (bgap_server_limit (&server, 0), 3);
+  const struct bgap_server_load load = { .in_flight = 8, .slots = 8 };
+  bgap_server_on_load (&server, 0, &load);
+  assert_int_equal (bgap_server_load (&server, 0), 100);
+  assert_int_equal (bgap_server_load (&server, 2000), 50);
+  assert_int_equal (bgap_server_load (&server, 60000), 0);
+}
+
+/* Guards against a request that kills server after server, also when the
+   deaths are seen by different instances; and against a quarantine of an
+   innocent request that was answered in between.  */
+static void
+test_quarantine_of_crashing_request (void **state)
+{
+  (void)state;
+  struct fixture f;
+  fixture_setup (&f, &plain);
+  struct bgap_server_id a = fixture_server (&f, "a", "z1", 4);
+  fixture_server (&f, "b", "z1", 4);
+  const struct bgap_request_desc poison = { .fingerprint = 66 };
+  const struct bgap_request_desc innocent = { .fingerprint = 77 };
+  struct bgap_request_id r = fixture_request (&f, &poison);
+  struct bgap_router_action d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  bgap_router_server_lost (&f.router, f.now_ms, d.server);
+  fixture_expect (&f, BGAP_ACTION_CANCEL_ATTEMPT);
+  fixture_expect_finish (&f, r, BGAP_OUTCOME_UNKNOWN, 502);
+  struct bgap_router_action news = fixture_expect (&f, BGAP_ACTION_SEND_PEER);
+  assert_int_equal (news.peer_kind, BGAP_ROUTING_MESSAGE_SUSPICIONS);
+
+  /* A peer reports the second death, of both requests.  */
+  const struct bgap_routing_suspicion items[] = {
+    { .fingerprint = 66, .server = bgap_hash64 ("c", 1) },
+    { .fingerprint = 77, .server = bgap_hash64 ("c", 1) },
+  };
+  struct bgap_buffer message = { 0 };
+  assert_int_equal (bgap_routing_encode_suspicions (&message, items, 2),
+                    BGAP_OK);
+  assert_int_equal (bgap_router_on_peer (&f.router, f.now_ms, "entry-2",
+                                         BGAP_ROUTING_MESSAGE_SUSPICIONS,
+                                         message.data, message.size, NULL),
+                    BGAP_OK);
+  r = fixture_request (&f, &poison);
+  fixture_expect_finish (&f, r, BGAP_OUTCOME_NOT_RUN, 422);
+  fixture_request (&f, &innocent);
+  d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
+  fixture_expect (&f, BGAP_ACTION_FINISH);
+  fixture_request (&f, &innocent);
+  d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  bgap_router_server_lost (&f.router, f.now_ms, d.server);
+  fixture_expect (&f, BGAP_ACTION_CANCEL_ATTEMPT);
+  fixture_expect (&f, BGAP_ACTION_FINISH);
+  bgap_router_server_alive (&f.router, f.now_ms, a, 1);
+  fixture_request (&f, &innocent);
+  fixture_expect (&f, BGAP_ACTION_DISPATCH);
+
+  /* It holds for 5 minutes.  */
+  fixture_wait (&f, 299000);
+  r = fixture_request (&f, &poison);
+  fixture_expect (&f, BGAP_ACTION_CANCEL_ATTEMPT);
+  fixture_expect (&f, BGAP_ACTION_FINISH);
+  fixture_expect_finish (&f, r, BGAP_OUTCOME_NOT_RUN, 422);
+  fixture_wait (&f, 1000);
+  fixture_request (&f, &poison);
+  fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  bgap_buffer_shutdown (&message);
+  fixture_shutdown (&f);
+}
+
+/* Guards against a crash of the decoder, or a partial effect, on a truncated
+   message or one with an array header that announces 4 billion items.  */
+static void
+test_malformed_messages (void **state)
+{
+  (void)state;
+  struct fixture f;
+  fixture_setup (&f, &plain);
+  struct bgap_buffer message = { 0 };
+  const struct bgap_routing_suspicion item
+      = { .fingerprint = 5, .kind = BGAP_SUSPICION_QUARANTINED, .left_ms = 9 };
+  bgap_routing_encode_suspicions (&message, &item, 1);
+  for (size_t size = 0; size < message.size; size++)
+    assert_int_equal (bgap_router_on_peer (&f.router, 0, "p",
+                                           BGAP_ROUTING_MESSAGE_SUSPICIONS,
+                                           message.data, size, NULL),
+                      BGAP_ERR_PROTOCOL);
+  static const char array[] = "\x01\xdd\xff\xff\xff\xff";
+  assert_int_equal (bgap_router_on_peer (&f.router, 0, "p",
+                                         BGAP_ROUTING_MESSAGE_LOADS, array,
+                                         sizeof array - 1, NULL),
+                    BGAP_ERR_PROTOCOL);
+  fixture_request (&f, &(struct bgap_request_desc){ .fingerprint = 5 });
+  assert_int_equal (fixture_expect (&f, BGAP_ACTION_FINISH).http_status, 503);
+  bgap_buffer_shutdown (&message);
+  fixture_shutdown (&f);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_drain_signals),
+    cmocka_unit_test (test_ejection_has_a_floor),
+    cmocka_unit_test (test_slow_start),
+    cmocka_unit_test (test_quota_and_load),
+    cmocka_unit_test (test_quarantine_of_crashing_request),
+    cmocka_unit_test (test_malformed_messages),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
