--- /dev/null
+++ b/tests/process/test_instance_loss.py
@@ -0,0 +1,88 @@
+"""Loss, freeze and graceful stop of instances."""
+
+import concurrent.futures
+import signal
+import time
+import unittest
+
+from deployment import Deployment, uuid7
+
+SERVED_AGAIN_S = 2.0  # target: a key is served again within 2 s of a loss
+
+
+class InstanceLossTest(unittest.TestCase):
+
+    def test_killed_instance_interrupts_no_key(self):
+        """Guards against leases that lapse when one renewer is lost."""
+        with Deployment(reads=0, register=0) as deployment:
+            before = {key: deployment.holder(key)["token"]
+                      for key in ("key-%d" % n for n in range(20))}
+            deployment.instances["entry-a"].kill()
+            until = time.monotonic() + 3
+            while time.monotonic() < until:
+                for key in before:
+                    answer = deployment.request("entry-b", "GET", "/acme/archive/%s/x" % key)
+                    self.assertEqual(answer.status, 200, answer.body)
+            for key, token in before.items():
+                self.assertEqual(deployment.holder(key, "entry-b")["token"], token)
+
+    def test_instance_and_server_lost_at_once(self):
+        """Guards against a proposer whose loss delays the move of a lost server's keys."""
+        for instance in ("entry-a", "entry-b", "entry-c"):
+            with Deployment(reads=0, register=0) as deployment:
+                other = "entry-c" if instance != "entry-c" else "entry-a"
+                old = deployment.holder("key-1")["holder"]
+                deployment.instances[instance].kill()
+                deployment.servers[old.split(".")[1]].kill()
+                took = deployment.wait(lambda: deployment.key_served(other, "key-1"), 10,
+                                       "key served")
+                print("served again after %.2f s without %s" % (took, instance))
+                self.assertLess(took, SERVED_AGAIN_S)
+
+    def test_frozen_instance_returns(self):
+        """Guards against an instance that acts on what it knew before it was paused."""
+        with Deployment(reads=0, register=0) as deployment:
+            old = deployment.holder("key-1")
+            deployment.instances["entry-a"].freeze()
+            deployment.servers[old["holder"].split(".")[1]].kill()
+            deployment.wait(lambda: deployment.key_served("entry-b", "key-1"), 10, "key served")
+            deployment.instances["entry-a"].resume()
+            deployment.wait(lambda: deployment.key_served("entry-a", "key-1"), 10,
+                            "key at the returned instance")
+            self.assertEqual(deployment.holder("key-1", "entry-a")["holder"],
+                             deployment.holder("key-1", "entry-b")["holder"])
+
+    def test_graceful_stop_cuts_no_request(self):
+        """Guards against answers that are cut when an instance stops."""
+        with Deployment(archive=0, register=0) as deployment:
+            def slow(number):
+                return deployment.request("entry-b", "GET",
+                                          "/acme/reads/%d?size=40000&chunk_ms=200" % number,
+                                          timeout=30)
+            with concurrent.futures.ThreadPoolExecutor(4) as pool:
+                running = [pool.submit(slow, number) for number in range(4)]
+                deployment.wait(lambda: b"in_flight 4" in deployment.operate(
+                    "entry-b", "GET", "/metrics").body, 10, "requests in flight")
+                deployment.instances["entry-b"].signal(signal.SIGTERM)
+                for answer in running:
+                    self.assertEqual(answer.result().status, 200)
+                    self.assertGreaterEqual(len(answer.result().body), 40000)
+            self.assertEqual(deployment.instances["entry-b"].process.wait(timeout=20), 0)
+
+    def test_restarted_instance_answers_repeats_from_the_log(self):
+        """Guards against a second run when the instance that ran the first one is replaced."""
+        with Deployment(archive=0, reads=0) as deployment:
+            key = uuid7()
+            headers = {"Idempotency-Key": key}
+            first = deployment.request("entry-a", "POST", "/acme/register/o", b"1", headers)
+            self.assertEqual(first.status, 200)
+            deployment.instances["entry-a"].kill()
+            deployment.start_instance("entry-a")
+            deployment.wait(lambda: deployment.request(
+                "entry-a", "POST", "/acme/register/o", b"1", headers).body == first.body, 10,
+                "stored answer")
+            self.assertEqual(deployment.runs("register")[key], 1)
+
+
+if __name__ == "__main__":
+    unittest.main()
