ownership: add the engine

A revoke or witness set counts as replayed only after two rounds with the same incarnations: a witness could otherwise answer, restart in a log outage and forget the record that its answer confirmed. A wait starts at a time read after the confirming call.

--- a/packages/ownership/include/banyangap/ownership/message.h
+++ b/packages/ownership/include/banyangap/ownership/message.h
@@ -91,6 +91,7 @@
  * @caught_up: the sender counts as a witness
  * @stopped: the sender met a record of a higher schema
  * @leaving: the sender is shutting down
+ * @log_down: the sender cannot reach the log
  * @witness_basis: offset of the newest accepted witness set
  * @in_force: newest witness set that the sender knows to be in force
  * @config: version of the sender's configuration (heartbeat)
@@ -110,6 +111,7 @@
   bool caught_up;
   bool stopped;
   bool leaving;
+  bool log_down;
   char service[BGAP_NAME_SIZE];
   uint64_t snapshot_id;
   uint32_t part;
--- /dev/null
+++ b/packages/ownership/src/engine.c
@@ -0,0 +1,262 @@
+#include "engine_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#define DEFAULT_WITNESSES 5
+#define DEFAULT_DEADLINE_MAX_MS 30000
+#define DEFAULT_MEMBER_GONE_MS 10000
+#define DEFAULT_FORM_MS 1000
+#define DEFAULT_SNAPSHOT_RECORDS 10000
+#define DEFAULT_SNAPSHOT_MS (15 * 60 * 1000)
+#define DEFAULT_ACTIONS 4096
+#define DEFAULT_ACTION_BYTES (4 * 1024 * 1024)
+#define DEFAULT_RECENT_BYTES (1024 * 1024)
+
+/* A leaving instance waits this long for others to take over its roles.  */
+#define LEAVE_ROLES_MS 600
+#define LEAVE_WITNESS_MS 3000
+
+static void
+_bgap_engine_default (uint32_t *option, uint32_t value)
+{
+  if (*option == 0)
+    *option = value;
+}
+
+static void
+_bgap_engine_defaults (struct bgap_engine_desc *desc)
+{
+  _bgap_engine_default (&desc->witnesses, DEFAULT_WITNESSES);
+  _bgap_engine_default (&desc->deadline_max_ms, DEFAULT_DEADLINE_MAX_MS);
+  _bgap_engine_default (&desc->member_gone_ms, DEFAULT_MEMBER_GONE_MS);
+  _bgap_engine_default (&desc->form_ms, DEFAULT_FORM_MS);
+  _bgap_engine_default (&desc->snapshot_records, DEFAULT_SNAPSHOT_RECORDS);
+  _bgap_engine_default (&desc->snapshot_ms, DEFAULT_SNAPSHOT_MS);
+  _bgap_engine_default (&desc->actions, DEFAULT_ACTIONS);
+  _bgap_engine_default (&desc->action_bytes, DEFAULT_ACTION_BYTES);
+  _bgap_engine_default (&desc->recent_bytes, DEFAULT_RECENT_BYTES);
+  if (desc->placement == NULL)
+    desc->placement = bgap_placement_even ();
+}
+
+static enum bgap_status
+_bgap_engine_validate (const struct bgap_engine_desc *desc,
+                       struct bgap_error *err)
+{
+  if (!desc->cell || !desc->self || !desc->zone
+      || !bgap_name_valid (desc->cell) || !bgap_name_valid (desc->self)
+      || !bgap_name_valid (desc->zone))
+    return bgap_error_set (err, BGAP_ERR_INVALID,
+                           "cell, self and zone must be names");
+  if (strchr (desc->self, '@') || strchr (desc->cell, '/'))
+    return bgap_error_set (err, BGAP_ERR_INVALID,
+                           "self has a \"@\", or cell has a \"/\"");
+  if (desc->incarnation == 0)
+    return bgap_error_set (err, BGAP_ERR_INVALID, "incarnation is missing");
+  if (desc->witnesses > BGAP_WITNESSES_MAX)
+    return bgap_error_set (err, BGAP_ERR_INVALID, "more than %d witnesses",
+                           BGAP_WITNESSES_MAX);
+  return BGAP_OK;
+}
+
+static enum bgap_status
+_bgap_engine_allocate (struct bgap_engine *engine)
+{
+  const struct bgap_engine_desc *desc = &engine->desc;
+  enum bgap_status status = bgap_replica_setup (
+      &engine->replica, &(struct bgap_replica_desc){ 0 });
+  if (status == BGAP_OK)
+    status = bgap_actions_setup (&engine->actions, desc->actions,
+                                 desc->action_bytes);
+  if (status == BGAP_OK)
+    status = bgap_recent_setup (&engine->recent, desc->recent_bytes);
+  engine->targets = calloc (BGAP_ENGINE_SERVERS_MAX, sizeof *engine->targets);
+  return engine->targets ? status : BGAP_ERR_NO_MEMORY;
+}
+
+enum bgap_status
+bgap_engine_setup (struct bgap_engine **engine,
+                   const struct bgap_engine_desc *desc, struct bgap_error *err)
+{
+  enum bgap_status status = _bgap_engine_validate (desc, err);
+  if (status != BGAP_OK)
+    return status;
+  struct bgap_engine *created = calloc (1, sizeof *created);
+  if (created == NULL)
+    return bgap_error_set (err, BGAP_ERR_NO_MEMORY, "out of memory");
+  created->desc = *desc;
+  _bgap_engine_defaults (&created->desc);
+  memcpy (created->cell, desc->cell, strlen (desc->cell) + 1);
+  memcpy (created->self, desc->self, strlen (desc->self) + 1);
+  memcpy (created->zone, desc->zone, strlen (desc->zone) + 1);
+  created->desc.cell = created->cell;
+  created->desc.self = created->self;
+  created->desc.zone = created->zone;
+  created->random.state = desc->incarnation;
+  created->self_member = -1;
+  created->proposer = -1;
+  created->successor = -1;
+  created->now_ms = desc->now_ms;
+  created->start_ms = desc->now_ms;
+  created->watch_ms = desc->now_ms;
+  created->writer.last_ms = desc->now_ms;
+  created->reader.ahead_since_ms = -1;
+  created->reader.recovery_nonce = bgap_engine_nonce (created);
+  if (_bgap_engine_allocate (created) != BGAP_OK)
+    {
+      bgap_engine_shutdown (created);
+      return bgap_error_set (err, BGAP_ERR_NO_MEMORY, "out of memory");
+    }
+  *engine = created;
+  return BGAP_OK;
+}
+
+void
+bgap_engine_shutdown (struct bgap_engine *engine)
+{
+  if (engine == NULL)
+    return;
+  bgap_replica_shutdown (engine->replica);
+  bgap_actions_shutdown (&engine->actions);
+  bgap_recent_shutdown (&engine->recent);
+  bgap_snapshot_shutdown (&engine->reader.scan);
+  bgap_snapshot_shutdown (&engine->reader.peer_snapshot);
+  bgap_buffer_shutdown (&engine->writer.state);
+  bgap_buffer_shutdown (&engine->writer.served);
+  for (uint32_t i = 0; i < engine->service_count; i++)
+    bgap_service_shutdown (&engine->services[i]);
+  bgap_engine_proxy_shutdown (engine);
+  free (engine->servers);
+  free (engine->targets);
+  free (engine);
+}
+
+void
+bgap_engine_enter (struct bgap_engine *engine, int64_t now_ms)
+{
+  if (now_ms > engine->now_ms)
+    engine->now_ms = now_ms;
+  /* A wait begins at a time read after the confirmation was processed: the
+     time of the confirming call may have been read before a pause.  */
+  for (uint32_t i = 0; i < engine->confirmed_count; i++)
+    if (engine->confirmed[i].start_ms < 0
+        && engine->now_ms > engine->confirmed[i].done_ms)
+      engine->confirmed[i].start_ms = engine->now_ms;
+}
+
+uint64_t
+bgap_engine_nonce (struct bgap_engine *engine)
+{
+  return bgap_random_next (&engine->random);
+}
+
+void
+bgap_engine_tick (struct bgap_engine *engine, int64_t now_ms)
+{
+  bgap_engine_enter (engine, now_ms);
+  bgap_engine_tick_reader (engine);
+  if (engine->self_member < 0)
+    return;
+  bgap_engine_tick_members (engine);
+  bgap_engine_tick_recovery (engine);
+  bgap_engine_tick_catchup (engine);
+  bgap_engine_tick_renew (engine);
+  bgap_engine_tick_reports (engine);
+  bgap_engine_tick_load (engine);
+  bgap_engine_tick_confirm (engine);
+  bgap_engine_tick_propose (engine);
+}
+
+void
+bgap_engine_leave (struct bgap_engine *engine, int64_t now_ms)
+{
+  bgap_engine_enter (engine, now_ms);
+  if (engine->leaving)
+    return;
+  engine->leaving = true;
+  engine->leave_ms = engine->now_ms;
+  engine->heartbeat_ms = 0;
+  bgap_engine_update_roles (engine);
+}
+
+bool
+bgap_engine_left (const struct bgap_engine *engine)
+{
+  if (!engine->leaving)
+    return false;
+  int64_t waited = engine->now_ms - engine->leave_ms;
+  if (waited >= LEAVE_WITNESS_MS)
+    return true;
+  return waited >= LEAVE_ROLES_MS
+         && !bgap_engine_is_witness (engine, engine->self);
+}
+
+enum bgap_status
+bgap_engine_on_peer (struct bgap_engine *engine, const char *from,
+                     const void *bytes, size_t size, int64_t now_ms)
+{
+  struct bgap_message message;
+  struct bgap_error err = { 0 };
+  bgap_engine_enter (engine, now_ms);
+  struct bgap_member *member = bgap_engine_member (engine, from);
+  enum bgap_status status = bgap_message_parse (bytes, size, &message, &err);
+  if (status != BGAP_OK)
+    return status;
+  if (member == NULL || engine->self_member < 0)
+    {
+      bgap_message_shutdown (&message);
+      return BGAP_OK;
+    }
+  switch (message.kind)
+    {
+    case BGAP_MESSAGE_HEARTBEAT:
+      bgap_engine_on_heartbeat (engine, member, &message);
+      break;
+    case BGAP_MESSAGE_SERVERS:
+      bgap_engine_on_report (engine, &message);
+      break;
+    case BGAP_MESSAGE_CHECK:
+      bgap_engine_on_check (engine, from, &message);
+      break;
+    case BGAP_MESSAGE_CHECK_REPLY:
+      bgap_engine_on_check_reply (engine, from, &message);
+      break;
+    case BGAP_MESSAGE_REPLAYED:
+      bgap_engine_on_replayed (engine, from, &message);
+      break;
+    case BGAP_MESSAGE_REPLAYED_REPLY:
+      bgap_engine_on_recovery_reply (engine, member, &message);
+      bgap_engine_on_replayed_reply (engine, from, &message);
+      break;
+    case BGAP_MESSAGE_FETCH:
+      bgap_engine_on_fetch (engine, from, &message);
+      break;
+    case BGAP_MESSAGE_RECORDS:
+      bgap_engine_on_records (engine, from, &message);
+      break;
+    case BGAP_MESSAGE_SNAPSHOT:
+      bgap_engine_on_snapshot_part (engine, from, &message);
+      break;
+    case BGAP_MESSAGE_LOAD:
+      bgap_engine_on_load (engine, &message);
+      break;
+    default:
+      bgap_engine_proxy_message (engine, from, &message);
+      break;
+    }
+  bgap_message_shutdown (&message);
+  return BGAP_OK;
+}
+
+void
+bgap_engine_set_config (struct bgap_engine *engine, uint64_t version)
+{
+  engine->config = version;
+}
+
+const struct bgap_replica *
+bgap_engine_replica (const struct bgap_engine *engine)
+{
+  return engine->replica;
+}
--- /dev/null
+++ b/packages/ownership/src/engine_plan.c
@@ -0,0 +1,301 @@
+#include "engine_private.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+/* Items of one proposed record.  */
+#define ITEMS_MAX 512
+
+/* Shortest time between two plans for free entries that were not granted.  */
+#define PLAN_SPACING_MS 100
+
+/**
+ * struct _plan - a view of one service and what was decided from it
+ * @targets: target of each server of the view
+ * @moves: decisions of the placement
+ */
+struct _plan
+{
+  struct bgap_placement_server servers[BGAP_ENGINE_SERVERS_MAX];
+  const struct bgap_target *targets[BGAP_ENGINE_SERVERS_MAX];
+  struct bgap_placement_entry *entries;
+  const struct bgap_holding **holdings;
+  struct bgap_placement_move *moves;
+  struct bgap_placement_view view;
+  uint32_t move_count;
+  uint32_t ready;
+};
+
+static const struct bgap_holding never_held = { 0 };
+
+static void
+_bgap_plan_servers (const struct bgap_engine *engine, const char *service,
+                    struct _plan *plan)
+{
+  for (uint32_t i = 0; i < engine->target_count; i++)
+    {
+      const struct bgap_target *target = &engine->targets[i];
+      if (strcmp (target->service, service) != 0)
+        continue;
+      uint32_t index = plan->view.server_count++;
+      plan->targets[index] = target;
+      plan->servers[index] = (struct bgap_placement_server){
+        .name = target->name,
+        .zone = target->zone,
+        .slots = target->slots,
+        .usable = bgap_target_usable (engine, target),
+        .draining = target->leaving || target->merged.draining,
+        .in_flight = target->merged.in_flight,
+        .queued = target->merged.queued,
+        .load_age_ms = target->merged.answer_ms < 0
+                           ? -1
+                           : engine->now_ms - target->merged.answer_ms,
+      };
+    }
+}
+
+static uint32_t
+_bgap_plan_server_of (const struct bgap_engine *engine,
+                      const struct _plan *plan,
+                      const struct bgap_holding *holding)
+{
+  if (!holding->token && !holding->revoked)
+    return BGAP_PLACEMENT_NONE;
+  const char *name
+      = bgap_replica_holder_name (engine->replica, holding->holder);
+  for (uint32_t i = 0; i < plan->view.server_count; i++)
+    if (strcmp (plan->servers[i].name, name) == 0)
+      return i;
+  return BGAP_PLACEMENT_NONE;
+}
+
+static void
+_bgap_plan_entry (const struct bgap_engine *engine,
+                  const struct bgap_service *service, struct _plan *plan,
+                  const struct bgap_holding *holding, uint32_t slice,
+                  const struct bgap_key_entry *key)
+{
+  uint32_t index = plan->view.entry_count;
+  bool held = bgap_holding_held (holding);
+  /* Neighbours mostly have the same holder.  */
+  uint32_t server
+      = index > 0 && plan->holdings[index - 1]->holder == holding->holder
+                && plan->holdings[index - 1]->token == holding->token
+                && plan->holdings[index - 1]->revoked == holding->revoked
+            ? (held ? plan->entries[index - 1].server
+                    : plan->entries[index - 1].previous)
+            : _bgap_plan_server_of (engine, plan, holding);
+  bool ready = !held && bgap_engine_entry_ready (engine, holding);
+  bool home
+      = !service->home || slice >= service->slices || service->home[slice];
+  plan->holdings[index] = holding;
+  plan->entries[index] = (struct bgap_placement_entry){
+    .slice = slice,
+    .key = { key ? key->bytes : NULL, key ? key->size : 0 },
+    .server = held ? server : BGAP_PLACEMENT_NONE,
+    .previous = held ? BGAP_PLACEMENT_NONE : server,
+    .moving = (!held && !ready) || !home,
+    .requests = bgap_service_rate (service, index),
+  };
+  plan->ready += ready && home;
+  plan->view.entry_count++;
+}
+
+static void
+_bgap_plan_entries (const struct bgap_engine *engine,
+                    const struct bgap_service *service,
+                    const struct bgap_scope *scope, struct _plan *plan)
+{
+  bool granted = scope && scope->slice_count > 0;
+  uint32_t slices = granted ? scope->slice_count : service->slices;
+  for (uint32_t i = 0; i < slices; i++)
+    _bgap_plan_entry (engine, service, plan,
+                      granted ? &scope->slices[i] : &never_held, i, NULL);
+  for (uint32_t i = 0; granted && i < scope->key_count; i++)
+    _bgap_plan_entry (engine, service, plan, &scope->keys[i].holding,
+                      scope->keys[i].slice, &scope->keys[i]);
+}
+
+/* Appends entry @index to @items, to the last item if it follows it.  */
+static uint32_t
+_bgap_plan_item (const struct _plan *plan, uint32_t index, const char *holder,
+                 uint64_t incarnation, struct bgap_record_item *items,
+                 uint32_t count)
+{
+  const struct bgap_placement_entry *entry = &plan->entries[index];
+  struct bgap_record_item *last = count > 0 ? &items[count - 1] : NULL;
+  if (!entry->key.data && last && last->count > 0
+      && last->first + last->count == entry->slice
+      && last->incarnation == incarnation
+      && strcmp (last->holder, holder) == 0)
+    {
+      last->count++;
+      return count;
+    }
+  if (count == ITEMS_MAX)
+    return count;
+  struct bgap_record_item *item = &items[count];
+  *item = (struct bgap_record_item){ .incarnation = incarnation };
+  memcpy (item->holder, holder, strlen (holder) + 1);
+  if (entry->key.data)
+    {
+      item->key = (unsigned char *)entry->key.data;
+      item->key_size = entry->key.size;
+    }
+  else
+    {
+      item->first = entry->slice;
+      item->count = 1;
+    }
+  return count + 1;
+}
+
+/* Writes the items of a grant of ready entries, or of a revoke of entries that
+   move. Moves are ordered by entry, so that ranges form.  */
+static uint32_t
+_bgap_plan_items (const struct bgap_engine *engine, const struct _plan *plan,
+                  bool grant, struct bgap_record_item *items)
+{
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < plan->move_count; i++)
+    {
+      const struct bgap_placement_move *move = &plan->moves[i];
+      if (move->entry >= plan->view.entry_count
+          || move->server >= plan->view.server_count)
+        continue;
+      const struct bgap_placement_entry *entry = &plan->entries[move->entry];
+      const struct bgap_target *target = plan->targets[move->server];
+      bool free_entry = !bgap_holding_held (plan->holdings[move->entry]);
+      if (free_entry != grant || entry->moving
+          || !bgap_target_usable (engine, target)
+          || (!grant && entry->server == move->server))
+        continue;
+      count = _bgap_plan_item (plan, move->entry, grant ? target->name : "",
+                               grant ? target->merged.incarnation : 0, items,
+                               count);
+    }
+  return count;
+}
+
+static int
+_bgap_move_order (const void *a, const void *b)
+{
+  const struct bgap_placement_move *first = a;
+  const struct bgap_placement_move *second = b;
+  if (first->entry != second->entry)
+    return first->entry < second->entry ? -1 : 1;
+  return 0;
+}
+
+static bool
+_bgap_plan_propose (struct bgap_engine *engine, struct bgap_service *service,
+                    const struct bgap_scope *scope, const struct _plan *plan,
+                    bool grant)
+{
+  struct bgap_record_item *items = calloc (ITEMS_MAX, sizeof *items);
+  if (items == NULL)
+    return false;
+  struct bgap_record record = {
+    .type = grant ? BGAP_RECORD_GRANT : BGAP_RECORD_REVOKE,
+    .based_on = scope ? scope->basis : 0,
+    .slices
+    = scope && scope->slice_count ? scope->slice_count : service->slices,
+    .items = items,
+  };
+  memcpy (record.scope, service->name, sizeof record.scope);
+  record.item_count = _bgap_plan_items (engine, plan, grant, items);
+  if (record.item_count > 0)
+    bgap_engine_propose (engine, &service->proposal, &record);
+  free (items);
+  return record.item_count > 0;
+}
+
+/* Before the first grant, waits until all servers have answered or had time to
+   do so: with one server known, it would get every slice.  */
+static bool
+_bgap_engine_servers_known (const struct bgap_engine *engine,
+                            const struct bgap_service *service)
+{
+  if (engine->now_ms - service->since_ms >= engine->desc.form_ms
+      && engine->now_ms - engine->watch_ms >= engine->desc.form_ms)
+    return true;
+  for (uint32_t i = 0; i < engine->target_count; i++)
+    if (strcmp (engine->targets[i].service, service->name) == 0
+        && !engine->targets[i].leaving
+        && !bgap_target_usable (engine, &engine->targets[i]))
+      return false;
+  return true;
+}
+
+/* Whether a plan is due: entries are ready, or the period has passed.  */
+static bool
+_bgap_engine_plan_due (const struct bgap_engine *engine,
+                       const struct bgap_service *service,
+                       const struct bgap_scope *scope)
+{
+  int64_t since = engine->now_ms - service->planned_ms;
+  if (scope == NULL || scope->slice_count == 0)
+    return since >= PLAN_SPACING_MS
+           && _bgap_engine_servers_known (engine, service);
+  if (since >= BGAP_PLAN_MS)
+    return true;
+  for (uint32_t i = 0; i < scope->slice_count; i++)
+    if (bgap_engine_entry_ready (engine, &scope->slices[i]))
+      return true;
+  for (uint32_t i = 0; i < scope->key_count; i++)
+    if (bgap_engine_entry_ready (engine, &scope->keys[i].holding))
+      return true;
+  return false;
+}
+
+static bool
+_bgap_engine_plan_run (struct bgap_engine *engine,
+                       struct bgap_service *service,
+                       const struct bgap_scope *scope, struct _plan *plan)
+{
+  const struct bgap_placement_ops *ops = engine->desc.placement;
+  uint32_t capacity
+      = (scope && scope->slice_count ? scope->slice_count : service->slices)
+        + BGAP_KEYS_MAX;
+  plan->entries = calloc (capacity, sizeof *plan->entries);
+  plan->holdings = calloc (capacity, sizeof (const struct bgap_holding *));
+  plan->moves = calloc (capacity, sizeof *plan->moves);
+  if (!plan->entries || !plan->holdings || !plan->moves)
+    return false;
+  _bgap_plan_servers (engine, service->name, plan);
+  _bgap_plan_entries (engine, service, scope, plan);
+  plan->view.service = service->name;
+  plan->view.now_ms = engine->now_ms;
+  plan->view.servers = plan->servers;
+  plan->view.entries = plan->entries;
+  plan->move_count
+      = ops->plan (ops->context, &plan->view, plan->moves, capacity);
+  if (plan->move_count > capacity)
+    plan->move_count = 0;
+  qsort (plan->moves, plan->move_count, sizeof *plan->moves, _bgap_move_order);
+  for (uint32_t i = 1; i < plan->move_count; i++)
+    if (plan->moves[i].entry == plan->moves[i - 1].entry)
+      plan->moves[i].server = BGAP_PLACEMENT_NONE;
+  if (plan->ready > 0
+      && _bgap_plan_propose (engine, service, scope, plan, true))
+    return true;
+  return scope && _bgap_plan_propose (engine, service, scope, plan, false);
+}
+
+bool
+bgap_engine_plan (struct bgap_engine *engine, struct bgap_service *service,
+                  const struct bgap_scope *scope)
+{
+  if (!_bgap_engine_plan_due (engine, service, scope))
+    return false;
+  struct _plan *plan = calloc (1, sizeof *plan);
+  if (plan == NULL)
+    return false;
+  service->planned_ms = engine->now_ms;
+  bool proposed = _bgap_engine_plan_run (engine, service, scope, plan);
+  free (plan->entries);
+  free (plan->holdings);
+  free (plan->moves);
+  free (plan);
+  return proposed;
+}
--- a/packages/ownership/src/message.c
+++ b/packages/ownership/src/message.c
@@ -18,7 +18,8 @@
 {
   FLAG_CAUGHT_UP = 1,
   FLAG_STOPPED = 2,
-  FLAG_LEAVING = 4
+  FLAG_LEAVING = 4,
+  FLAG_LOG_DOWN = 8
 };
 
 /**
@@ -137,6 +138,7 @@
   message->caught_up = flags & FLAG_CAUGHT_UP;
   message->stopped = flags & FLAG_STOPPED;
   message->leaving = flags & FLAG_LEAVING;
+  message->log_down = flags & FLAG_LOG_DOWN;
   bgap_pack_name (list, message->service, true);
   message->snapshot_id = bgap_pack_uint (list, UINT64_MAX);
   message->part = (uint32_t)bgap_pack_uint (list, UINT32_MAX);
@@ -250,9 +252,11 @@
   msgpack_pack_uint64 (&packer, message->witness_basis);
   msgpack_pack_uint64 (&packer, message->in_force);
   msgpack_pack_uint64 (&packer, message->config);
-  msgpack_pack_uint32 (&packer, (message->caught_up ? FLAG_CAUGHT_UP : 0u)
-                                    | (message->stopped ? FLAG_STOPPED : 0u)
-                                    | (message->leaving ? FLAG_LEAVING : 0u));
+  msgpack_pack_uint32 (&packer,
+                       (message->caught_up ? FLAG_CAUGHT_UP : 0u)
+                           | (message->stopped ? FLAG_STOPPED : 0u)
+                           | (message->leaving ? FLAG_LEAVING : 0u)
+                           | (message->log_down ? FLAG_LOG_DOWN : 0u));
   bgap_pack_put_name (&packer, message->service);
   msgpack_pack_uint64 (&packer, message->snapshot_id);
   msgpack_pack_uint32 (&packer, message->part);
