resource: refuse a change of the cells of a keyed service

Cause: the home cell of a slice follows from the service's cells. With two configurations in force at once, two cells could grant the same slice. Ruled out: waiting a fixed time before the new cell grants, because an old cell that is cut from the log renews for as long as the cut lasts. Cells weigh the same for the same reason: weights by slots would move homes with every server that is added.

--- a/packages/resource/src/config_evaluate.c
+++ b/packages/resource/src/config_evaluate.c
@@ -115,6 +115,7 @@
       candidate->encoded_size
           = bgap_config_encoded_size (documents, candidate->slices_count);
       _bgap_config_check_limits (config, event, candidate->encoded_size);
+      bgap_config_check_cells (config, candidate, event);
     }
   bgap_findings_sort (&event->findings);
   if (!bgap_findings_empty (&event->findings))
--- a/packages/resource/src/config_state.h
+++ b/packages/resource/src/config_state.h
@@ -187,4 +187,17 @@
  */
 void bgap_config_reset_assemblies (struct bgap_config *config);
 
+/* config_cells.c */
+
+/**
+ * bgap_config_check_cells() - refuse a change of the cells of a keyed service
+ *
+ * The home cell of a slice follows from the cells. If it changed, an instance
+ * with the older configuration and one with the newer could grant the slice in
+ * two cells at once.
+ */
+void bgap_config_check_cells (const struct bgap_config *config,
+                              const struct bgap_config_candidate *candidate,
+                              struct bgap_config_event *event);
+
 #endif
--- a/programs/banyangapd/cell_service.c
+++ b/programs/banyangapd/cell_service.c
@@ -16,19 +16,17 @@
   return "";
 }
 
+/* All cells weigh the same: weights that follow the slots would change the
+   home of slices with every server that is added.  */
 static void
-_bgap_cell_service_add (struct bgap_cell_service *service, const char *cell,
-                        uint32_t slots)
+_bgap_cell_service_add (struct bgap_cell_service *service, const char *cell)
 {
   uint32_t at = 0;
   while (at < service->cell_count
          && strcmp (service->cell_names[at], cell) < 0)
     at++;
   if (at < service->cell_count && strcmp (service->cell_names[at], cell) == 0)
-    {
-      service->cells[at].weight += slots;
-      return;
-    }
+    return;
   if (service->cell_count == BGAP_CELL_SERVICE_CELLS_MAX)
     return;
   memmove (service->cell_names[at + 1], service->cell_names[at],
@@ -37,7 +35,7 @@
            (service->cell_count - at) * sizeof service->cells[0]);
   snprintf (service->cell_names[at], sizeof service->cell_names[at], "%s",
             cell);
-  service->cells[at].weight = slots;
+  service->cells[at].weight = 1;
   service->cell_count++;
 }
 
@@ -61,7 +59,7 @@
                       _bgap_zone_region (set, server->zone));
           else
             snprintf (cell, sizeof cell, "%s", server->zone);
-          _bgap_cell_service_add (service, cell, server->slots);
+          _bgap_cell_service_add (service, cell);
         }
     }
 }
