--- /dev/null
+++ b/packages/routing/tests/fuzz/fuzz_message.c
@@ -0,0 +1,54 @@
+/* Decoders of messages between routers: no crash, and what is accepted can be
+   encoded again.  */
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "banyangap/routing/quarantine.h"
+
+#define ITEMS 64
+
+int LLVMFuzzerTestOneInput (const uint8_t *data, size_t size);
+
+static void
+_bgap_fuzz_suspicions (const uint8_t *data, size_t size)
+{
+  struct bgap_routing_suspicion items[ITEMS];
+  struct bgap_routing_suspicion again[ITEMS];
+  size_t count = ITEMS;
+  size_t count_again = ITEMS;
+  struct bgap_buffer copy = { 0 };
+  if (bgap_routing_decode_suspicions (data, size, items, &count, NULL)
+      != BGAP_OK)
+    return;
+  bgap_routing_encode_suspicions (&copy, items, count);
+  if (bgap_routing_decode_suspicions (copy.data, copy.size, again,
+                                      &count_again, NULL)
+          != BGAP_OK
+      || count != count_again)
+    abort ();
+  for (size_t i = 0; i < count; i++)
+    if (items[i].fingerprint != again[i].fingerprint
+        || items[i].server != again[i].server || items[i].kind != again[i].kind
+        || items[i].left_ms != again[i].left_ms)
+      abort ();
+  bgap_buffer_shutdown (&copy);
+}
+
+int
+LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
+{
+  struct bgap_routing_load loads[ITEMS];
+  size_t count = ITEMS;
+  _bgap_fuzz_suspicions (data, size);
+  bgap_routing_decode_loads (data, size, loads, &count, NULL);
+  struct bgap_quarantine quarantine;
+  const struct bgap_quarantine_desc desc = { .capacity = 4 };
+  if (bgap_quarantine_setup (&quarantine, &desc) != BGAP_OK)
+    abort ();
+  bgap_quarantine_on_message (&quarantine, 1, data, size, NULL);
+  if (quarantine.count > desc.capacity)
+    abort ();
+  bgap_quarantine_shutdown (&quarantine);
+  return 0;
+}
