--- a/bench/bench_placement.c
+++ b/bench/bench_placement.c
@@ -70,7 +70,7 @@
   struct bgap_random random;
   struct bgap_topk topk;
   struct bgap_placement placement;
-  struct bgap_placement_server servers[MAX_SERVERS];
+  struct bgap_placement_input_server servers[MAX_SERVERS];
   double rates[KEYS];
   double cumulative[KEYS];
   uint32_t slice_of[KEYS];
@@ -79,7 +79,7 @@
   uint32_t slice_holders[SLICES];
   struct bgap_split_key keys[BGAP_PLACEMENT_MAX_KEYS];
   uint32_t key_count;
-  struct bgap_placement_entry entries[MAX_ENTRIES];
+  struct bgap_placement_input_entry entries[MAX_ENTRIES];
   uint32_t entry_keys[MAX_ENTRIES];
   uint32_t entry_count;
   struct bgap_placement_change changes[MAX_CHANGES];
@@ -154,7 +154,7 @@
 
 static void
 _bgap_bench_add_entry (struct bgap_bench *b, uint32_t key,
-                       const struct bgap_placement_entry *entry)
+                       const struct bgap_placement_input_entry *entry)
 {
   if (b->entry_count == MAX_ENTRIES)
     return;
@@ -168,7 +168,7 @@
   b->entry_count = 0;
   for (uint32_t i = 0; i < SLICES; i++)
     _bgap_bench_add_entry (b, KEYS,
-                           &(struct bgap_placement_entry){
+                           &(struct bgap_placement_input_entry){
                                .load = b->slice_loads[i],
                                .holder = b->slice_holders[i],
                            });
@@ -176,7 +176,7 @@
     {
       uint32_t key = b->keys[i].key;
       _bgap_bench_add_entry (b, key,
-                             &(struct bgap_placement_entry){
+                             &(struct bgap_placement_input_entry){
                                  .kind = BGAP_PLACEMENT_KEY,
                                  .load = b->keys[i].load,
                                  .hash = bgap_hash64 (&key, sizeof key),
@@ -194,7 +194,7 @@
       double share
           = (double)(items[i].weight - items[i].error) / (double)b->topk.total;
       _bgap_bench_add_entry (b, key,
-                             &(struct bgap_placement_entry){
+                             &(struct bgap_placement_input_entry){
                                  .kind = BGAP_PLACEMENT_CANDIDATE,
                                  .load = share * REQUESTS_PER_REPORT,
                                  .hash = items[i].hash,
@@ -309,8 +309,8 @@
       exit (1);
     }
   for (uint32_t i = 0; i < d->servers; i++)
-    b->servers[i]
-        = (struct bgap_placement_server){ .slots = d->slots, .live = true };
+    b->servers[i] = (struct bgap_placement_input_server){ .slots = d->slots,
+                                                          .live = true };
   for (uint32_t i = 0; i < KEYS; i++)
     {
       b->slice_of[i] = (uint32_t)(bgap_hash64 (&i, sizeof i) >> 32) % SLICES;
--- a/packages/ownership/include/banyangap/ownership/placement.h
+++ b/packages/ownership/include/banyangap/ownership/placement.h
@@ -29,7 +29,7 @@
 #include "banyangap/base/status.h"
 
 /* Holder of an entry that has none.  */
-#define BGAP_PLACEMENT_NONE UINT32_MAX
+#define BGAP_PLACEMENT_NO_HOLDER UINT32_MAX
 
 /* Largest number of hot keys followed per service.  */
 #define BGAP_PLACEMENT_MAX_KEYS 256
@@ -48,16 +48,16 @@
 };
 
 /**
- * struct bgap_placement_entry - a slice or a key
+ * struct bgap_placement_input_entry - a slice or a key
  * @load: load in any unit, equal for all entries; the load of a slice
  *   includes that of candidates and excludes that of keys
  * @hash: hash of the key; unused for a slice
  * @slice: index in the entries of the key's slice; unused for a slice
  * @holder: index of the server, the last one if the entry is revoked, or
- *   BGAP_PLACEMENT_NONE
+ *   BGAP_PLACEMENT_NO_HOLDER
  * @moving: a change is in progress; the entry is left alone
  */
-struct bgap_placement_entry
+struct bgap_placement_input_entry
 {
   enum bgap_placement_kind kind;
   double load;
@@ -68,14 +68,14 @@
 };
 
 /**
- * struct bgap_placement_server - a backend server
+ * struct bgap_placement_input_server - a backend server
  * @slots: requests at a time
  * @zone: any number that identifies the zone
  * @live: false for a lost server
  * @draining: receives nothing and gives up its entries
  * @cold_since_ms: start of the slow start, 0 if it is warm
  */
-struct bgap_placement_server
+struct bgap_placement_input_server
 {
   uint32_t slots;
   uint32_t zone;
@@ -91,9 +91,9 @@
  */
 struct bgap_placement_input
 {
-  const struct bgap_placement_entry *entries;
+  const struct bgap_placement_input_entry *entries;
   uint32_t entry_count;
-  const struct bgap_placement_server *servers;
+  const struct bgap_placement_input_server *servers;
   uint32_t server_count;
   int64_t now_ms;
 };
--- a/packages/ownership/src/placement.c
+++ b/packages/ownership/src/placement.c
@@ -111,7 +111,7 @@
   struct bgap_placement *p = work->placement;
   double load = work->input->entries[entry].load;
   uint32_t from = work->holders[entry];
-  if (from != BGAP_PLACEMENT_NONE)
+  if (from != BGAP_PLACEMENT_NO_HOLDER)
     work->loads[from] -= load;
   work->loads[server] += load;
   work->holders[entry] = server;
@@ -157,7 +157,7 @@
 
 static double
 _bgap_placement_usable_slots (const struct bgap_placement *placement,
-                              const struct bgap_placement_server *server,
+                              const struct bgap_placement_input_server *server,
                               int64_t now_ms)
 {
   if (!server->live || server->draining)
@@ -182,13 +182,14 @@
     }
   for (uint32_t i = 0; i < input->entry_count; i++)
     {
-      const struct bgap_placement_entry *e = &input->entries[i];
-      work->holders[i]
-          = e->holder < input->server_count ? e->holder : BGAP_PLACEMENT_NONE;
+      const struct bgap_placement_input_entry *e = &input->entries[i];
+      work->holders[i] = e->holder < input->server_count
+                             ? e->holder
+                             : BGAP_PLACEMENT_NO_HOLDER;
       if (e->kind == BGAP_PLACEMENT_CANDIDATE)
         continue;
       work->total_load += e->load;
-      if (work->holders[i] != BGAP_PLACEMENT_NONE)
+      if (work->holders[i] != BGAP_PLACEMENT_NO_HOLDER)
         work->loads[work->holders[i]] += e->load;
     }
 }
@@ -213,19 +214,20 @@
   const struct bgap_placement_input *input = work->input;
   uint32_t from = work->holders[entry];
   double load = input->entries[entry].load;
-  uint32_t best = BGAP_PLACEMENT_NONE;
+  uint32_t best = BGAP_PLACEMENT_NO_HOLDER;
   double lowest = 0;
   for (uint32_t i = 0; i < input->server_count; i++)
     {
       if (work->slots[i] <= 0)
         continue;
       double after = (work->loads[i] + load) / work->slots[i];
-      bool same_zone = from != BGAP_PLACEMENT_NONE
+      bool same_zone = from != BGAP_PLACEMENT_NO_HOLDER
                        && input->servers[i].zone == input->servers[from].zone;
       bool best_same_zone
-          = best != BGAP_PLACEMENT_NONE && from != BGAP_PLACEMENT_NONE
+          = best != BGAP_PLACEMENT_NO_HOLDER
+            && from != BGAP_PLACEMENT_NO_HOLDER
             && input->servers[best].zone == input->servers[from].zone;
-      if (best == BGAP_PLACEMENT_NONE || after < lowest
+      if (best == BGAP_PLACEMENT_NO_HOLDER || after < lowest
           || (after == lowest && same_zone && !best_same_zone))
         {
           best = i;
@@ -259,10 +261,10 @@
   uint32_t count = 0;
   for (uint32_t i = 0; i < work->input->entry_count; i++)
     {
-      const struct bgap_placement_entry *e = &work->input->entries[i];
+      const struct bgap_placement_input_entry *e = &work->input->entries[i];
       uint32_t holder = work->holders[i];
       if (e->kind != BGAP_PLACEMENT_CANDIDATE && !e->moving
-          && (holder == BGAP_PLACEMENT_NONE || work->slots[holder] <= 0))
+          && (holder == BGAP_PLACEMENT_NO_HOLDER || work->slots[holder] <= 0))
         order[count++]
             = (struct bgap_placement_order){ .load = e->load, .entry = i };
     }
@@ -270,7 +272,7 @@
   for (uint32_t i = 0; i < count; i++)
     {
       uint32_t server = _bgap_placement_refuge (work, order[i].entry);
-      if (server == BGAP_PLACEMENT_NONE
+      if (server == BGAP_PLACEMENT_NO_HOLDER
           || !_bgap_placement_move (work, order[i].entry, server, true))
         return;
     }
--- a/packages/ownership/src/placement_keys.c
+++ b/packages/ownership/src/placement_keys.c
@@ -66,7 +66,7 @@
   uint32_t home = work->holders[slice];
   if (work->holders[entry] == home)
     _bgap_placement_add_key_change (work, BGAP_PLACEMENT_MERGE, entry);
-  else if (home != BGAP_PLACEMENT_NONE && work->slots[home] > 0
+  else if (home != BGAP_PLACEMENT_NO_HOLDER && work->slots[home] > 0
            && _bgap_placement_has_budget (work))
     _bgap_placement_move (work, entry, home, false);
 }
@@ -75,13 +75,13 @@
 _bgap_placement_plan_key (struct bgap_placement_work *work, uint32_t entry)
 {
   const struct bgap_placement_input *input = work->input;
-  const struct bgap_placement_entry *e = &input->entries[entry];
+  const struct bgap_placement_input_entry *e = &input->entries[entry];
   if (e->moving || work->changed[entry] || e->slice >= input->entry_count
       || input->entries[e->slice].moving)
     return;
   bool is_candidate = e->kind == BGAP_PLACEMENT_CANDIDATE;
   uint32_t server = work->holders[is_candidate ? e->slice : entry];
-  if (server == BGAP_PLACEMENT_NONE || work->slots[server] <= 0)
+  if (server == BGAP_PLACEMENT_NO_HOLDER || work->slots[server] <= 0)
     return;
   struct bgap_placement_key_streak *streak
       = _bgap_placement_key_streak (work->placement, e->hash);
--- a/packages/ownership/src/placement_policy.c
+++ b/packages/ownership/src/placement_policy.c
@@ -29,21 +29,21 @@
 _bgap_placement_is_movable (const struct bgap_placement_work *work,
                             uint32_t entry)
 {
-  const struct bgap_placement_entry *e = &work->input->entries[entry];
+  const struct bgap_placement_input_entry *e = &work->input->entries[entry];
   if (e->kind == BGAP_PLACEMENT_CANDIDATE || e->moving || work->changed[entry]
       || e->load <= 0)
     return false;
   uint32_t holder = work->holders[entry];
-  return holder != BGAP_PLACEMENT_NONE && work->slots[holder] > 0;
+  return holder != BGAP_PLACEMENT_NO_HOLDER && work->slots[holder] > 0;
 }
 
 /* The least utilised server that was below the mean for MIN_STREAK reports,
-   or BGAP_PLACEMENT_NONE.  */
+   or BGAP_PLACEMENT_NO_HOLDER.  */
 static uint32_t
 _bgap_placement_target (const struct bgap_placement_work *work,
                         uint32_t min_streak)
 {
-  uint32_t best = BGAP_PLACEMENT_NONE;
+  uint32_t best = BGAP_PLACEMENT_NO_HOLDER;
   double lowest = 1;
   for (uint32_t i = 0; i < work->input->server_count; i++)
     {
@@ -74,7 +74,7 @@
 {
   const struct bgap_placement_desc *desc = &work->placement->desc;
   double scale = desc->weights.imbalance * (double)desc->horizon_ms / MS_PER_S;
-  struct bgap_placement_best best = { .entry = BGAP_PLACEMENT_NONE };
+  struct bgap_placement_best best = { .entry = BGAP_PLACEMENT_NO_HOLDER };
   for (uint32_t i = 0; i < work->input->entry_count; i++)
     {
       uint32_t from = work->holders[i];
@@ -97,11 +97,11 @@
   while (_bgap_placement_has_budget (work))
     {
       uint32_t target = _bgap_placement_target (work, reports);
-      if (target == BGAP_PLACEMENT_NONE)
+      if (target == BGAP_PLACEMENT_NO_HOLDER)
         return;
       struct bgap_placement_best best
           = _bgap_placement_best_entry (work, target, reports, true);
-      if (best.entry == BGAP_PLACEMENT_NONE
+      if (best.entry == BGAP_PLACEMENT_NO_HOLDER
           || !_bgap_placement_move (work, best.entry, target, false))
         return;
     }
@@ -113,11 +113,11 @@
   while (work->count < work->capacity)
     {
       uint32_t target = _bgap_placement_target (work, 0);
-      if (target == BGAP_PLACEMENT_NONE)
+      if (target == BGAP_PLACEMENT_NO_HOLDER)
         return;
       struct bgap_placement_best best
           = _bgap_placement_best_entry (work, target, 0, false);
-      if (best.entry == BGAP_PLACEMENT_NONE
+      if (best.entry == BGAP_PLACEMENT_NO_HOLDER
           || !_bgap_placement_move (work, best.entry, target, false))
         return;
     }
--- a/packages/ownership/tests/test_placement.c
+++ b/packages/ownership/tests/test_placement.c
@@ -16,8 +16,8 @@
 struct bgap_fixture
 {
   struct bgap_placement placement;
-  struct bgap_placement_entry entries[SLICES + 2];
-  struct bgap_placement_server servers[SERVERS];
+  struct bgap_placement_input_entry entries[SLICES + 2];
+  struct bgap_placement_input_server servers[SERVERS];
   struct bgap_placement_input input;
   struct bgap_placement_change changes[MAX_CHANGES];
   uint32_t count;
@@ -34,10 +34,12 @@
   f->input.servers = f->servers;
   assert_int_equal (bgap_placement_setup (&f->placement, desc), BGAP_OK);
   for (uint32_t i = 0; i < SERVERS; i++)
-    f->servers[i] = (struct bgap_placement_server){ .slots = 4, .live = true };
+    f->servers[i]
+        = (struct bgap_placement_input_server){ .slots = 4, .live = true };
   for (uint32_t i = 0; i < SLICES; i++)
     f->entries[i]
-        = (struct bgap_placement_entry){ .load = 1, .holder = i % SERVERS };
+        = (struct bgap_placement_input_entry){ .load = 1,
+                                               .holder = i % SERVERS };
 }
 
 static void
@@ -163,7 +165,7 @@
                        &(struct bgap_placement_desc){ .moves_per_minute = 1 });
   f.servers[1].live = false;
   f.servers[2].draining = true;
-  f.entries[0].holder = BGAP_PLACEMENT_NONE;
+  f.entries[0].holder = BGAP_PLACEMENT_NO_HOLDER;
   f.entries[1].moving = true;
   _bgap_plan (&f, 10);
   assert_int_equal (f.count, 10);
@@ -233,7 +235,7 @@
   struct bgap_fixture f;
   _bgap_fixture_setup (&f, &(struct bgap_placement_desc){ 0 });
   for (uint32_t i = 0; i < SLICES; i++)
-    f.entries[i].holder = BGAP_PLACEMENT_NONE;
+    f.entries[i].holder = BGAP_PLACEMENT_NO_HOLDER;
   f.servers[2].cold_since_ms = f.input.now_ms;
   _bgap_plan (&f, MAX_CHANGES);
   assert_int_equal (f.count, SLICES);
@@ -255,8 +257,8 @@
   struct bgap_fixture f;
   _bgap_fixture_setup (&f, &(struct bgap_placement_desc){ 0 });
   f.input.entry_count = SLICES + 1;
-  struct bgap_placement_entry *key = &f.entries[SLICES];
-  *key = (struct bgap_placement_entry){
+  struct bgap_placement_input_entry *key = &f.entries[SLICES];
+  *key = (struct bgap_placement_input_entry){
     .kind = BGAP_PLACEMENT_CANDIDATE,
     .load = 12,
     .hash = 99,
@@ -300,7 +302,7 @@
   _bgap_fixture_setup (&f, &(struct bgap_placement_desc){ 0 });
   f.entries[0].holder = 77;
   f.input.entry_count = SLICES + 1;
-  f.entries[SLICES] = (struct bgap_placement_entry){
+  f.entries[SLICES] = (struct bgap_placement_input_entry){
     .kind = BGAP_PLACEMENT_CANDIDATE,
     .load = 50,
     .slice = 1000,
