--- a/programs/banyangapd/cell.c
+++ b/programs/banyangapd/cell.c
@@ -217,6 +217,12 @@
   cell->desc = desc;
   snprintf (cell->name, sizeof cell->name, "%s", name);
   snprintf (cell->stream, sizeof cell->stream, "ownership.%s", name);
+  cell->placer = bgap_placer_new ();
+  if (cell->placer == NULL)
+    {
+      free (cell);
+      return NULL;
+    }
   const struct bgap_engine_desc engine_desc = {
     .cell = cell->name,
     .self = desc->settings->name,
@@ -224,11 +230,13 @@
     .incarnation = incarnation,
     .now_ms = bgap_now_ms (),
     .policy = policy,
+    .placement = bgap_placer_ops (cell->placer),
   };
   if (bgap_engine_setup (&cell->engine, &engine_desc, &err) != BGAP_OK)
     {
       bgap_log_error ("ownership", "cannot create a cell; cell=%s reason=%s",
                       name, err.message);
+      bgap_placer_free (cell->placer);
       free (cell);
       return NULL;
     }
@@ -240,5 +248,6 @@
 bgap_cell_free (struct bgap_cell *cell)
 {
   bgap_engine_shutdown (cell->engine);
+  bgap_placer_free (cell->placer);
   free (cell);
 }
--- a/programs/banyangapd/cell.h
+++ b/programs/banyangapd/cell.h
@@ -8,6 +8,7 @@
 
 #include "banyangap/ownership/engine.h"
 #include "cells.h"
+#include "placer.h"
 
 /**
  * struct bgap_cell - an engine
@@ -20,6 +21,7 @@
   char name[BGAP_NAME_SIZE];
   char stream[BGAP_NAME_SIZE + 16];
   struct bgap_engine *engine;
+  struct bgap_placer *placer;
   struct bgap_cell *next;
   bool running;
 };
--- a/programs/banyangapd/cell_service.c
+++ b/programs/banyangapd/cell_service.c
@@ -78,6 +78,15 @@
   service->slices = resource->slices;
   service->region
       = policy != NULL && policy->witnesses == BGAP_RESOURCE_WITNESSES_REGION;
+  if (policy != NULL)
+    {
+      service->weights = (struct bgap_placement_weights){
+        .imbalance = policy->weights.imbalance,
+        .unavailable = policy->weights.unavailable,
+        .churn = policy->weights.churn,
+      };
+      service->moves_per_minute = policy->moves_per_minute;
+    }
   _bgap_cell_service_add_servers (service, set, resource);
   service->home = calloc (service->slices, sizeof *service->home);
   if (size >= (int)sizeof service->name || service->cell_count == 0
--- a/programs/banyangapd/cell_service.h
+++ b/programs/banyangapd/cell_service.h
@@ -12,6 +12,7 @@
 
 #include "banyangap/ownership/home.h"
 #include "banyangap/ownership/limits.h"
+#include "banyangap/ownership/placement.h"
 #include "banyangap/resource/set.h"
 
 /* Cells of one service.  */
@@ -21,6 +22,7 @@
  * struct bgap_cell_service - a keyed service
  * @name: "<owner>.<service>"
  * @region: cells span the zones of a region
+ * @weights, @moves_per_minute: of the ownership policy
  * @cells: names and slots, ordered by name
  * @home: index into @cells per slice
  */
@@ -28,6 +30,8 @@
 {
   char name[BGAP_NAME_SIZE];
   bool region;
+  struct bgap_placement_weights weights;
+  uint32_t moves_per_minute;
   uint32_t slices;
   uint32_t cell_count;
   struct bgap_home_cell cells[BGAP_CELL_SERVICE_CELLS_MAX];
--- a/programs/banyangapd/cells.c
+++ b/programs/banyangapd/cells.c
@@ -34,6 +34,7 @@
   for (struct bgap_cell *cell = cells->list; cell != NULL; cell = cell->next)
     {
       bgap_engine_tick (cell->engine, bgap_now_ms ());
+      bgap_placer_apply (cell->placer, cell->engine, bgap_now_ms ());
       bgap_cell_run (cell);
     }
 }
@@ -191,6 +192,8 @@
       if (!bgap_cell_service_in (service, cell->name)
           || count == BGAP_ENGINE_SERVICES_MAX)
         continue;
+      bgap_placer_set_service (cell->placer, service->name, &service->weights,
+                               service->moves_per_minute);
       homes[count] = bgap_cell_service_home (service, cell->name);
       services[count] = (struct bgap_engine_service){
         .name = service->name,
@@ -274,6 +277,7 @@
       = bgap_replica_scope (bgap_engine_replica (cell->engine), service_name);
   route->hot = scope != NULL && bgap_scope_find_key (scope, key, size) != NULL;
   bgap_engine_count (cell->engine, service_name, &found);
+  bgap_placer_count (cell->placer, service_name, bgap_now_ms (), key, size);
   return true;
 }
 
