--- /dev/null
+++ b/packages/gateway/src/frontend.c
@@ -0,0 +1,244 @@
+#include "banyangap/gateway/frontend.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "banyangap/base/log.h"
+#include "frontend_private.h"
+
+#define DEFAULT_CONNECTIONS_MAX 1024
+#define DEFAULT_HEAD_SIZE_MAX 16384
+#define DEFAULT_BODY_SIZE_MAX 1048576
+#define DEFAULT_BODIES_SIZE_MAX 67108864
+#define DEFAULT_HEAD_TIMEOUT_MS 10000
+#define DEFAULT_BODY_TIMEOUT_MS 30000
+#define DEFAULT_IDLE_TIMEOUT_MS 60000
+#define DEFAULT_BUFFER_HIGH 262144
+#define DEFAULT_BUFFER_LOW 65536
+
+/* Connections that wait to be accepted.  */
+#define BACKLOG 1024
+
+/* Pause after a failed accept, for example without free descriptors, so that
+   the loop does not spin on it.  */
+#define ACCEPT_PAUSE_MS 100
+
+static void
+_bgap_frontend_set_defaults (struct bgap_frontend_desc *desc)
+{
+  if (desc->connections_max == 0)
+    desc->connections_max = DEFAULT_CONNECTIONS_MAX;
+  if (desc->head_size_max == 0)
+    desc->head_size_max = DEFAULT_HEAD_SIZE_MAX;
+  if (desc->body_size_max == 0)
+    desc->body_size_max = DEFAULT_BODY_SIZE_MAX;
+  if (desc->bodies_size_max == 0)
+    desc->bodies_size_max = DEFAULT_BODIES_SIZE_MAX;
+  if (desc->head_timeout_ms == 0)
+    desc->head_timeout_ms = DEFAULT_HEAD_TIMEOUT_MS;
+  if (desc->body_timeout_ms == 0)
+    desc->body_timeout_ms = DEFAULT_BODY_TIMEOUT_MS;
+  if (desc->idle_timeout_ms == 0)
+    desc->idle_timeout_ms = DEFAULT_IDLE_TIMEOUT_MS;
+  if (desc->buffer_high == 0)
+    desc->buffer_high = DEFAULT_BUFFER_HIGH;
+  if (desc->buffer_low == 0)
+    desc->buffer_low = DEFAULT_BUFFER_LOW;
+  if (desc->buffer_low > desc->buffer_high)
+    desc->buffer_low = desc->buffer_high;
+}
+
+static uint64_t *
+_bgap_frontend_counter (struct bgap_frontend *frontend, const char *name)
+{
+  if (frontend->desc.counters == NULL)
+    return &frontend->unused;
+  return bgap_counters_get (frontend->desc.counters, name, "");
+}
+
+static void
+_bgap_frontend_on_accept (struct evconnlistener *listener, evutil_socket_t fd,
+                          struct sockaddr *peer, int size, void *user)
+{
+  struct bgap_frontend *frontend = user;
+  (void)listener;
+  (void)size;
+  if (frontend->connection_count >= frontend->desc.connections_max)
+    evutil_closesocket (fd);
+  else
+    bgap_frontend_connection_new (frontend, fd, peer);
+}
+
+static void
+_bgap_frontend_on_accept_error (struct evconnlistener *listener, void *user)
+{
+  struct bgap_frontend *frontend = user;
+  const struct timeval pause = bgap_address_timeval (ACCEPT_PAUSE_MS);
+  bgap_log_warn ("frontend", "a connection was not accepted; reason=%s",
+                 evutil_socket_error_to_string (EVUTIL_SOCKET_ERROR ()));
+  evconnlistener_disable (listener);
+  event_add (&frontend->listen_again, &pause);
+}
+
+static void
+_bgap_frontend_on_listen_again (evutil_socket_t fd, short events, void *user)
+{
+  struct bgap_frontend *frontend = user;
+  (void)fd;
+  (void)events;
+  if (frontend->listener != NULL)
+    evconnlistener_enable (frontend->listener);
+}
+
+static void
+_bgap_frontend_on_reap (evutil_socket_t fd, short events, void *user)
+{
+  (void)fd;
+  (void)events;
+  bgap_frontend_reap (user);
+}
+
+/* The daemon may shut the frontend down in ops.stopped.  */
+static void
+_bgap_frontend_on_stopped (evutil_socket_t fd, short events, void *user)
+{
+  struct bgap_frontend *frontend = user;
+  (void)fd;
+  (void)events;
+  frontend->desc.ops.stopped (frontend->desc.ops.context);
+}
+
+static enum bgap_status
+_bgap_frontend_listen (struct bgap_frontend *frontend,
+                       const struct bgap_address *address,
+                       struct bgap_error *err)
+{
+  frontend->listener = evconnlistener_new_bind (
+      frontend->desc.base, _bgap_frontend_on_accept, frontend,
+      LEV_OPT_CLOSE_ON_FREE | LEV_OPT_CLOSE_ON_EXEC | LEV_OPT_REUSEABLE,
+      BACKLOG, (const struct sockaddr *)&address->storage, (int)address->size);
+  if (frontend->listener == NULL)
+    return bgap_error_set (
+        err, BGAP_ERR_IO, "cannot listen on \"%.64s\": %s",
+        frontend->desc.address,
+        evutil_socket_error_to_string (EVUTIL_SOCKET_ERROR ()));
+  evconnlistener_set_error_cb (frontend->listener,
+                               _bgap_frontend_on_accept_error);
+  frontend->port
+      = bgap_address_local_port (evconnlistener_get_fd (frontend->listener));
+  return BGAP_OK;
+}
+
+enum bgap_status
+bgap_frontend_setup (struct bgap_frontend **frontend,
+                     const struct bgap_frontend_desc *desc,
+                     struct bgap_error *err)
+{
+  struct bgap_address address;
+  enum bgap_status status = bgap_address_parse (desc->address, &address, err);
+  if (status != BGAP_OK)
+    return status;
+  if (desc->base == NULL || desc->ops.request == NULL
+      || desc->ops.cancel == NULL
+      || desc->connections_max > BGAP_POOL_MAX_CAPACITY)
+    return bgap_error_set (err, BGAP_ERR_INVALID,
+                           "the event loop or an operation is missing, or "
+                           "there are more than %u connections",
+                           BGAP_POOL_MAX_CAPACITY);
+  struct bgap_frontend *f = calloc (1, sizeof *f);
+  if (f == NULL)
+    return bgap_error_set (err, BGAP_ERR_NO_MEMORY, "out of memory");
+  f->desc = *desc;
+  _bgap_frontend_set_defaults (&f->desc);
+  const struct bgap_pool_desc pool = {
+    .item_size = sizeof (struct frontend_connection *),
+    .capacity = f->desc.connections_max,
+  };
+  status = bgap_pool_setup (&f->exchanges, &pool);
+  if (status == BGAP_OK)
+    status = _bgap_frontend_listen (f, &address, err);
+  if (status != BGAP_OK)
+    {
+      bgap_pool_shutdown (&f->exchanges);
+      free (f);
+      return status;
+    }
+  LIST_INIT (&f->connections);
+  LIST_INIT (&f->dead);
+  event_assign (&f->reap, desc->base, -1, 0, _bgap_frontend_on_reap, f);
+  event_assign (&f->listen_again, desc->base, -1, 0,
+                _bgap_frontend_on_listen_again, f);
+  event_assign (&f->stopped, desc->base, -1, 0, _bgap_frontend_on_stopped, f);
+  f->connections_open
+      = _bgap_frontend_counter (f, "bgap_frontend_connections");
+  f->requests_total
+      = _bgap_frontend_counter (f, "bgap_frontend_requests_total");
+  f->refused_total = _bgap_frontend_counter (f, "bgap_frontend_refused_total");
+  f->cancelled_total
+      = _bgap_frontend_counter (f, "bgap_frontend_cancelled_total");
+  f->broken_total = _bgap_frontend_counter (f, "bgap_frontend_broken_total");
+  *frontend = f;
+  return BGAP_OK;
+}
+
+uint16_t
+bgap_frontend_port (const struct bgap_frontend *frontend)
+{
+  return frontend->port;
+}
+
+uint32_t
+bgap_frontend_exchanges (const struct bgap_frontend *frontend)
+{
+  return frontend->exchanges.used;
+}
+
+void
+bgap_frontend_check_stopped (struct bgap_frontend *frontend)
+{
+  if (frontend->is_stopping && frontend->connection_count == 0
+      && frontend->desc.ops.stopped != NULL)
+    event_active (&frontend->stopped, EV_TIMEOUT, 1);
+}
+
+void
+bgap_frontend_stop (struct bgap_frontend *frontend)
+{
+  if (frontend->is_stopping)
+    return;
+  evconnlistener_free (frontend->listener);
+  frontend->listener = NULL;
+  struct frontend_connection *c = LIST_FIRST (&frontend->connections);
+  while (c != NULL)
+    {
+      struct frontend_connection *next = LIST_NEXT (c, next);
+      if (bgap_frontend_connection_is_idle (c))
+        bgap_frontend_connection_close (c, false);
+      c = next;
+    }
+  frontend->is_stopping = true;
+  bgap_frontend_check_stopped (frontend);
+}
+
+void
+bgap_frontend_shutdown (struct bgap_frontend *frontend)
+{
+  if (frontend == NULL)
+    return;
+  frontend->is_stopping = false;
+  if (frontend->listener != NULL)
+    evconnlistener_free (frontend->listener);
+  struct frontend_connection *c = LIST_FIRST (&frontend->connections);
+  while (c != NULL)
+    {
+      struct frontend_connection *next = LIST_NEXT (c, next);
+      bgap_frontend_connection_close (c, true);
+      c = next;
+    }
+  bgap_frontend_reap (frontend);
+  event_del (&frontend->reap);
+  event_del (&frontend->listen_again);
+  event_del (&frontend->stopped);
+  bgap_pool_shutdown (&frontend->exchanges);
+  free (frontend);
+}
--- /dev/null
+++ b/packages/gateway/src/frontend_private.h
@@ -0,0 +1,132 @@
+#ifndef BANYANGAP_GATEWAY_FRONTEND_PRIVATE_H
+#define BANYANGAP_GATEWAY_FRONTEND_PRIVATE_H
+
+/*
+ * State shared by frontend.c (listener), frontend_connection.c (requests) and
+ * frontend_response.c (responses).
+ */
+
+#include <event2/bufferevent.h>
+#include <event2/event_struct.h>
+#include <event2/listener.h>
+#include <sys/queue.h>
+
+#include "address.h"
+#include "banyangap/base/buffer.h"
+#include "banyangap/base/pool.h"
+#include "banyangap/gateway/frontend.h"
+#include "http_body.h"
+
+/**
+ * enum frontend_state - what a connection is doing
+ */
+enum frontend_state
+{
+  FRONTEND_HEAD,    /* waits for a head or receives it */
+  FRONTEND_BODY,    /* receives a body */
+  FRONTEND_RUNNING, /* the request was handed over */
+  FRONTEND_FLUSH,   /* the last response is being sent */
+  FRONTEND_LINGER,  /* all is sent; waits for the caller to close */
+  FRONTEND_DEAD     /* closed; freed from the event loop */
+};
+
+/**
+ * struct frontend_connection - a caller's connection and its exchange
+ * @wake: continues with what has been read, from the event loop
+ * @in_head: a byte of the head has arrived
+ * @ended: the caller will send nothing more
+ * @exchange: handle in the pool of exchanges while RUNNING
+ * @reserved: bytes of the body counted in bodies_size
+ * @close: the connection ends after the exchange
+ * @started: the head of the response was sent
+ * @is_full: the response buffer was above its limit
+ * @left: bytes of the response's body still to come, with has_length
+ */
+struct frontend_connection
+{
+  LIST_ENTRY (frontend_connection) next;
+  struct bgap_frontend *frontend;
+  struct bufferevent *bev;
+  struct event timer;
+  struct event wake;
+  enum frontend_state state;
+  bool in_head;
+  bool ended;
+  struct bgap_http_head head;
+  struct bgap_http_body decoder;
+  struct bgap_buffer body;
+  size_t reserved;
+  struct bgap_frontend_request request;
+
+  uint32_t exchange;
+  bool close;
+  bool started;
+  bool is_full;
+  bool has_no_body;
+  bool has_length;
+  bool is_chunked;
+  uint64_t left;
+};
+
+LIST_HEAD (frontend_connection_list, frontend_connection);
+
+struct bgap_frontend
+{
+  struct bgap_frontend_desc desc;
+  struct evconnlistener *listener;
+  uint16_t port;
+  struct bgap_pool exchanges; /* of pointers to connections */
+  struct frontend_connection_list connections;
+  struct frontend_connection_list dead;
+  uint32_t connection_count;
+  size_t bodies_size;
+  bool is_stopping;
+  struct event reap;
+  struct event listen_again;
+  struct event stopped;
+  uint64_t unused;
+  uint64_t *connections_open;
+  uint64_t *requests_total;
+  uint64_t *refused_total;
+  uint64_t *cancelled_total;
+  uint64_t *broken_total;
+};
+
+/**
+ * bgap_frontend_connection_new() - serve an accepted socket; owns @fd
+ */
+void bgap_frontend_connection_new (struct bgap_frontend *frontend,
+                                   evutil_socket_t fd,
+                                   const struct sockaddr *peer);
+
+/**
+ * bgap_frontend_connection_close() - close; the structure lives until the
+ * event loop runs
+ * @reset: discard what has not been sent and reset the connection
+ */
+void bgap_frontend_connection_close (struct frontend_connection *connection,
+                                     bool reset);
+
+/**
+ * bgap_frontend_connection_is_idle() - whether no request has begun
+ */
+bool bgap_frontend_connection_is_idle (
+    const struct frontend_connection *connection);
+
+/**
+ * bgap_frontend_connection_ended() - the response is complete: go on with the
+ * next request or close
+ */
+void bgap_frontend_connection_ended (struct frontend_connection *connection);
+
+/**
+ * bgap_frontend_reap() - free closed connections
+ */
+void bgap_frontend_reap (struct bgap_frontend *frontend);
+
+/**
+ * bgap_frontend_check_stopped() - schedule ops.stopped if nothing is left
+ */
+void bgap_frontend_check_stopped (struct bgap_frontend *frontend);
+
+#endif
--- /dev/null
+++ b/packages/gateway/tests/support.h
@@ -0,0 +1,64 @@
+#ifndef BANYANGAP_GATEWAY_TESTS_SUPPORT_H
+#define BANYANGAP_GATEWAY_TESTS_SUPPORT_H
+
+/* Event loop, raw client and scripted server of the gateway tests.  */
+
+#include <event2/bufferevent.h>
+#include <event2/event.h>
+#include <event2/listener.h>
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "banyangap/base/buffer.h"
+
+/* Runs the loop until *@done; fails the test after a minute.  */
+void support_run (struct event_base *base, const bool *done);
+
+/* Runs the loop until nothing is ready.  */
+void support_settle (struct event_base *base);
+
+/* Frees the loop after what libevent frees from within it.  */
+void support_base_free (struct event_base *base);
+
+/* Client that sends raw bytes and collects what comes back.  */
+struct support_client
+{
+  struct bufferevent *bev;
+  struct bgap_buffer received;
+  uint64_t total;
+  bool keep; /* collect in @received, else only count */
+  bool closed;
+  bool reset;
+  const char *until; /* sets @found when it has been received */
+  bool found;
+};
+
+void support_client_start (struct support_client *client,
+                           struct event_base *base, uint16_t port);
+void support_client_send (struct support_client *client, const char *text);
+/* Waits for @text in what is received from the last match on.  */
+void support_client_expect (struct support_client *client,
+                            struct event_base *base, const char *text);
+void support_client_stop (struct support_client *client);
+
+/* Server that answers each request (up to its empty line, without a body) by
+   the function @answer.  */
+struct support_server
+{
+  struct evconnlistener *listener;
+  char address[64];
+  void (*answer) (struct support_server *server, struct bufferevent *bev,
+                  const char *request);
+  uint32_t accepted;
+  uint32_t requests;
+  struct bufferevent *connections[16];
+};
+
+void support_server_start (struct support_server *server,
+                           struct event_base *base);
+void support_server_stop (struct support_server *server);
+/* Sends what is written so far, then closes @bev.  */
+void support_server_close (struct support_server *server,
+                           struct bufferevent *bev);
+
+#endif
