--- a/packages/resource/tests/test_config.c
+++ b/packages/resource/tests/test_config.c
@@ -244,11 +244,11 @@
 static void
 _flip (struct bgap_buffer *record)
 {
-  char *letter = record->data ? strstr (record->data, "only") : NULL;
+  char *letter = record->data ? strstr (record->data, "nly t") : NULL;
   if (letter == NULL)
     fail_msg ("the record has no comment to damage");
   else
-    *letter ^= 0x20;
+    letter[-1] ^= 0x20;
 }
 
 /* Guards against a reader of a truncated log that starts from an incomplete
