Forward requests for servers that do not check grants

Cause: only the instance that holds such a server's lease may send it work; the others refused the requests. Ruled out: forwarding a request twice, which could loop while routes differ.

--- a/programs/banyangapd/cells.c
+++ b/programs/banyangapd/cells.c
@@ -281,6 +281,20 @@
   return true;
 }
 
+bool
+bgap_cells_may_send (const struct bgap_cells *cells,
+                     const struct bgap_cell_route *route, const char *service,
+                     const void *key, size_t size)
+{
+  const struct bgap_cell *cell = _bgap_cells_find (cells, route->cell);
+  const struct bgap_holder *holder
+      = cell != NULL ? bgap_engine_holder (cell->engine, route->server) : NULL;
+  return holder != NULL
+         && bgap_holder_check (holder, service, key, size, route->token,
+                               bgap_now_ms ())
+                == BGAP_HOLDER_OK;
+}
+
 void
 bgap_cells_leave (struct bgap_cells *cells)
 {
--- a/programs/banyangapd/cells.h
+++ b/programs/banyangapd/cells.h
@@ -84,6 +84,16 @@
                         const void *key, size_t size,
                         struct bgap_cell_route *route);
 
+/**
+ * bgap_cells_may_send() - whether this instance may send a request to a server
+ * that does not check grants
+ *
+ * Call it immediately before sending.
+ */
+bool bgap_cells_may_send (const struct bgap_cells *cells,
+                          const struct bgap_cell_route *route,
+                          const char *service, const void *key, size_t size);
+
 /**
  * bgap_cells_leave() - announce the shutdown of this instance
  */
--- a/programs/banyangapd/exchange.c
+++ b/programs/banyangapd/exchange.c
@@ -6,13 +6,19 @@
 #include "now.h"
 #include "requests_private.h"
 
+/* Marks a request that another instance has forwarded.  */
+#define FORWARDED "Bgap-Forwarded"
+
+/* relay_end of an attempt whose answer is forwarded.  */
+#define RELAY_ANSWERED (-1)
+
 static bool
 _bgap_exchange_copy (struct bgap_exchange *exchange,
                      const struct bgap_frontend_request *request)
 {
   exchange->parts = request->parts;
   snprintf (exchange->method, sizeof exchange->method, "%s", request->method);
-  exchange->target = strdup (request->target + request->parts.path_offset);
+  exchange->target = strdup (request->target);
   return exchange->target != NULL
          && bgap_headers_copy (&exchange->headers, &request->headers)
                 == BGAP_OK
@@ -55,6 +61,15 @@
   free (exchange);
 }
 
+static bool
+_bgap_exchange_needs_relay (const struct bgap_exchange *exchange)
+{
+  return exchange->route.via != NULL
+         && strcmp (exchange->route.via,
+                    exchange->requests->desc.settings->name)
+                != 0;
+}
+
 struct bgap_server_id
 bgap_exchange_lookup (struct bgap_exchange *exchange)
 {
@@ -66,9 +81,10 @@
       || !exchange->route.held)
     return none;
   /* A server that does not check grants gets work only from the instance that
-     holds its lease.  */
-  if (exchange->route.via != NULL
-      && strcmp (exchange->route.via, desc->settings->name) != 0)
+     holds its lease. A forwarded request is not forwarded again: the sender's
+     route was out of date.  */
+  if (_bgap_exchange_needs_relay (exchange)
+      && bgap_headers_find (&exchange->headers, FORWARDED) != NULL)
     return none;
   const struct bgap_upstream *upstream
       = bgap_upstreams_find (desc->upstreams, exchange->route.server);
@@ -103,12 +119,27 @@
   bgap_headers_shutdown (&answer);
 }
 
+/* Whether the instance in between answered instead of the server.  */
+static bool
+_bgap_exchange_is_relay_error (struct bgap_exchange *exchange,
+                               const struct bgap_headers *headers)
+{
+  const char *outcome = bgap_headers_find (headers, "Bgap-Outcome");
+  if (outcome == NULL || strcmp (outcome, "unknown") == 0)
+    exchange->relay_end = BGAP_CALL_BROKEN;
+  else if (strcmp (outcome, "not-run") == 0)
+    exchange->relay_end = BGAP_CALL_FENCED;
+  return exchange->relay_end != RELAY_ANSWERED;
+}
+
 static void
 _bgap_exchange_on_head (void *user, int status,
                         const struct bgap_headers *headers)
 {
   struct bgap_exchange *exchange = user;
   const char *type = bgap_headers_find (headers, "Content-Type");
+  if (exchange->relayed && _bgap_exchange_is_relay_error (exchange, headers))
+    return;
   exchange->status = status;
   snprintf (exchange->content_type, sizeof exchange->content_type, "%s",
             type != NULL ? type : "");
@@ -139,6 +170,8 @@
 {
   struct bgap_exchange *exchange = user;
   struct bgap_exchange_id id = { exchange->id };
+  if (exchange->relay_end != RELAY_ANSWERED)
+    return;
   _bgap_exchange_keep (exchange, bytes, size);
   if (exchange->gone)
     return;
@@ -163,6 +196,8 @@
   struct bgap_exchange *exchange = user;
   struct bgap_requests *requests = exchange->requests;
   exchange->calling = false;
+  if (end == BGAP_CALL_COMPLETE && exchange->relay_end != RELAY_ANSWERED)
+    end = (enum bgap_call_end)exchange->relay_end;
   const struct bgap_attempt_result result = {
     .kind = kinds[end],
     .http_status = exchange->status,
@@ -171,7 +206,8 @@
     .body_dropped = exchange->kept_dropped || !exchange->keep,
     .content_type = exchange->content_type,
   };
-  if (end == BGAP_CALL_BROKEN || end == BGAP_CALL_NO_CONNECT)
+  bool failed = end == BGAP_CALL_BROKEN || end == BGAP_CALL_NO_CONNECT;
+  if (failed && !exchange->relayed)
     bgap_probes_now (requests->probes, exchange->server);
   _bgap_exchange_result (exchange, &result);
   if (exchange->gone)
@@ -199,6 +235,9 @@
   snprintf (text, sizeof text, "%lld", (long long)action->deadline_ms);
   if (status == BGAP_OK)
     status = bgap_headers_set (headers, "Bgap-Deadline-Ms", text);
+  bgap_headers_remove (headers, FORWARDED);
+  if (exchange->relayed && status == BGAP_OK)
+    status = bgap_headers_set (headers, FORWARDED, "1");
   bgap_headers_remove (headers, "Bgap-Token");
   bgap_headers_remove (headers, "Bgap-Slice");
   if (!exchange->keyed || status != BGAP_OK)
@@ -223,19 +262,32 @@
   return bgap_upstreams_find (exchange->requests->desc.upstreams, status.name);
 }
 
+/* A server that checks grants decides itself.  */
+static bool
+_bgap_exchange_may_send (const struct bgap_exchange *exchange)
+{
+  if (exchange->route.via == NULL || exchange->relayed)
+    return true;
+  return bgap_cells_may_send (exchange->requests->desc.cells, &exchange->route,
+                              exchange->service, exchange->parts.key,
+                              exchange->parts.key_size);
+}
+
 void
 bgap_exchange_dispatch (struct bgap_exchange *exchange,
                         const struct bgap_router_action *action)
 {
   struct bgap_requests *requests = exchange->requests;
   exchange->attempt = action->attempt;
+  exchange->relayed = _bgap_exchange_needs_relay (exchange);
+  exchange->relay_end = RELAY_ANSWERED;
   exchange->keep = action->keep_body;
   exchange->kept_dropped = false;
   bgap_buffer_shutdown (&exchange->kept);
   const struct bgap_upstream *upstream
       = _bgap_exchange_upstream (exchange, action);
   enum bgap_status status = BGAP_ERR_NOT_FOUND;
-  if (upstream != NULL)
+  if (upstream != NULL && _bgap_exchange_may_send (exchange))
     status = _bgap_exchange_headers (exchange, action);
   if (status == BGAP_OK)
     {
@@ -243,7 +295,10 @@
                 upstream->name);
       const struct bgap_call call = {
         .method = exchange->method,
-        .target = exchange->target,
+        .relay = exchange->relayed ? exchange->route.via : NULL,
+        .target = exchange->relayed
+                      ? exchange->target
+                      : exchange->target + exchange->parts.path_offset,
         .headers = &exchange->headers,
         .body = exchange->body.data,
         .body_size = exchange->body.size,
--- a/programs/banyangapd/requests.h
+++ b/programs/banyangapd/requests.h
@@ -62,7 +62,8 @@
                                    struct bgap_upstream *upstream);
 
 /**
- * bgap_requests_sync_hosts() - apply drain signals of the host list
+ * bgap_requests_sync_hosts() - apply drain signals and addresses of the host
+ * list
  */
 void bgap_requests_sync_hosts (struct bgap_requests *requests);
 
--- a/programs/banyangapd/requests_private.h
+++ b/programs/banyangapd/requests_private.h
@@ -31,6 +31,8 @@
  * @kept_dropped: the body is longer than the router keeps
  * @content_type: of the answer
  * @status: HTTP status of the answer
+ * @relayed: the attempt goes through another instance
+ * @relay_end: how the attempt ends if that instance did not get an answer
  * @streaming: the answer's head was sent to the caller
  * @gone: the caller has gone
  */
@@ -56,8 +58,10 @@
   char content_type[128];
   int status;
   bool keyed;
+  bool relayed;
   bool streaming;
   bool gone;
+  int relay_end;
   UT_hash_handle hh;
 };
 
--- a/programs/banyangapd/requests_sync.c
+++ b/programs/banyangapd/requests_sync.c
@@ -167,6 +167,15 @@
         &requests->router, now_ms,
         (struct bgap_server_id){ upstream->router_id }, BGAP_DRAIN_HOST_LIST,
         _bgap_requests_host_leaving (requests, upstream));
+  const struct bgap_members *members = requests->desc.members;
+  for (uint32_t i = 0; i < bgap_members_count (members); i++)
+    {
+      const struct bgap_member *member = bgap_members_at (members, i);
+      if (member->role == BGAP_HOST_ENTRY && member->address[0] != '\0'
+          && strcmp (member->name, requests->desc.settings->name) != 0)
+        bgap_upstreams_set_relay (requests->desc.upstreams, member->name,
+                                  member->address);
+    }
   bgap_requests_run (requests);
 }
 
--- a/programs/banyangapd/upstreams.c
+++ b/programs/banyangapd/upstreams.c
@@ -25,12 +25,25 @@
   UT_hash_handle hh;
 };
 
+/* Connections to one instance that forwards requests.  */
+#define RELAY_CONNECTIONS 64u
+
+/* An instance that forwards requests.  */
+struct relay
+{
+  char name[BGAP_UPSTREAM_NAME_SIZE];
+  char address[BGAP_RESOURCE_ADDRESS_SIZE];
+  struct bgap_backend_server_id pool;
+  UT_hash_handle hh;
+};
+
 struct bgap_upstreams
 {
   struct bgap_upstreams_desc desc;
   struct bgap_backend *backend;
   struct bgap_upstream *table;
   struct attempt *attempts;
+  struct relay *relays;
 };
 
 enum bgap_status
@@ -83,6 +96,13 @@
     _bgap_upstream_free (upstreams, upstream);
   }
   bgap_backend_shutdown (upstreams->backend);
+  struct relay *relay;
+  struct relay *relay_after;
+  HASH_ITER (hh, upstreams->relays, relay, relay_after)
+  {
+    HASH_DEL (upstreams->relays, relay);
+    free (relay);
+  }
   struct attempt *attempt;
   struct attempt *after;
   HASH_ITER (hh, upstreams->attempts, attempt, after)
@@ -329,19 +349,71 @@
   .failed = _bgap_upstream_on_failed,
 };
 
+void
+bgap_upstreams_set_relay (struct bgap_upstreams *upstreams, const char *name,
+                          const char *address)
+{
+  struct bgap_error err = { 0 };
+  struct relay *relay;
+  HASH_FIND_STR (upstreams->relays, name, relay);
+  if (relay != NULL && strcmp (relay->address, address) == 0)
+    return;
+  if (relay != NULL)
+    {
+      bgap_backend_remove_server (upstreams->backend, relay->pool);
+      HASH_DEL (upstreams->relays, relay);
+      free (relay);
+    }
+  relay = calloc (1, sizeof *relay);
+  if (relay == NULL)
+    return;
+  snprintf (relay->name, sizeof relay->name, "%s", name);
+  snprintf (relay->address, sizeof relay->address, "%s", address);
+  if (bgap_backend_add_server (upstreams->backend, address, RELAY_CONNECTIONS,
+                               &relay->pool, &err)
+      != BGAP_OK)
+    {
+      bgap_log_error ("upstream", "cannot add an instance; name=%s reason=%s",
+                      name, err.message);
+      free (relay);
+      return;
+    }
+  HASH_ADD_STR (upstreams->relays, name, relay);
+}
+
+static enum bgap_status
+_bgap_upstream_pool (const struct bgap_upstreams *upstreams,
+                     const struct bgap_upstream *upstream,
+                     const struct bgap_call *call,
+                     struct bgap_backend_server_id *pool)
+{
+  pool->id = call->control ? upstream->control_pool : upstream->request_pool;
+  if (call->relay == NULL)
+    return BGAP_OK;
+  const struct relay *relay;
+  HASH_FIND_STR (upstreams->relays, call->relay, relay);
+  if (relay == NULL)
+    return BGAP_ERR_NOT_FOUND;
+  *pool = relay->pool;
+  return BGAP_OK;
+}
+
 enum bgap_status
 bgap_upstream_call (struct bgap_upstreams *upstreams,
                     const struct bgap_upstream *upstream,
                     const struct bgap_call *call, uint32_t *id)
 {
+  struct bgap_backend_server_id pool;
+  enum bgap_status status
+      = _bgap_upstream_pool (upstreams, upstream, call, &pool);
+  if (status != BGAP_OK)
+    return status;
   struct attempt *attempt = calloc (1, sizeof *attempt);
   if (attempt == NULL)
     return BGAP_ERR_NO_MEMORY;
   attempt->upstreams = upstreams;
   attempt->ops = call->ops;
   attempt->user = call->user;
-  struct bgap_backend_server_id pool
-      = { call->control ? upstream->control_pool : upstream->request_pool };
   const struct bgap_backend_request request = {
     .method = call->method,
     .target = call->target,
@@ -353,8 +425,7 @@
     .user = attempt,
   };
   struct bgap_attempt_id attempt_id = { 0 };
-  enum bgap_status status
-      = bgap_backend_send (upstreams->backend, pool, &request, &attempt_id);
+  status = bgap_backend_send (upstreams->backend, pool, &request, &attempt_id);
   if (status != BGAP_OK)
     {
       free (attempt);
--- a/programs/banyangapd/upstreams.h
+++ b/programs/banyangapd/upstreams.h
@@ -80,11 +80,13 @@
 /**
  * struct bgap_call - a call to start
  * @control: use the pool for hellos and renewals
+ * @relay: send to this instance instead of the server, or NULL
  * @body: must stay valid until the call ends
  */
 struct bgap_call
 {
   bool control;
+  const char *relay;
   const char *method;
   const char *target;
   const struct bgap_headers *headers;
@@ -132,6 +134,13 @@
 struct bgap_upstream *
 bgap_upstreams_first (const struct bgap_upstreams *upstreams);
 
+/**
+ * bgap_upstreams_set_relay() - add an instance that forwards requests to
+ * servers which do not check grants, or change its address
+ */
+void bgap_upstreams_set_relay (struct bgap_upstreams *upstreams,
+                               const char *name, const char *address);
+
 /**
  * bgap_upstream_call() - start a call
  *
