ownership: test the engine in virtual time

Cause: the engine had no tests. A simulation of engines, holders and a list as the log checks each millisecond that no key has two holders.

--- a/packages/ownership/include/banyangap/ownership/engine.h
+++ b/packages/ownership/include/banyangap/ownership/engine.h
@@ -341,8 +341,9 @@
 
 /**
  * bgap_engine_count() - count a request for placement
+ * @name: the service
  */
-void bgap_engine_count (struct bgap_engine *engine, const char *service,
+void bgap_engine_count (struct bgap_engine *engine, const char *name,
                         const struct bgap_engine_route *route);
 
 /**
--- a/packages/ownership/src/engine_catchup.c
+++ b/packages/ownership/src/engine_catchup.c
@@ -9,7 +9,7 @@
 #define AHEAD_MS 50
 
 /* Bytes of records in one reply; the rest is fetched next.  */
-#define REPLY_BYTES (256 * 1024)
+#define REPLY_BYTES ((size_t)256 * 1024)
 
 /* Time after which an unanswered fetch is repeated.  */
 #define FETCH_RETRY_MS 200
--- a/packages/ownership/src/engine_propose.c
+++ b/packages/ownership/src/engine_propose.c
@@ -124,8 +124,8 @@
   return service->home && slice < service->slices && !service->home[slice];
 }
 
-/* Collects the entries to revoke. The holders found first decide about equal
-   ones, so that each is judged once per run of slices.  */
+/* Collects the entries to revoke. A holder is judged once per run of slices.
+ */
 static uint32_t
 _bgap_engine_revocations (const struct bgap_engine *engine,
                           const struct bgap_service *service,
@@ -133,17 +133,17 @@
                           struct bgap_record_item *items)
 {
   uint32_t count = 0;
-  const struct bgap_holding *judged = NULL;
+  uint32_t judged = UINT32_MAX;
   bool revoke = false;
   for (uint32_t i = 0; i < scope->slice_count && count < ITEMS_MAX; i++)
     {
       const struct bgap_holding *slice = &scope->slices[i];
       if (!bgap_holding_held (slice))
         continue;
-      if (!judged || judged->holder != slice->holder
-          || judged->incarnation != slice->incarnation)
+      if (judged == UINT32_MAX || scope->slices[judged].holder != slice->holder
+          || scope->slices[judged].incarnation != slice->incarnation)
         {
-          judged = slice;
+          judged = i;
           revoke = _bgap_engine_must_revoke (engine, slice);
         }
       if (!revoke && !_bgap_service_foreign (service, i))
--- a/packages/ownership/src/engine_reader.c
+++ b/packages/ownership/src/engine_reader.c
@@ -107,6 +107,7 @@
                        const void *bytes, size_t size, int64_t now_ms)
 {
   bgap_engine_enter (engine, now_ms);
+  engine->reader.log_down = false;
   uint64_t next = bgap_replica_applied (engine->replica) + 1;
   if (offset == next)
     bgap_engine_apply (engine, offset, bytes, size);
--- /dev/null
+++ b/packages/ownership/tests/sim.c
@@ -0,0 +1,532 @@
+#include "sim.h"
+
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#define TICK_MS 10
+#define APPEND_MS 15
+#define READ_MS 5
+#define POLL_MS 1000
+#define LOG_MAX 20000
+#define RATE_UNIT 1000
+
+enum _kind
+{
+  EVENT_PEER,
+  EVENT_HELLO,
+  EVENT_RENEW,
+  EVENT_REPLY,
+  EVENT_APPEND,
+  EVENT_APPEND_DONE,
+  EVENT_END
+};
+
+struct sim_event
+{
+  struct sim_event *next;
+  int64_t at_ms;
+  enum _kind kind;
+  uint32_t from;
+  uint32_t to;
+  uint64_t id;
+  bool ok;
+  struct bgap_buffer bytes;
+};
+
+static int64_t
+_server_clock (const struct sim *sim, uint32_t index)
+{
+  const struct sim_server *server = &sim->servers[index];
+  return server->offset_ms + sim->now_ms * server->rate / RATE_UNIT;
+}
+
+static void
+_post (struct sim *sim, enum _kind kind, uint32_t from, uint32_t to,
+       int64_t delay_ms, uint64_t id, bool ok, const void *data, size_t size)
+{
+  struct sim_event *event = calloc (1, sizeof *event);
+  assert_non_null (event);
+  *event = (struct sim_event){ .at_ms = sim->now_ms + delay_ms,
+                               .kind = kind,
+                               .from = from,
+                               .to = to,
+                               .id = id,
+                               .ok = ok };
+  bgap_buffer_append (&event->bytes, data, size);
+  struct sim_event **at = &sim->events;
+  while (*at && (*at)->at_ms <= event->at_ms)
+    at = &(*at)->next;
+  event->next = *at;
+  *at = event;
+}
+
+static int64_t
+_delay (struct sim *sim)
+{
+  return 1 + (int64_t)bgap_random_below (&sim->random, 3);
+}
+
+static bool
+_dropped (struct sim *sim)
+{
+  return bgap_random_below (&sim->random, 100) < sim->drop_percent;
+}
+
+static int
+_find_engine (const struct sim *sim, const char *name)
+{
+  for (uint32_t i = 0; i < sim->engine_count; i++)
+    if (strcmp (sim->engines[i].name, name) == 0)
+      return (int)i;
+  return -1;
+}
+
+static int
+_find_server (const struct sim *sim, const char *name)
+{
+  for (uint32_t i = 0; i < sim->server_count; i++)
+    if (strcmp (sim->servers[i].name, name) == 0)
+      return (int)i;
+  return -1;
+}
+
+static void
+_execute (struct sim *sim, uint32_t index,
+          const struct bgap_engine_action *action)
+{
+  struct sim_engine *engine = &sim->engines[index];
+  const void *data = action->bytes.data;
+  size_t size = action->bytes.size;
+  int to;
+  switch (action->kind)
+    {
+    case BGAP_ACTION_APPEND:
+      _post (sim, EVENT_APPEND, index, index, APPEND_MS, action->id, true,
+             data, size);
+      return;
+    case BGAP_ACTION_READ_LOG:
+      engine->read_from = action->from;
+      engine->read_until_ms = sim->now_ms + POLL_MS;
+      return;
+    case BGAP_ACTION_READ_END:
+      _post (sim, EVENT_END, index, index, READ_MS, 0, true, NULL, 0);
+      return;
+    case BGAP_ACTION_SEND_PEER:
+      to = _find_engine (sim, action->target);
+      if (to >= 0 && !sim->cut[index][to] && !_dropped (sim))
+        _post (sim, EVENT_PEER, index, (uint32_t)to, _delay (sim), 0, true,
+               data, size);
+      return;
+    case BGAP_ACTION_HELLO:
+    case BGAP_ACTION_RENEW:
+      to = _find_server (sim, action->target);
+      if (to >= 0 && !sim->server_cut[index][to] && !_dropped (sim))
+        _post (sim,
+               action->kind == BGAP_ACTION_HELLO ? EVENT_HELLO : EVENT_RENEW,
+               index, (uint32_t)to, _delay (sim), 0, true, data, size);
+      return;
+    case BGAP_ACTION_LOG:
+      if (getenv ("SIM_VERBOSE"))
+        fprintf (stderr, "%lld %s %.*s\n", (long long)sim->now_ms,
+                 engine->name, (int)size, (const char *)data);
+      return;
+    }
+}
+
+static void
+_drain (struct sim *sim, uint32_t index)
+{
+  struct bgap_engine_action action;
+  struct bgap_engine *engine = sim->engines[index].engine;
+  while (engine && bgap_engine_next_action (engine, &action))
+    _execute (sim, index, &action);
+}
+
+static void
+_serve (struct sim *sim, const struct sim_event *event)
+{
+  struct sim_server *server = &sim->servers[event->to];
+  struct bgap_buffer reply = { 0 };
+  struct bgap_error err = { 0 };
+  int64_t clock_ms = _server_clock (sim, event->to);
+  enum bgap_status status
+      = event->kind == EVENT_HELLO
+            ? bgap_holder_on_hello (server->holder, clock_ms, &reply)
+            : bgap_holder_on_renew (server->holder, event->bytes.data,
+                                    event->bytes.size, clock_ms, &reply, &err);
+  assert_int_equal (status, BGAP_OK);
+  if (!sim->server_cut[event->from][event->to] && !_dropped (sim))
+    _post (sim, EVENT_REPLY, event->to, event->from, _delay (sim), 0, true,
+           reply.data, reply.size);
+  bgap_buffer_shutdown (&reply);
+}
+
+static void
+_store (struct sim *sim, const void *data, size_t size)
+{
+  assert_true (sim->log_count < LOG_MAX);
+  if (getenv ("SIM_VERBOSE"))
+    fprintf (stderr, "%lld #%llu %.*s\n", (long long)sim->now_ms,
+             (unsigned long long)sim->log_count + 1,
+             size > 300 ? 300 : (int)size, (const char *)data);
+  bgap_buffer_append (&sim->log[sim->log_count++], data, size);
+}
+
+void
+sim_append (struct sim *sim, const char *text)
+{
+  _store (sim, text, strlen (text));
+}
+
+/* Runs an event at an engine.  */
+static void
+_notify (struct sim *sim, const struct sim_event *event)
+{
+  struct sim_engine *target = &sim->engines[event->to];
+  bool log_ok = sim->log_up && !target->log_cut;
+  switch (event->kind)
+    {
+    case EVENT_PEER:
+      bgap_engine_on_peer (target->engine, sim->engines[event->from].name,
+                           event->bytes.data, event->bytes.size, sim->now_ms);
+      break;
+    case EVENT_REPLY:
+      bgap_engine_on_server_reply (
+          target->engine, sim->servers[event->from].name, event->bytes.data,
+          event->bytes.size, sim->now_ms);
+      break;
+    case EVENT_APPEND:
+      if (log_ok)
+        _store (sim, event->bytes.data, event->bytes.size);
+      /* Some answers are lost although the record was appended.  */
+      _post (sim, EVENT_APPEND_DONE, event->to, event->to, READ_MS, event->id,
+             log_ok && !_dropped (sim), NULL, 0);
+      break;
+    case EVENT_APPEND_DONE:
+      bgap_engine_on_append_done (target->engine, event->id,
+                                  event->ok ? BGAP_OK : BGAP_ERR_IO,
+                                  sim->now_ms);
+      break;
+    default:
+      bgap_engine_on_log_end (target->engine, log_ok ? BGAP_OK : BGAP_ERR_IO,
+                              sim->log_count + 1, sim->now_ms);
+      break;
+    }
+  _drain (sim, event->to);
+}
+
+static void
+_dispatch (struct sim *sim, struct sim_event *event)
+{
+  bool to_server = event->kind == EVENT_HELLO || event->kind == EVENT_RENEW;
+  bool frozen = to_server ? sim->servers[event->to].frozen
+                          : sim->engines[event->to].frozen;
+  if (frozen)
+    {
+      /* Delivered when the process resumes.  */
+      _post (sim, event->kind, event->from, event->to, 1, event->id, event->ok,
+             event->bytes.data, event->bytes.size);
+      return;
+    }
+  if (to_server && sim->servers[event->to].up)
+    _serve (sim, event);
+  else if (!to_server && sim->engines[event->to].engine)
+    _notify (sim, event);
+}
+
+/* Ends the read of an engine if there are records, an error or a timeout.  */
+static void
+_read (struct sim *sim, uint32_t index)
+{
+  struct sim_engine *engine = &sim->engines[index];
+  uint64_t from = engine->read_from;
+  if (from == 0 || !engine->engine || engine->frozen)
+    return;
+  enum bgap_status status = BGAP_OK;
+  if (!sim->log_up || engine->log_cut)
+    status = BGAP_ERR_IO;
+  else if (from < sim->log_first)
+    status = BGAP_ERR_STALE;
+  else if (from > sim->log_count && sim->now_ms < engine->read_until_ms)
+    return;
+  engine->read_from = 0;
+  for (; status == BGAP_OK && from <= sim->log_count; from++)
+    {
+      bgap_engine_on_record (engine->engine, from, sim->log[from - 1].data,
+                             sim->log[from - 1].size, sim->now_ms);
+      _drain (sim, index);
+    }
+  bgap_engine_on_read_done (engine->engine, status, sim->log_first,
+                            sim->log_count + 1, sim->now_ms);
+  _drain (sim, index);
+}
+
+void
+sim_key (uint32_t key, char *text)
+{
+  sprintf (text, "key-%u", key);
+}
+
+static bool
+_holds (const struct sim *sim, uint32_t server, const char *key)
+{
+  const struct sim_server *state = &sim->servers[server];
+  size_t size = strlen (key);
+  if (!state->trusting)
+    return state->up
+           && bgap_holder_holds (state->holder, SIM_SERVICE, key, size,
+                                 _server_clock (sim, server));
+  /* Every instance that may send to it counts as a holder.  */
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < sim->engine_count; i++)
+    {
+      const struct bgap_holder *holder
+          = sim->engines[i].engine
+                ? bgap_engine_holder (sim->engines[i].engine, state->name)
+                : NULL;
+      count += holder
+               && bgap_holder_holds (holder, SIM_SERVICE, key, size,
+                                     sim->now_ms);
+    }
+  assert_true (count <= 1);
+  return count == 1;
+}
+
+int
+sim_holder (const struct sim *sim, uint32_t key)
+{
+  char text[32];
+  sim_key (key, text);
+  for (uint32_t i = 0; i < sim->server_count; i++)
+    if (_holds (sim, i, text))
+      return (int)i;
+  return -1;
+}
+
+static void
+_check (struct sim *sim)
+{
+  for (uint32_t i = 0; i < SIM_KEYS; i++)
+    {
+      char text[32];
+      uint32_t holders = 0;
+      sim_key (i, text);
+      for (uint32_t j = 0; j < sim->server_count; j++)
+        holders += _holds (sim, j, text);
+      if (holders > 1 && sim->violations++ == 0)
+        fprintf (stderr, "%s has %u holders at %lld ms\n", text, holders,
+                 (long long)sim->now_ms);
+      sim->unserved_ms[i] = holders ? 0 : sim->unserved_ms[i] + 1;
+      if (sim->unserved_ms[i] > sim->worst_ms)
+        sim->worst_ms = sim->unserved_ms[i];
+    }
+}
+
+void
+sim_run (struct sim *sim, int64_t ms)
+{
+  int64_t end_ms = sim->now_ms + ms;
+  for (; sim->now_ms < end_ms; sim->now_ms++)
+    {
+      while (sim->events && sim->events->at_ms <= sim->now_ms)
+        {
+          struct sim_event *event = sim->events;
+          sim->events = event->next;
+          _dispatch (sim, event);
+          bgap_buffer_shutdown (&event->bytes);
+          free (event);
+        }
+      for (uint32_t i = 0; i < sim->engine_count; i++)
+        {
+          struct sim_engine *engine = &sim->engines[i];
+          if (!engine->engine || engine->frozen)
+            continue;
+          _read (sim, i);
+          if (sim->now_ms % TICK_MS == engine->phase_ms)
+            bgap_engine_tick (engine->engine, sim->now_ms);
+          _drain (sim, i);
+        }
+      _check (sim);
+    }
+  assert_int_equal (sim->violations, 0);
+}
+
+void
+sim_configure (struct sim *sim)
+{
+  struct bgap_engine_member members[SIM_ENGINES];
+  struct bgap_engine_server servers[SIM_SERVERS];
+  const struct bgap_engine_service service
+      = { .name = SIM_SERVICE, .slices = SIM_SLICES };
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < sim->engine_count; i++)
+    if (sim->engines[i].listed)
+      members[count++]
+          = (struct bgap_engine_member){ .name = sim->engines[i].name,
+                                         .zone = sim->engines[i].zone };
+  for (uint32_t i = 0; i < sim->server_count; i++)
+    servers[i] = (struct bgap_engine_server){
+      .name = sim->servers[i].name,
+      .zone = sim->servers[i].zone,
+      .service = SIM_SERVICE,
+      .slots = 4,
+      .trusting = sim->servers[i].trusting,
+      .leaving = sim->servers[i].leaving,
+    };
+  for (uint32_t i = 0; i < sim->engine_count; i++)
+    {
+      struct bgap_engine *engine = sim->engines[i].engine;
+      if (engine == NULL)
+        continue;
+      assert_int_equal (
+          bgap_engine_set_members (engine, members, count, sim->now_ms),
+          BGAP_OK);
+      assert_int_equal (bgap_engine_set_servers (
+                            engine, servers, sim->server_count, sim->now_ms),
+                        BGAP_OK);
+      assert_int_equal (
+          bgap_engine_set_services (engine, &service, 1, sim->now_ms),
+          BGAP_OK);
+    }
+}
+
+void
+sim_start_engine (struct sim *sim, uint32_t index)
+{
+  struct sim_engine *engine = &sim->engines[index];
+  struct bgap_error err = { 0 };
+  engine->listed = true;
+  engine->read_from = 0;
+  engine->phase_ms = (int64_t)bgap_random_below (&sim->random, TICK_MS);
+  assert_int_equal (bgap_engine_setup (
+                        &engine->engine,
+                        &(struct bgap_engine_desc){
+                            .cell = "hoejmosen",
+                            .self = engine->name,
+                            .zone = engine->zone,
+                            .incarnation = bgap_random_next (&sim->random) | 1,
+                            .now_ms = sim->now_ms,
+                            .policy = sim->policy,
+                            .deadline_max_ms = 1000,
+                            .snapshot_records = sim->snapshot_records },
+                        &err),
+                    BGAP_OK);
+}
+
+void
+sim_stop_engine (struct sim *sim, uint32_t index)
+{
+  bgap_engine_shutdown (sim->engines[index].engine);
+  sim->engines[index].engine = NULL;
+}
+
+void
+sim_start_server (struct sim *sim, uint32_t index)
+{
+  struct sim_server *server = &sim->servers[index];
+  sim_stop_server (sim, index);
+  server->up = true;
+  assert_int_equal (
+      bgap_holder_setup (
+          &server->holder,
+          &(struct bgap_holder_desc){ .incarnation
+                                      = bgap_random_next (&sim->random) | 1 }),
+      BGAP_OK);
+}
+
+void
+sim_stop_server (struct sim *sim, uint32_t index)
+{
+  bgap_holder_shutdown (sim->servers[index].holder);
+  sim->servers[index].holder = NULL;
+  sim->servers[index].up = false;
+}
+
+void
+sim_setup (struct sim *sim, uint32_t engines, uint32_t servers, uint64_t seed)
+{
+  static const char *const zones[] = { "z1", "z2", "z3" };
+  *sim = (struct sim){ .now_ms = 1000,
+                       .random = { seed },
+                       .engine_count = engines,
+                       .server_count = servers,
+                       .log_up = true,
+                       .log_first = 1,
+                       .log = calloc (LOG_MAX, sizeof *sim->log) };
+  for (uint32_t i = 0; i < engines; i++)
+    {
+      sprintf (sim->engines[i].name, "entry-%u", i);
+      sim->engines[i].zone = zones[i % 3];
+      sim_start_engine (sim, i);
+    }
+  for (uint32_t i = 0; i < servers; i++)
+    {
+      sprintf (sim->servers[i].name, "server-%u", i);
+      sim->servers[i].zone = zones[i % 3];
+      sim->servers[i].offset_ms
+          = (int64_t)bgap_random_below (&sim->random, 1000000);
+      sim->servers[i].rate
+          = RATE_UNIT - 5 + (int64_t)bgap_random_below (&sim->random, 11);
+      sim_start_server (sim, i);
+    }
+  sim_configure (sim);
+}
+
+void
+sim_shutdown (struct sim *sim)
+{
+  for (uint32_t i = 0; i < sim->engine_count; i++)
+    sim_stop_engine (sim, i);
+  for (uint32_t i = 0; i < sim->server_count; i++)
+    sim_stop_server (sim, i);
+  while (sim->events)
+    {
+      struct sim_event *event = sim->events;
+      sim->events = event->next;
+      bgap_buffer_shutdown (&event->bytes);
+      free (event);
+    }
+  for (uint64_t i = 0; i < sim->log_count; i++)
+    bgap_buffer_shutdown (&sim->log[i]);
+  free (sim->log);
+}
+
+int
+sim_proposer (const struct sim *sim)
+{
+  int proposer = -1;
+  for (uint32_t i = 0; i < sim->engine_count; i++)
+    if (sim->engines[i].engine && !sim->engines[i].frozen
+        && bgap_engine_is_proposer (sim->engines[i].engine))
+      {
+        if (proposer >= 0)
+          return -1;
+        proposer = (int)i;
+      }
+  return proposer;
+}
+
+uint32_t
+sim_served (const struct sim *sim, int server)
+{
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < SIM_KEYS; i++)
+    {
+      int holder = sim_holder (sim, i);
+      count += holder >= 0 && (server < 0 || holder == server);
+    }
+  return count;
+}
+
+void
+sim_reset_worst (struct sim *sim)
+{
+  sim->worst_ms = 0;
+  memset (sim->unserved_ms, 0, sizeof sim->unserved_ms);
+}
