--- a/packages/gateway/src/frontend.c
+++ b/packages/gateway/src/frontend.c
@@ -129,10 +129,23 @@
   return BGAP_OK;
 }
 
+static void
+_bgap_frontend_setup_counters (struct bgap_frontend *f)
+{
+  f->connections_open
+      = _bgap_frontend_counter (f, "bgap_frontend_connections");
+  f->requests_total
+      = _bgap_frontend_counter (f, "bgap_frontend_requests_total");
+  f->refused_total = _bgap_frontend_counter (f, "bgap_frontend_refused_total");
+  f->cancelled_total
+      = _bgap_frontend_counter (f, "bgap_frontend_cancelled_total");
+  f->broken_total = _bgap_frontend_counter (f, "bgap_frontend_broken_total");
+}
+
 enum bgap_status
-bgap_frontend_setup (struct bgap_frontend **frontend,
-                     const struct bgap_frontend_desc *desc,
-                     struct bgap_error *err)
+bgap_frontend_setup_any_path (struct bgap_frontend **frontend,
+                              const struct bgap_frontend_desc *desc,
+                              struct bgap_error *err)
 {
   struct bgap_address address;
   enum bgap_status status = bgap_address_parse (desc->address, &address, err);
@@ -169,18 +182,23 @@
   event_assign (&f->listen_again, desc->base, -1, 0,
                 _bgap_frontend_on_listen_again, f);
   event_assign (&f->stopped, desc->base, -1, 0, _bgap_frontend_on_stopped, f);
-  f->connections_open
-      = _bgap_frontend_counter (f, "bgap_frontend_connections");
-  f->requests_total
-      = _bgap_frontend_counter (f, "bgap_frontend_requests_total");
-  f->refused_total = _bgap_frontend_counter (f, "bgap_frontend_refused_total");
-  f->cancelled_total
-      = _bgap_frontend_counter (f, "bgap_frontend_cancelled_total");
-  f->broken_total = _bgap_frontend_counter (f, "bgap_frontend_broken_total");
+  _bgap_frontend_setup_counters (f);
+  f->takes_any_path = true;
   *frontend = f;
   return BGAP_OK;
 }
 
+enum bgap_status
+bgap_frontend_setup (struct bgap_frontend **frontend,
+                     const struct bgap_frontend_desc *desc,
+                     struct bgap_error *err)
+{
+  enum bgap_status status = bgap_frontend_setup_any_path (frontend, desc, err);
+  if (status == BGAP_OK)
+    (*frontend)->takes_any_path = false;
+  return status;
+}
+
 uint16_t
 bgap_frontend_port (const struct bgap_frontend *frontend)
 {
--- a/packages/gateway/src/frontend_connection.c
+++ b/packages/gateway/src/frontend_connection.c
@@ -108,16 +108,16 @@
                        const char *message)
 {
   ++*c->frontend->refused_total;
-  evbuffer_add_printf (bufferevent_get_output (c->bev),
-                       "HTTP/1.1 %d %s\r\n"
-                       "Bgap-Outcome: not-run\r\n"
-                       "%s"
-                       "Content-Type: text/plain\r\n"
-                       "Content-Length: %zu\r\n"
-                       "Connection: close\r\n\r\n%s\n",
-                       status, bgap_http_status_text (status),
-                       status == 503 ? "Retry-After: 1\r\n" : "",
-                       strlen (message) + 1, message);
+  evbuffer_add_printf (
+      bufferevent_get_output (c->bev),
+      "HTTP/1.1 %d %s\r\n%s%s"
+      "Content-Type: text/plain\r\n"
+      "Content-Length: %zu\r\n"
+      "Connection: close\r\n\r\n%s\n",
+      status, bgap_http_status_text (status),
+      c->frontend->takes_any_path ? "" : "Bgap-Outcome: not-run\r\n",
+      status == 503 ? "Retry-After: 1\r\n" : "", strlen (message) + 1,
+      message);
   _bgap_frontend_release_body (c);
   _bgap_frontend_flush (c);
 }
@@ -193,9 +193,10 @@
       *reason = "the body is too large";
       return 413;
     }
-  if (bgap_target_parse (head->target, strlen (head->target),
-                         &c->request.parts, &err)
-      != BGAP_OK)
+  if (!c->frontend->takes_any_path
+      && bgap_target_parse (head->target, strlen (head->target),
+                            &c->request.parts, &err)
+             != BGAP_OK)
     {
       memcpy (message, err.message, sizeof message);
       return 404;
--- a/packages/gateway/src/frontend_private.h
+++ b/packages/gateway/src/frontend_private.h
@@ -73,6 +73,7 @@
 struct bgap_frontend
 {
   struct bgap_frontend_desc desc;
+  bool takes_any_path;
   struct evconnlistener *listener;
   uint16_t port;
   struct bgap_pool exchanges; /* of pointers to connections */
@@ -92,6 +93,15 @@
   uint64_t *broken_total;
 };
 
+/**
+ * bgap_frontend_setup_any_path() - as bgap_frontend_setup(), but for any path;
+ * the parts of the target are not set
+ */
+enum bgap_status
+bgap_frontend_setup_any_path (struct bgap_frontend **frontend,
+                              const struct bgap_frontend_desc *desc,
+                              struct bgap_error *err);
+
 /**
  * bgap_frontend_connection_new() - serve an accepted socket; owns @fd
  */
--- a/packages/gateway/src/http_head.c
+++ b/packages/gateway/src/http_head.c
@@ -310,6 +310,7 @@
     { 401, "Unauthorized" },
     { 403, "Forbidden" },
     { 404, "Not Found" },
+    { 405, "Method Not Allowed" },
     { 408, "Request Timeout" },
     { 409, "Conflict" },
     { 410, "Gone" },
--- a/packages/gateway/src/target.c
+++ b/packages/gateway/src/target.c
@@ -3,17 +3,7 @@
 #include <stdbool.h>
 #include <string.h>
 
-static int
-_bgap_target_hex (char c)
-{
-  if (c >= '0' && c <= '9')
-    return c - '0';
-  if (c >= 'a' && c <= 'f')
-    return c - 'a' + 10;
-  if (c >= 'A' && c <= 'F')
-    return c - 'A' + 10;
-  return -1;
-}
+#include "percent.h"
 
 static enum bgap_status
 _bgap_target_read_name (const char *text, size_t size, char *name,
@@ -76,28 +66,16 @@
 _bgap_target_read_key (const char *text, size_t size,
                        struct bgap_target *target, struct bgap_error *err)
 {
-  size_t used = 0;
-  for (size_t i = 0; i < size; i++)
-    {
-      int byte = (unsigned char)text[i];
-      if (text[i] == '%')
-        {
-          int high = size - i > 2 ? _bgap_target_hex (text[i + 1]) : -1;
-          int low = size - i > 2 ? _bgap_target_hex (text[i + 2]) : -1;
-          if (high < 0 || low < 0)
-            return bgap_error_set (err, BGAP_ERR_INVALID,
-                                   "the key has a '%%' without two "
-                                   "hexadecimal digits");
-          byte = high * 16 + low;
-          i += 2;
-        }
-      if (used == sizeof target->key)
-        return bgap_error_set (err, BGAP_ERR_INVALID,
-                               "the key has more than %d bytes",
-                               BGAP_TARGET_KEY_MAX);
-      target->key[used++] = (unsigned char)byte;
-    }
-  target->key_size = used;
+  enum bgap_status status = bgap_percent_decode (
+      text, size, target->key, sizeof target->key, &target->key_size);
+  if (status == BGAP_ERR_FULL)
+    return bgap_error_set (err, BGAP_ERR_INVALID,
+                           "the key has more than %d bytes",
+                           BGAP_TARGET_KEY_MAX);
+  if (status != BGAP_OK)
+    return bgap_error_set (err, BGAP_ERR_INVALID,
+                           "the key has a '%%' without two hexadecimal "
+                           "digits");
   return BGAP_OK;
 }
 
