--- a/packages/ownership/tests/fuzz/world.c
+++ b/packages/ownership/tests/fuzz/world.c
@@ -60,8 +60,9 @@
                 i % w->desc.zones);
       instance->members = (1u << w->desc.instances) - 1;
       bgap_world_draw_clock (w, &instance->clock);
-      bgap_world_instance_start (w, i);
     }
+  for (uint32_t i = 0; i < w->desc.instances; i++)
+    bgap_world_instance_start (w, i);
   return w;
 }
 
