Free pending log calls when an instance stops

Cause: LeakSanitizer reported the tail of the configuration stream after SIGTERM: its read was dropped, not completed, by the log's client. Ruled out: waiting for the read, which can take a second. Result: streams and appends are kept in lists and freed after the client.

--- a/demo.sh
+++ b/demo.sh
@@ -68,7 +68,7 @@
 until_ok 5 curl -sf http://127.0.0.1:21122/healthz
 
 step "publish the configuration"
-"$bin/banyangapctl" apply examples/styrelsen
+"$bin/banyangapctl" apply --based-on 0 examples/styrelsen
 key=/styrelsen/mosearkiv/well-17/2026
 for entry in "${entries[@]}"; do until_ok 10 get "$entry" "$key"; done
 
--- a/programs/banyangapd/cell.c
+++ b/programs/banyangapd/cell.c
@@ -3,6 +3,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #include "banyangap/base/log.h"
 #include "control_call.h"
@@ -14,10 +15,12 @@
 #define READ_WAIT_MS 1000
 
 /* An append with its id, until the log answers.  */
-struct append
+struct bgap_cell_append
 {
   struct bgap_cell *cell;
   uint64_t id;
+  struct bgap_cell_append *prev;
+  struct bgap_cell_append *next;
 };
 
 static enum bgap_status
@@ -35,8 +38,9 @@
 static void
 _bgap_cell_on_append (void *user, const struct bgap_log_append_result *result)
 {
-  struct append *append = user;
+  struct bgap_cell_append *append = user;
   struct bgap_cell *cell = append->cell;
+  DL_DELETE (cell->appends, append);
   bgap_engine_on_append_done (cell->engine, append->id,
                               _bgap_cell_status (result->answer),
                               bgap_now_ms ());
@@ -49,7 +53,7 @@
                    const struct bgap_engine_action *action)
 {
   const struct bgap_log_ops *log = cell->desc->log;
-  struct append *append = calloc (1, sizeof *append);
+  struct bgap_cell_append *append = calloc (1, sizeof *append);
   if (append == NULL)
     return;
   append->cell = cell;
@@ -58,7 +62,10 @@
       = log->append (log->context, cell->stream, action->bytes.data,
                      action->bytes.size, _bgap_cell_on_append, append);
   if (status == BGAP_OK)
-    return;
+    {
+      DL_APPEND (cell->appends, append);
+      return;
+    }
   free (append);
   bgap_engine_on_append_done (cell->engine, action->id, status,
                               bgap_now_ms ());
@@ -247,6 +254,9 @@
 void
 bgap_cell_free (struct bgap_cell *cell)
 {
+  struct bgap_cell_append *append;
+  struct bgap_cell_append *next;
+  DL_FOREACH_SAFE (cell->appends, append, next) free (append);
   bgap_engine_shutdown (cell->engine);
   bgap_placer_free (cell->placer);
   free (cell);
--- a/programs/banyangapd/cell.h
+++ b/programs/banyangapd/cell.h
@@ -10,10 +10,13 @@
 #include "cells.h"
 #include "placer.h"
 
+struct bgap_cell_append;
+
 /**
  * struct bgap_cell - an engine
  * @desc: of the owning bgap_cells
  * @stream: "ownership.<cell>"
+ * @appends: appends that the log has not answered
  */
 struct bgap_cell
 {
@@ -22,6 +25,7 @@
   char stream[BGAP_NAME_SIZE + 16];
   struct bgap_engine *engine;
   struct bgap_placer *placer;
+  struct bgap_cell_append *appends;
   struct bgap_cell *next;
   bool running;
 };
--- a/programs/banyangapd/configuration.c
+++ b/programs/banyangapd/configuration.c
@@ -253,7 +253,7 @@
     return;
   if (configuration->timer != NULL)
     event_free (configuration->timer);
-  bgap_tail_shutdown (configuration->tail);
+  bgap_tail_free (configuration->tail);
   for (uint32_t i = 0; i < configuration->event_count; i++)
     _bgap_configuration_event_free (&configuration->events[i]);
   bgap_config_shutdown (&configuration->replay);
--- a/programs/banyangapd/once_streams.c
+++ b/programs/banyangapd/once_streams.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #include "banyangap/base/log.h"
 #include "now.h"
@@ -19,19 +20,22 @@
   struct stream *next;
 };
 
-struct bgap_once_streams
-{
-  struct bgap_requests *requests;
-  struct stream *list;
-};
-
 /* An append until the log answers; refers to the service by its handle, since
    the stream may be removed in between.  */
 struct append
 {
-  struct bgap_requests *requests;
+  struct bgap_once_streams *streams;
   struct bgap_service_id service;
   uint32_t id;
+  struct append *prev;
+  struct append *next;
+};
+
+struct bgap_once_streams
+{
+  struct bgap_requests *requests;
+  struct stream *list;
+  struct append *appends;
 };
 
 enum bgap_status
@@ -46,13 +50,6 @@
   return BGAP_OK;
 }
 
-static void
-_bgap_once_stream_free (struct stream *stream)
-{
-  bgap_tail_shutdown (stream->tail);
-  free (stream);
-}
-
 void
 bgap_once_streams_shutdown (struct bgap_once_streams *streams)
 {
@@ -62,8 +59,12 @@
     {
       struct stream *stream = streams->list;
       streams->list = stream->next;
-      _bgap_once_stream_free (stream);
+      bgap_tail_free (stream->tail);
+      free (stream);
     }
+  struct append *append;
+  struct append *next;
+  DL_FOREACH_SAFE (streams->appends, append, next) free (append);
   free (streams);
 }
 
@@ -166,7 +167,8 @@
       if (strcmp (stream->service, service) != 0)
         continue;
       *at = stream->next;
-      _bgap_once_stream_free (stream);
+      bgap_tail_shutdown (stream->tail);
+      free (stream);
       return;
     }
 }
@@ -183,11 +185,13 @@
                               const struct bgap_log_append_result *result)
 {
   struct append *append = user;
-  bgap_router_on_append_done (&append->requests->router, bgap_now_ms (),
+  struct bgap_requests *requests = append->streams->requests;
+  DL_DELETE (append->streams->appends, append);
+  bgap_router_on_append_done (&requests->router, bgap_now_ms (),
                               append->service, append->id,
                               result->answer == BGAP_ANSWER_OK);
-  bgap_requests_run (append->requests);
   free (append);
+  bgap_requests_run (requests);
 }
 
 void
@@ -202,7 +206,7 @@
   enum bgap_status status = BGAP_ERR_NOT_FOUND;
   if (append != NULL && stream != NULL)
     {
-      append->requests = requests;
+      append->streams = streams;
       append->service = action->service;
       append->id = action->append_id;
       status
@@ -210,7 +214,10 @@
                          action->size, _bgap_once_streams_on_append, append);
     }
   if (status == BGAP_OK)
-    return;
+    {
+      DL_APPEND (streams->appends, append);
+      return;
+    }
   free (append);
   bgap_router_on_append_done (&requests->router, bgap_now_ms (),
                               action->service, action->append_id, false);
--- a/programs/banyangapd/tail.c
+++ b/programs/banyangapd/tail.c
@@ -26,9 +26,11 @@
   bool closed;
 };
 
-static void
-_bgap_tail_free (struct bgap_tail *tail)
+void
+bgap_tail_free (struct bgap_tail *tail)
 {
+  if (tail == NULL)
+    return;
   event_free (tail->timer);
   free (tail);
 }
@@ -72,7 +74,7 @@
   tail->reading = false;
   if (tail->closed)
     {
-      _bgap_tail_free (tail);
+      bgap_tail_free (tail);
       return;
     }
   if (result->answer != BGAP_ANSWER_OK
@@ -126,11 +128,10 @@
 {
   if (tail == NULL)
     return;
-  /* A read in progress still refers to the tail; its completion frees it.  */
   tail->closed = true;
   event_del (tail->timer);
   if (!tail->reading)
-    _bgap_tail_free (tail);
+    bgap_tail_free (tail);
 }
 
 int64_t
--- a/programs/banyangapd/tail.h
+++ b/programs/banyangapd/tail.h
@@ -8,7 +8,7 @@
  *   struct bgap_tail *tail;
  *   bgap_tail_setup (&(struct bgap_tail_desc){ .base = base, .log = &log,
  *     .stream = "config", .ops = &ops, .context = config }, &tail, &err);
- *   bgap_tail_shutdown (tail);
+ *   bgap_tail_free (tail);
  */
 
 #include <event2/event.h>
@@ -57,9 +57,17 @@
 
 /**
  * bgap_tail_shutdown() - stop reading; NULL is allowed
+ *
+ * A read in progress keeps the memory until it completes.
  */
 void bgap_tail_shutdown (struct bgap_tail *tail);
 
+/**
+ * bgap_tail_free() - as above, after the log's client was shut down, so that
+ * no read completes any more
+ */
+void bgap_tail_free (struct bgap_tail *tail);
+
 /**
  * bgap_tail_last_ok_ms() - time of the last successful read, 0 if none
  */
