Test repeats after the loss of the instance that ran the request

Cause: the test killed the instance directly after its answer and wanted the stored answer. The outcome is recorded after the answer is sent, so the loss of the winner in between ends as unknown, which the design allows. Replaced by two tests: one waits until another instance has the outcome and wants the same answer; one kills at once and wants the answer or unknown. Both want exactly one run.

--- a/tests/process/deployment.py
+++ b/tests/process/deployment.py
@@ -142,6 +142,7 @@
                 end.shutdown(socket.SHUT_RDWR)
             except OSError:
                 pass
+        source.close()
 
     def cut(self):
         self.is_cut = True
@@ -156,6 +157,8 @@
 
     def close(self):
         self.cut()
+        # Wakes the thread that accepts, which closing alone does not.
+        self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
 
 
--- a/tests/process/test_instance_loss.py
+++ b/tests/process/test_instance_loss.py
@@ -69,20 +69,41 @@
                     self.assertGreaterEqual(len(answer.result().body), 40000)
             self.assertEqual(deployment.instances["entry-b"].process.wait(timeout=20), 0)
 
+    def restart_after(self, deployment, key, recorded):
+        """Sends a write, replaces its instance, and returns first and repeated answer."""
+        def send(instance):
+            return deployment.request(instance, "POST", "/acme/register/o", b"1",
+                                      {"Idempotency-Key": key})
+        first = send("entry-a")
+        self.assertEqual(first.status, 200)
+        if recorded:
+            deployment.wait(lambda: send("entry-b").body == first.body, 10, "recorded")
+        deployment.instances["entry-a"].kill()
+        deployment.start_instance("entry-a")
+        deployment.wait(lambda: send("entry-a").outcome in ("answered", "unknown"), 15,
+                        "instance back")
+        return first, send("entry-a")
+
     def test_restarted_instance_answers_repeats_from_the_log(self):
         """Guards against a second run when the instance that ran the first one is replaced."""
         with Deployment(archive=0, reads=0) as deployment:
             key = uuid7()
-            headers = {"Idempotency-Key": key}
-            first = deployment.request("entry-a", "POST", "/acme/register/o", b"1", headers)
-            self.assertEqual(first.status, 200)
-            deployment.instances["entry-a"].kill()
-            deployment.start_instance("entry-a")
-            deployment.wait(lambda: deployment.request(
-                "entry-a", "POST", "/acme/register/o", b"1", headers).body == first.body, 10,
-                "stored answer")
+            first, again = self.restart_after(deployment, key, True)
+            self.assertEqual((again.status, again.body), (200, first.body))
             self.assertEqual(deployment.runs("register")[key], 1)
 
+    def test_repeat_after_an_unrecorded_outcome_does_not_run_again(self):
+        """Guards against a second run, or "not run", when the winner died before its record."""
+        with Deployment(archive=0, reads=0) as deployment:
+            for _ in range(3):
+                key = uuid7()
+                first, again = self.restart_after(deployment, key, False)
+                if again.outcome == "answered":
+                    self.assertEqual(again.body, first.body)
+                else:
+                    self.assertEqual(again.outcome, "unknown")
+                self.assertEqual(deployment.runs("register")[key], 1)
+
 
 if __name__ == "__main__":
     unittest.main()
