--- /dev/null
+++ b/packages/ownership/tests/test_catchup.c
@@ -0,0 +1,224 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "sim.h"
+
+static struct sim sim;
+
+static int
+_teardown (void **state)
+{
+  (void)state;
+  sim_shutdown (&sim);
+  return 0;
+}
+
+static void
+_start (uint32_t engines, uint32_t servers, uint32_t snapshot_records,
+        enum bgap_witness_policy policy)
+{
+  sim_setup (&sim, engines, servers, 11);
+  sim.snapshot_records = snapshot_records;
+  sim.policy = policy;
+  for (uint32_t i = 0; i < engines; i++)
+    {
+      sim_stop_engine (&sim, i);
+      sim_start_engine (&sim, i);
+    }
+  sim_configure (&sim);
+  sim_run (&sim, 3000);
+  assert_int_equal (sim_served (&sim, -1), SIM_KEYS);
+}
+
+static uint64_t
+_applied (uint32_t index)
+{
+  return bgap_replica_applied (
+      bgap_engine_replica (sim.engines[index].engine));
+}
+
+/* Offset of the first chunk of the newest snapshot in the log, or 0.  */
+static uint64_t
+_newest_snapshot (void)
+{
+  for (uint64_t offset = sim.log_count; offset > 0; offset--)
+    if (strstr (sim.log[offset - 1].data, "\"part\":0,"))
+      return offset;
+  return 0;
+}
+
+/* Moves servers in and out, so that records are written.  */
+static void
+_churn (uint32_t rounds)
+{
+  for (uint32_t i = 0; i < rounds; i++)
+    {
+      bgap_holder_set_draining (sim.servers[i % sim.server_count].holder,
+                                i % 2 == 0);
+      bgap_holder_set_draining (sim.servers[(i + 1) % sim.server_count].holder,
+                                false);
+      sim_run (&sim, 3000);
+    }
+}
+
+/* Guards against a new instance that cannot start on a log whose beginning was
+   dropped, and against snapshots that are never written.  */
+static void
+test_start_on_truncated_log (void **state)
+{
+  (void)state;
+  _start (4, 3, 8, BGAP_WITNESSES_ZONE);
+  _churn (8);
+  uint64_t snapshot = _newest_snapshot ();
+  assert_true (snapshot > 1);
+  sim.log_first = snapshot;
+  sim_stop_engine (&sim, 3);
+  /* Without peers only the log is left.  */
+  for (uint32_t i = 0; i < 3; i++)
+    sim.cut[i][3] = sim.cut[3][i] = true;
+  sim_start_engine (&sim, 3);
+  sim_configure (&sim);
+  sim_run (&sim, 2000);
+  assert_int_equal (_applied (3), _applied (0));
+  struct bgap_buffer a = { 0 };
+  struct bgap_buffer b = { 0 };
+  bgap_replica_save (bgap_engine_replica (sim.engines[0].engine), &a);
+  bgap_replica_save (bgap_engine_replica (sim.engines[3].engine), &b);
+  assert_int_equal (a.size, b.size);
+  assert_memory_equal (a.data, b.data, a.size);
+  bgap_buffer_shutdown (&a);
+  bgap_buffer_shutdown (&b);
+}
+
+/* Guards against a reader that stays behind when the log has dropped records
+   that it had not read.  */
+static void
+test_reader_fallen_behind (void **state)
+{
+  (void)state;
+  _start (4, 3, 8, BGAP_WITNESSES_ZONE);
+  sim.engines[3].log_cut = true;
+  for (uint32_t i = 0; i < 3; i++)
+    sim.cut[i][3] = sim.cut[3][i] = true;
+  uint64_t before = _applied (3);
+  _churn (8);
+  assert_int_equal (_applied (3), before);
+  sim.log_first = _newest_snapshot ();
+  assert_true (sim.log_first > before + 1);
+  sim.engines[3].log_cut = false;
+  sim_run (&sim, 3000);
+  assert_int_equal (_applied (3), _applied (0));
+}
+
+/* Guards against an instance that cannot reach the log and does not learn of
+   changes from its peers, by records or, far behind, by their state.  */
+static void
+test_catch_up_from_peers (void **state)
+{
+  (void)state;
+  _start (4, 3, 1000, BGAP_WITNESSES_ZONE);
+  sim.engines[3].log_cut = true;
+  _churn (2);
+  assert_int_equal (_applied (3), _applied (0));
+  for (uint32_t i = 0; i < 3; i++)
+    sim.cut[i][3] = sim.cut[3][i] = true;
+  for (uint32_t i = 0; i < 1100; i++)
+    sim_append (&sim, "{\"schema\":1,\"type\":\"unknown\"}");
+  sim_run (&sim, 1000);
+  for (uint32_t i = 0; i < 3; i++)
+    sim.cut[i][3] = sim.cut[3][i] = false;
+  sim_run (&sim, 2000);
+  assert_int_equal (_applied (3), _applied (0));
+}
+
+/* Guards against an instance that goes on after a record it does not
+   understand, or counts as a witness then.  */
+static void
+test_newer_schema_stops_the_cell (void **state)
+{
+  (void)state;
+  _start (3, 3, 1000, BGAP_WITNESSES_ZONE);
+  uint64_t before = _applied (0);
+  sim_append (&sim, "{\"schema\":2,\"type\":\"grant\"}");
+  sim_run (&sim, 3000);
+  assert_int_equal (_applied (0), before);
+  assert_int_equal (sim_served (&sim, -1), 0);
+}
+
+/* Guards against a log that lost its end and would hand out offsets again. */
+static void
+test_log_that_goes_backwards (void **state)
+{
+  (void)state;
+  _start (3, 3, 1000, BGAP_WITNESSES_ZONE);
+  uint64_t before = _applied (0);
+  bgap_buffer_shutdown (&sim.log[--sim.log_count]);
+  sim_run (&sim, 3000);
+  assert_int_equal (_applied (0), before);
+  assert_int_equal (sim_proposer (&sim), -1);
+}
+
+/* Guards against witnesses that are not spread over the zones, so that the
+   loss of one zone stops the cell, and against a slow move of its keys.  */
+static void
+test_lost_zone_with_region_policy (void **state)
+{
+  (void)state;
+  _start (6, 3, 1000, BGAP_WITNESSES_REGION);
+  const struct bgap_witness_set *set
+      = bgap_replica_witnesses (bgap_engine_replica (sim.engines[0].engine));
+  assert_int_equal (set->count, 5);
+  sim_reset_worst (&sim);
+  for (uint32_t i = 0; i < 6; i += 3)
+    sim_stop_engine (&sim, i);
+  sim_stop_server (&sim, 0);
+  sim_run (&sim, 4000);
+  printf ("lost zone: %lld ms without a holder\n", (long long)sim.worst_ms);
+  assert_int_equal (sim_served (&sim, -1), SIM_KEYS);
+  assert_true (sim.worst_ms < 2000);
+}
+
+/* Guards against a cell that does not resume after an operator has replaced a
+   witness set whose majority is lost for good.  */
+static void
+test_forced_witness_set (void **state)
+{
+  (void)state;
+  _start (5, 3, 1000, BGAP_WITNESSES_ZONE);
+  for (uint32_t i = 0; i < 3; i++)
+    sim_stop_engine (&sim, i);
+  sim_run (&sim, 3000);
+  assert_int_equal (sim_served (&sim, -1), 0);
+  const struct bgap_witness_set *set
+      = bgap_replica_witnesses (bgap_engine_replica (sim.engines[3].engine));
+  char text[200];
+  snprintf (text, sizeof text,
+            "{\"schema\":1,\"type\":\"witnesses\",\"based_on\":%u,"
+            "\"members\":[\"entry-3\",\"entry-4\"],\"forced\":true}",
+            (unsigned)set->offset);
+  sim_append (&sim, text);
+  sim_run (&sim, 3000);
+  assert_int_equal (sim_served (&sim, -1), SIM_KEYS);
+}
+
+int
+main (void)
+{
+#define TEST(name) cmocka_unit_test_teardown (name, _teardown)
+  const struct CMUnitTest tests[] = {
+    TEST (test_start_on_truncated_log),
+    TEST (test_reader_fallen_behind),
+    TEST (test_catch_up_from_peers),
+    TEST (test_newer_schema_stops_the_cell),
+    TEST (test_log_that_goes_backwards),
+    TEST (test_lost_zone_with_region_policy),
+    TEST (test_forced_witness_set),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
