routing: count attempts of a server that is removed and configured again

fuzz_router found that such a server got as many new attempts as it has slots, next to those from before its removal. It is revived with its counts. The table of keys is smaller by default (65 536 keys, 4 MiB of bodies), as a key takes 250 bytes and a node has 32 MB for everything.

--- /dev/null
+++ b/bench/bench_routing_cost.c
@@ -0,0 +1,231 @@
+/* Processor time of the routing decision and memory of the router.
+
+   The decision is timed alone: a request, its dispatch, its answer and its
+   end, without I/O. Memory is what malloc hands out; slopes come from three
+   sizes.  */
+
+#include <inttypes.h>
+#include <malloc.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include "banyangap/routing/once.h"
+#include "banyangap/routing/router.h"
+
+#define REQUESTS 400000
+#define BATCH 16
+#define NS_PER_S 1000000000
+#define WALL_MS INT64_C (1700000000000)
+
+static int64_t
+_bgap_cost_cpu_ns (void)
+{
+  struct timespec ts;
+  clock_gettime (CLOCK_PROCESS_CPUTIME_ID, &ts);
+  return (int64_t)ts.tv_sec * NS_PER_S + ts.tv_nsec;
+}
+
+static size_t
+_bgap_cost_memory (void)
+{
+  struct mallinfo2 info = mallinfo2 ();
+  return info.uordblks + info.hblkhd;
+}
+
+static void
+_bgap_cost_check (enum bgap_status status, const char *what)
+{
+  if (status == BGAP_OK)
+    return;
+  fprintf (stderr, "%s: %s\n", what, bgap_status_name (status));
+  exit (1);
+}
+
+static struct bgap_service_id
+_bgap_cost_service (struct bgap_router *router, const char *name, bool keyed,
+                    uint32_t servers, struct bgap_server_id *last)
+{
+  struct bgap_service_id service;
+  const struct bgap_service_desc desc = { .name = name, .keyed = keyed };
+  _bgap_cost_check (bgap_router_set_service (router, 0, &desc, &service, NULL),
+                    "service");
+  for (uint32_t i = 0; i < servers; i++)
+    {
+      char server_name[32];
+      snprintf (server_name, sizeof server_name, "server-%" PRIu32, i);
+      const struct bgap_server_desc server = { .name = server_name,
+                                               .zone = "z1",
+                                               .slots = 4,
+                                               .connections = 110,
+                                               .in_place = true };
+      _bgap_cost_check (
+          bgap_router_set_server (router, 0, service, &server, last, NULL),
+          "server");
+    }
+  return service;
+}
+
+/* A batch of requests that are in flight together.  */
+static void
+_bgap_cost_batch (struct bgap_router *router, int64_t now_ms,
+                  struct bgap_service_id service, struct bgap_server_id holder,
+                  uint64_t number)
+{
+  struct bgap_attempt_id attempts[BATCH];
+  struct bgap_router_action action;
+  size_t count = 0;
+  for (uint64_t i = 0; i < BATCH; i++)
+    {
+      const struct bgap_request_desc desc = { .service = service,
+                                              .holder = holder,
+                                              .idempotent = true,
+                                              .deadline_ms = 1000,
+                                              .fingerprint = number + i + 1,
+                                              .wall_ms = WALL_MS + now_ms };
+      bgap_router_request (router, now_ms, &desc);
+    }
+  do
+    {
+      count = 0;
+      while (bgap_router_next_action (router, &action))
+        if (action.kind == BGAP_ACTION_DISPATCH)
+          attempts[count++] = action.attempt;
+      const struct bgap_attempt_result result
+          = { .kind = BGAP_RESULT_COMPLETE, .http_status = 200 };
+      for (size_t i = 0; i < count; i++)
+        bgap_router_on_attempt (router, now_ms, attempts[i], &result);
+    }
+  while (count > 0);
+}
+
+static void
+_bgap_cost_time (bool keyed, uint32_t servers)
+{
+  struct bgap_router router;
+  const struct bgap_router_desc desc
+      = { .instance = "entry-1", .zone = "z1", .seed = 1 };
+  _bgap_cost_check (bgap_router_setup (&router, &desc, NULL), "router");
+  struct bgap_server_id holder;
+  struct bgap_service_id service
+      = _bgap_cost_service (&router, "s", keyed, servers, &holder);
+  int64_t start = _bgap_cost_cpu_ns ();
+  for (uint64_t i = 0; i < REQUESTS; i += BATCH)
+    _bgap_cost_batch (&router, (int64_t)(i / 1000), service, holder, i);
+  int64_t used = _bgap_cost_cpu_ns () - start;
+  struct bgap_router_counts counts = bgap_router_counts (&router);
+  printf ("%-8s %7" PRIu32 " %9" PRIu64 " %9" PRId64 "\n",
+          keyed ? "keyed" : "any", servers,
+          counts.finished[BGAP_OUTCOME_ANSWERED], used / REQUESTS);
+  bgap_router_shutdown (&router);
+}
+
+static size_t
+_bgap_cost_router_memory (uint32_t requests, uint32_t services,
+                          uint32_t servers)
+{
+  size_t before = _bgap_cost_memory ();
+  struct bgap_router router;
+  const struct bgap_router_desc desc = { .instance = "entry-1",
+                                         .zone = "z1",
+                                         .seed = 1,
+                                         .requests_max = requests,
+                                         .services_max = services,
+                                         .servers_max = servers };
+  _bgap_cost_check (bgap_router_setup (&router, &desc, NULL), "router");
+  struct bgap_service_id first = { 0 };
+  for (uint32_t i = 0; i < services; i++)
+    {
+      char name[32];
+      snprintf (name, sizeof name, "service-%" PRIu32, i);
+      struct bgap_server_id server;
+      struct bgap_service_id id = _bgap_cost_service (
+          &router, name, false, i == 0 ? servers : 0, &server);
+      first = i == 0 ? id : first;
+    }
+  for (uint32_t i = 0; i < requests; i++)
+    bgap_router_request (
+        &router, 0,
+        &(struct bgap_request_desc){ .service = first, .idempotent = true });
+  struct bgap_router_action action;
+  while (bgap_router_next_action (&router, &action))
+    continue;
+  size_t used = _bgap_cost_memory () - before;
+  bgap_router_shutdown (&router);
+  return used;
+}
+
+static void
+_bgap_cost_slope (const char *what, const size_t memory[3],
+                  const uint32_t sizes[3])
+{
+  printf ("%-8s", what);
+  for (int i = 0; i < 3; i++)
+    printf (" %6" PRIu32 ":%9zu", sizes[i], memory[i]);
+  printf ("  slopes %zu, %zu bytes\n",
+          (memory[1] - memory[0]) / (sizes[1] - sizes[0]),
+          (memory[2] - memory[1]) / (sizes[2] - sizes[1]));
+}
+
+static size_t
+_bgap_cost_once_memory (uint32_t keys)
+{
+  size_t before = _bgap_cost_memory ();
+  struct bgap_once once;
+  const struct bgap_once_desc desc
+      = { .instance = "entry-1", .incarnation = 1, .keys_max = keys };
+  _bgap_cost_check (bgap_once_setup (&once, &desc, NULL), "once");
+  struct bgap_buffer record = { 0 };
+  for (uint32_t i = 0; i < keys; i++)
+    {
+      struct bgap_once_item item = { .attempt = { 2, i + 1 }, .digest = i };
+      char key[64];
+      snprintf (key, sizeof key, "018bcfe5-6800-7000-8000-%012" PRIx32, i);
+      bgap_uuid7_parse (key, BGAP_UUID7_TEXT_SIZE, &item.key);
+      record.size = 0;
+      bgap_once_record_begin (&record, "entry-2");
+      bgap_once_record_add (&record, &item, true);
+      item.is_outcome = true;
+      item.outcome = BGAP_OUTCOME_ANSWERED;
+      item.http_status = 201;
+      bgap_once_record_add (&record, &item, false);
+      bgap_once_record_end (&record);
+      _bgap_cost_check (bgap_once_on_record (&once, 0, WALL_MS, i + 1,
+                                             record.data, record.size, NULL),
+                        "record");
+    }
+  bgap_buffer_shutdown (&record);
+  size_t used = _bgap_cost_memory () - before;
+  bgap_once_shutdown (&once);
+  return used;
+}
+
+int
+main (void)
+{
+  printf ("processor time per request, decision alone, batches of %d\n",
+          BATCH);
+  printf ("%-8s %7s %9s %9s\n", "server", "servers", "answered", "ns");
+  for (int keyed = 0; keyed < 2; keyed++)
+    for (uint32_t servers = 8; servers <= 512; servers *= 8)
+      _bgap_cost_time (keyed, servers);
+  printf ("\nmemory in bytes\n");
+  static const uint32_t requests[3] = { 1024, 4096, 16384 };
+  static const uint32_t services[3] = { 8, 32, 128 };
+  static const uint32_t servers[3] = { 64, 256, 1024 };
+  static const uint32_t keys[3] = { 1000, 10000, 100000 };
+  size_t memory[3];
+  for (int i = 0; i < 3; i++)
+    memory[i] = _bgap_cost_router_memory (requests[i], 8, 64);
+  _bgap_cost_slope ("request", memory, requests);
+  for (int i = 0; i < 3; i++)
+    memory[i] = _bgap_cost_router_memory (1024, services[i], 64);
+  _bgap_cost_slope ("service", memory, services);
+  for (int i = 0; i < 3; i++)
+    memory[i] = _bgap_cost_router_memory (1024, 8, servers[i]);
+  _bgap_cost_slope ("server", memory, servers);
+  for (int i = 0; i < 3; i++)
+    memory[i] = _bgap_cost_once_memory (keys[i]);
+  _bgap_cost_slope ("key", memory, keys);
+  return 0;
+}
--- a/packages/routing/include/banyangap/routing/once.h
+++ b/packages/routing/include/banyangap/routing/once.h
@@ -46,8 +46,8 @@
  * @incarnation: random bits of this process, required
  * @window_ms: repeats are recognised for so long; default 3 600 000
  * @skew_ms: largest error of a clock; default 60 000
- * @keys_max: keys remembered; default 131 072
- * @body_bytes_max: bytes of stored answers; default 8 MiB
+ * @keys_max: keys remembered; default 65 536
+ * @body_bytes_max: bytes of stored answers; default 4 MiB
  * @record_bytes_max: size of an appended record; default 64 KiB
  * @append_interval_ms: between the starts of two appends; default 20
  * @append_retry_ms: wait after a failed append; default 200
--- a/packages/routing/include/banyangap/routing/router.h
+++ b/packages/routing/include/banyangap/routing/router.h
@@ -189,7 +189,8 @@
  * bgap_router_remove_server() - send it nothing more
  *
  * Attempts in flight on it run to their end. The handle is stale when the
- * last one has ended. A stale handle is ignored.
+ * last one has ended; if the server is configured again before, it keeps its
+ * handle and these attempts still count. A stale handle is ignored.
  */
 void bgap_router_remove_server (struct bgap_router *router, int64_t now_ms,
                                 struct bgap_server_id server_id);
--- a/packages/routing/include/banyangap/routing/service.h
+++ b/packages/routing/include/banyangap/routing/service.h
@@ -31,8 +31,8 @@
  * @attempts_max: attempts per request; default 3
  * @retry_percent: retries per 100 requests; default 20
  * @once_window_ms: repeats are recognised for so long; default 3 600 000
- * @once_keys_max: keys remembered; default 131 072
- * @once_body_bytes_max: bytes of stored answers; default 8 MiB
+ * @once_keys_max: keys remembered; default 65 536
+ * @once_body_bytes_max: bytes of stored answers; default 4 MiB
  * @policy: balancer of a service without keys; default bgap_balancer_default
  */
 struct bgap_service_desc
--- a/packages/routing/src/router_server.c
+++ b/packages/routing/src/router_server.c
@@ -25,7 +25,7 @@
     return (struct bgap_server_id){ BGAP_INVALID_ID };
   const struct bgap_router_server *server
       = bgap_router_hash_find (state, _bgap_server_full_hash (service, name));
-  if (server == NULL)
+  if (server == NULL || server->server.removed)
     return (struct bgap_server_id){ BGAP_INVALID_ID };
   return (struct bgap_server_id){ server->id };
 }
@@ -76,6 +76,27 @@
   return BGAP_OK;
 }
 
+/* A removed server that is configured again before its last attempt has
+   ended. Those attempts still use its slots and connections.  */
+static enum bgap_status
+_bgap_server_revive (struct bgap_router_server *server, int64_t now_ms,
+                     struct bgap_router_service *service,
+                     const struct bgap_server_desc *desc)
+{
+  const struct bgap_server old = server->server;
+  enum bgap_status status
+      = _bgap_service_add_server (service, &server->server);
+  if (status != BGAP_OK)
+    return status;
+  bgap_server_setup (&server->server, now_ms, desc);
+  server->server.service = old.service;
+  server->server.hash_full = old.hash_full;
+  server->server.in_flight = old.in_flight;
+  server->server.in_flight_peers = old.in_flight_peers;
+  server->server.suspects = old.suspects;
+  return BGAP_OK;
+}
+
 enum bgap_status
 bgap_router_set_server (struct bgap_router *router, int64_t now_ms,
                         struct bgap_service_id service_id,
@@ -92,19 +113,22 @@
                            "a server of %s has an invalid name, zone or "
                            "number of slots",
                            service->name);
-  *id = bgap_router_find_server (router, service_id, desc->name);
-  struct bgap_router_server *server = bgap_router_server (state, id->id);
-  if (server != NULL)
-    bgap_server_update (&server->server, desc);
-  else
+  struct bgap_router_server *server = bgap_router_hash_find (
+      state, _bgap_server_full_hash (service, desc->name));
+  enum bgap_status status = BGAP_OK;
+  if (server == NULL)
     {
-      enum bgap_status status
-          = _bgap_server_create (state, now_ms, service, desc, &id->id);
-      if (status != BGAP_OK)
-        return bgap_error_set (err, status, "server %s: %s", desc->name,
-                               bgap_status_name (status));
+      status = _bgap_server_create (state, now_ms, service, desc, &id->id);
       server = bgap_router_server (state, id->id);
     }
+  else if (server->server.removed)
+    status = _bgap_server_revive (server, now_ms, service, desc);
+  else
+    bgap_server_update (&server->server, desc);
+  if (status != BGAP_OK)
+    return bgap_error_set (err, status, "server %s: %s", desc->name,
+                           bgap_status_name (status));
+  id->id = server->id;
   server->server.local = strcmp (desc->zone, state->zone) == 0;
   bgap_router_pump (state, now_ms, service);
   return BGAP_OK;
@@ -114,6 +138,7 @@
 bgap_router_free_server (struct bgap_router_state *state,
                          struct bgap_router_server *server)
 {
+  bgap_router_hash_remove (state, server);
   bgap_heap_shutdown (&server->lane);
   free (server->peers);
   bgap_pool_free (&state->servers, server->id);
@@ -135,7 +160,6 @@
         service->servers[i] = service->servers[--service->server_count];
         break;
       }
-  bgap_router_hash_remove (state, server);
   server->server.removed = true;
   bgap_router_pump_server (state, now_ms, server);
   if (server->server.in_flight == 0)
