--- a/packages/gateway/src/backend_private.h
+++ b/packages/gateway/src/backend_private.h
@@ -2,8 +2,8 @@
 #define BANYANGAP_GATEWAY_BACKEND_PRIVATE_H
 
 /*
- * State shared by backend.c (servers and attempts) and backend_connection.c
- * (one connection and the response on it).
+ * State shared by backend.c (servers and attempts), backend_connection.c (one
+ * connection) and backend_response.c (the response on it).
  */
 
 #include <event2/bufferevent.h>
@@ -133,6 +133,24 @@
  */
 void bgap_backend_connection_close (struct backend_connection *connection);
 
+/**
+ * bgap_backend_connection_arm() - set the timer
+ */
+void bgap_backend_connection_arm (struct backend_connection *connection,
+                                  int64_t ms);
+
+/**
+ * bgap_backend_connection_fail() - close the connection and end its attempt
+ */
+void bgap_backend_connection_fail (struct backend_connection *connection,
+                                   enum bgap_failure_kind kind,
+                                   const char *message);
+
+/**
+ * bgap_backend_connection_process() - use what has been read
+ */
+void bgap_backend_connection_process (struct backend_connection *connection);
+
 /**
  * bgap_backend_reap() - free closed connections
  */
--- a/packages/gateway/src/frontend_private.h
+++ b/packages/gateway/src/frontend_private.h
@@ -2,8 +2,8 @@
 #define BANYANGAP_GATEWAY_FRONTEND_PRIVATE_H
 
 /*
- * State shared by frontend.c (listener), frontend_connection.c (requests) and
- * frontend_response.c (responses).
+ * State shared by frontend.c (listener), frontend_connection.c (connections),
+ * frontend_request.c (requests) and frontend_response.c (responses).
  */
 
 #include <event2/bufferevent.h>
@@ -129,6 +129,35 @@
  */
 void bgap_frontend_connection_ended (struct frontend_connection *connection);
 
+/**
+ * bgap_frontend_connection_arm() - set the timer
+ */
+void bgap_frontend_connection_arm (struct frontend_connection *connection,
+                                   uint32_t ms);
+
+/**
+ * bgap_frontend_connection_flush() - send what is left, then close
+ */
+void bgap_frontend_connection_flush (struct frontend_connection *connection);
+
+/**
+ * bgap_frontend_connection_release_body() - end the count of a body
+ */
+void
+bgap_frontend_connection_release_body (struct frontend_connection *connection);
+
+/**
+ * bgap_frontend_connection_refuse() - answer a request that the daemon never
+ * sees, and close
+ */
+void bgap_frontend_connection_refuse (struct frontend_connection *connection,
+                                      int status, const char *message);
+
+/**
+ * bgap_frontend_connection_process() - use what has been read
+ */
+void bgap_frontend_connection_process (struct frontend_connection *connection);
+
 /**
  * bgap_frontend_reap() - free closed connections
  */
