--- a/packages/ownership/tests/fuzz/world.h
+++ b/packages/ownership/tests/fuzz/world.h
@@ -163,8 +163,8 @@
  */
 struct bgap_world_instance
 {
-  char name[8];
-  char zone[8];
+  char name[12];
+  char zone[12];
   struct bgap_engine *engine;
   struct bgap_world_clock clock;
   enum bgap_world_state state;
