--- a/packages/ownership/tests/sim.h
+++ b/packages/ownership/tests/sim.h
@@ -20,6 +20,15 @@
 #define SIM_SLICES 32
 #define SIM_SERVICE "mosearkiv"
 
+/* Rate of an exact server clock.  */
+#define SIM_RATE_UNIT 1000
+
+/* Most records of the log.  */
+#define SIM_LOG_MAX 20000
+
+/* Period of bgap_engine_tick().  */
+#define SIM_TICK_MS 10
+
 struct sim_event;
 
 struct sim_engine
@@ -96,6 +105,11 @@
 /* Appends a record from outside, as an operator does.  */
 void sim_append (struct sim *sim, const char *text);
 
+/* Used between the two files of the simulation.  */
+int64_t sim_server_clock (const struct sim *sim, uint32_t index);
+void sim_check (struct sim *sim);
+void sim_drop_events (struct sim *sim);
+
 /* Forgets the longest time without a holder seen so far.  */
 void sim_reset_worst (struct sim *sim);
 
