--- a/packages/ownership/tests/test_catchup.c
+++ b/packages/ownership/tests/test_catchup.c
@@ -184,6 +184,59 @@
   assert_true (sim.worst_ms < 2000);
 }
 
+/* Guards against a zone that goes on serving when it is cut off alone, and
+   against keys that do not move out of it.  */
+static void
+test_partitioned_zone_with_region_policy (void **state)
+{
+  (void)state;
+  _start (6, 3, 1000, BGAP_WITNESSES_REGION);
+  sim_reset_worst (&sim);
+  for (uint32_t i = 0; i < 6; i++)
+    {
+      bool inside = i % 3 == 0;
+      sim.engines[i].log_cut = inside;
+      for (uint32_t j = 0; j < 6; j++)
+        sim.cut[i][j] = inside != (j % 3 == 0);
+      for (uint32_t j = 0; j < 3; j++)
+        sim.server_cut[i][j] = inside != (j == 0);
+    }
+  sim_run (&sim, 4000);
+  printf ("partitioned zone: %lld ms without a holder\n",
+          (long long)sim.worst_ms);
+  assert_int_equal (sim_served (&sim, -1), SIM_KEYS);
+  assert_int_equal (sim_served (&sim, 0), 0);
+  assert_true (sim.worst_ms < 2000);
+}
+
+/* Guards against a proposer that keeps its role although it cannot reach the
+   log, or is paused.  */
+static void
+test_proposer_that_cannot_act (void **state)
+{
+  (void)state;
+  for (int pause = 0; pause < 2; pause++)
+    {
+      _start (4, 3, 1000, BGAP_WITNESSES_ZONE);
+      sim_reset_worst (&sim);
+      uint32_t proposer = (uint32_t)sim_proposer (&sim);
+      sim.engines[proposer].log_cut = !pause;
+      sim.engines[proposer].frozen = pause;
+      sim_stop_server (&sim, 1);
+      sim_run (&sim, 4000);
+      printf ("proposer %s: %lld ms without a holder\n",
+              pause ? "paused" : "without the log", (long long)sim.worst_ms);
+      assert_int_equal (sim_served (&sim, -1), SIM_KEYS);
+      assert_true (sim.worst_ms < 2000);
+      sim.engines[proposer].log_cut = false;
+      sim.engines[proposer].frozen = false;
+      sim_run (&sim, 3000);
+      assert_int_equal (sim_served (&sim, -1), SIM_KEYS);
+      if (!pause)
+        sim_shutdown (&sim);
+    }
+}
+
 /* Guards against a cell that does not resume after an operator has replaced a
    witness set whose majority is lost for good.  */
 static void
@@ -218,6 +271,8 @@
     TEST (test_newer_schema_stops_the_cell),
     TEST (test_log_that_goes_backwards),
     TEST (test_lost_zone_with_region_policy),
+    TEST (test_partitioned_zone_with_region_policy),
+    TEST (test_proposer_that_cannot_act),
     TEST (test_forced_witness_set),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
