--- a/packages/gateway/src/frontend_connection.c
+++ b/packages/gateway/src/frontend_connection.c
@@ -152,6 +152,8 @@
     }
   else if (c->state == FRONTEND_FLUSH && size == 0)
     _bgap_frontend_linger (c);
+  else if (c->frontend->is_stopping && bgap_frontend_connection_is_idle (c))
+    bgap_frontend_connection_close (c, false);
   else if (c->state == FRONTEND_HEAD)
     bgap_frontend_connection_process (c);
 }
--- a/packages/gateway/tests/test_frontend.c
+++ b/packages/gateway/tests/test_frontend.c
@@ -509,6 +509,34 @@
   _stop (&f);
 }
 
+/* Guards against a stop that waits for the idle limit of a connection whose
+   response was complete, but not yet sent.  */
+static void
+test_stop_while_a_response_is_sent (void **state)
+{
+  (void)state;
+  struct fixture f;
+  static char body[8 * 1024 * 1024];
+  _start (&f, &(struct bgap_frontend_desc){ 0 });
+  f.hold = true;
+  f.client.keep = false;
+  support_client_send (&f.client, "GET /o/s/a HTTP/1.1\r\nHost: h\r\n\r\n");
+  support_run (f.base, &f.arrived);
+  bufferevent_disable (f.client.bev, EV_READ);
+  assert_int_equal (
+      bgap_frontend_reply (f.frontend, f.id, 200, NULL, body, sizeof body),
+      BGAP_OK);
+  support_settle (f.base);
+  bgap_frontend_stop (f.frontend);
+  support_settle (f.base);
+  assert_false (f.stopped);
+  bufferevent_enable (f.client.bev, EV_READ);
+  support_run (f.base, &f.stopped);
+  support_run (f.base, &f.client.closed);
+  assert_true (f.client.total > sizeof body);
+  _stop (&f);
+}
+
 int
 main (void)
 {
@@ -525,6 +553,7 @@
     cmocka_unit_test (test_broken_response_breaks_the_connection),
     cmocka_unit_test (test_response_framing),
     cmocka_unit_test (test_stop_lets_requests_finish),
+    cmocka_unit_test (test_stop_while_a_response_is_sent),
   };
   return cmocka_run_group_tests_name ("frontend", tests, NULL, NULL);
 }
