--- a/tests/standin/log_server.c
+++ b/tests/standin/log_server.c
@@ -7,7 +7,7 @@
 #include <string.h>
 #include <sys/queue.h>
 
-#include "banyangap/base/clock.h"
+#include "log_stream.h"
 #include "standin.h"
 
 #define DEFAULT_RETENTION 100000
@@ -17,22 +17,6 @@
 /* Bytes of records after which a read stops early.  */
 #define READ_SIZE_MAX 1048576
 
-struct record
-{
-  int64_t time_ms;
-  json_t *data;
-};
-
-struct stream
-{
-  LIST_ENTRY (stream) next;
-  char *name;
-  struct record *records;
-  size_t capacity;
-  int64_t first;
-  int64_t end;
-};
-
 /* A request that is answered later: a read that waits for a record, or an
    answer (@value) that is delayed.  */
 struct pending
@@ -142,39 +126,6 @@
   return stream;
 }
 
-static void
-_bgap_log_stream_trim (struct stream *stream, int64_t retention)
-{
-  size_t count = (size_t)(stream->end - stream->first);
-  size_t keep = retention > 0 ? (size_t)retention : 0;
-  if (count <= keep)
-    return;
-  size_t excess = count - keep;
-  for (size_t i = 0; i < excess; i++)
-    json_decref (stream->records[i].data);
-  memmove (stream->records, stream->records + excess,
-           keep * sizeof *stream->records);
-  stream->first += (int64_t)excess;
-}
-
-static void
-_bgap_log_stream_push (struct stream *stream, json_t *data)
-{
-  size_t count = (size_t)(stream->end - stream->first);
-  if (count == stream->capacity)
-    {
-      stream->capacity = stream->capacity ? stream->capacity * 2 : 64;
-      stream->records = realloc (stream->records,
-                                 stream->capacity * sizeof *stream->records);
-      if (stream->records == NULL)
-        abort ();
-    }
-  const struct bgap_clock *clock = bgap_clock_system ();
-  stream->records[count].time_ms = clock->wall_ms (clock->context);
-  stream->records[count].data = data;
-  stream->end++;
-}
-
 static void
 _bgap_log_answer_read (struct bgap_log_server *server,
                        struct evhttp_request *request, struct stream *stream,
@@ -250,9 +201,9 @@
                              "the record is not taken");
       return;
     }
-  _bgap_log_stream_push (stream, data);
+  bgap_log_stream_push (stream, data);
   int64_t offset = stream->end - 1;
-  _bgap_log_stream_trim (stream, server->control.retention);
+  bgap_log_stream_trim (stream, server->control.retention);
   _bgap_log_wake (server, stream);
   if (server->control.lose_answers > 0)
     {
@@ -303,7 +254,7 @@
   struct stream *stream;
   LIST_FOREACH (stream, &server->streams, next)
   {
-    _bgap_log_stream_trim (stream, control->retention);
+    bgap_log_stream_trim (stream, control->retention);
   }
   struct pending *pending;
   LIST_FOREACH (pending, &server->pending, next)
@@ -407,7 +358,7 @@
   while (stream != NULL)
     {
       struct stream *next = LIST_NEXT (stream, next);
-      _bgap_log_stream_trim (stream, 0);
+      bgap_log_stream_trim (stream, 0);
       free (stream->records);
       free (stream->name);
       free (stream);
