Ignore SIGPIPE in the packages with connections

Found by the new test of a response that breaks off between server and caller: a write to the closed connection ended the process (status 141).

--- a/packages/gateway/include/banyangap/gateway/backend.h
+++ b/packages/gateway/include/banyangap/gateway/backend.h
@@ -171,7 +171,7 @@
 struct bgap_backend;
 
 /**
- * bgap_backend_setup() - create the pools
+ * bgap_backend_setup() - create the pools; SIGPIPE is ignored from then on
  *
  * Return: BGAP_OK, BGAP_ERR_INVALID or BGAP_ERR_NO_MEMORY.
  */
--- a/packages/gateway/include/banyangap/gateway/frontend.h
+++ b/packages/gateway/include/banyangap/gateway/frontend.h
@@ -132,7 +132,7 @@
 struct bgap_frontend;
 
 /**
- * bgap_frontend_setup() - listen
+ * bgap_frontend_setup() - listen; SIGPIPE is ignored from then on
  *
  * Return: BGAP_OK, BGAP_ERR_INVALID, BGAP_ERR_NO_MEMORY or BGAP_ERR_IO.
  */
@@ -233,7 +233,8 @@
 void bgap_frontend_stop (struct bgap_frontend *frontend);
 
 /**
- * bgap_frontend_shutdown() - close all connections, without callbacks
+ * bgap_frontend_shutdown() - close all connections, without callbacks; not
+ * within a callback other than ops.stopped
  * @frontend: NULL is allowed
  */
 void bgap_frontend_shutdown (struct bgap_frontend *frontend);
--- a/packages/gateway/src/address.c
+++ b/packages/gateway/src/address.c
@@ -2,6 +2,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/in.h>
+#include <signal.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/time.h>
@@ -82,3 +83,9 @@
   return (struct timeval){ .tv_sec = ms / 1000,
                            .tv_usec = (suseconds_t)(ms % 1000) * 1000 };
 }
+
+void
+bgap_address_ignore_sigpipe (void)
+{
+  signal (SIGPIPE, SIG_IGN);
+}
--- a/packages/gateway/src/address.h
+++ b/packages/gateway/src/address.h
@@ -54,4 +54,10 @@
  */
 struct timeval bgap_address_timeval (uint32_t ms);
 
+/**
+ * bgap_address_ignore_sigpipe() - keep a write to a connection that the other
+ * side has closed from ending the process
+ */
+void bgap_address_ignore_sigpipe (void);
+
 #endif
--- a/packages/gateway/src/backend.c
+++ b/packages/gateway/src/backend.c
@@ -87,6 +87,7 @@
   struct bgap_backend *b = calloc (1, sizeof *b);
   if (b == NULL)
     return bgap_error_set (err, BGAP_ERR_NO_MEMORY, "out of memory");
+  bgap_address_ignore_sigpipe ();
   b->desc = *desc;
   _bgap_backend_set_defaults (&b->desc);
   enum bgap_status status = bgap_pool_setup (
--- a/packages/gateway/src/frontend.c
+++ b/packages/gateway/src/frontend.c
@@ -161,6 +161,7 @@
   struct bgap_frontend *f = calloc (1, sizeof *f);
   if (f == NULL)
     return bgap_error_set (err, BGAP_ERR_NO_MEMORY, "out of memory");
+  bgap_address_ignore_sigpipe ();
   f->desc = *desc;
   _bgap_frontend_set_defaults (&f->desc);
   const struct bgap_pool_desc pool = {
--- a/packages/gateway/tests/support.c
+++ b/packages/gateway/tests/support.c
@@ -155,8 +155,8 @@
   if (end.pos < 0)
     return;
   char request[8192] = "";
-  assert_true (evbuffer_get_length (input) < sizeof request);
   evbuffer_remove (input, request, sizeof request - 1);
+  evbuffer_drain (input, evbuffer_get_length (input));
   server->requests++;
   server->answer (server, bev, request);
 }
--- a/packages/gateway/tests/test_backend.c
+++ b/packages/gateway/tests/test_backend.c
@@ -580,6 +580,50 @@
   _stop (&f);
 }
 
+static void
+_answer_early (struct support_server *server, struct bufferevent *bev,
+               const char *request)
+{
+  static const char answer[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  (void)server;
+  (void)request;
+  bufferevent_disable (bev, EV_READ);
+  bufferevent_write (bev, answer, sizeof answer - 1);
+}
+
+/* Guards against a connection that is reused although a part of the last
+   request's body is still to be sent: the server would take the next request
+   for the rest of that body.  */
+static void
+test_early_answer_ends_the_connection (void **state)
+{
+  (void)state;
+  struct fixture f;
+  struct outcome o = { .fixture = &f };
+  size_t size = STREAM_SIZE / 4;
+  char *body = calloc (1, size);
+  _start (&f, &(struct bgap_backend_desc){ 0 }, 1);
+  f.server.answer = _answer_early;
+  const struct bgap_backend_request request = {
+    .method = "POST",
+    .target = "/a",
+    .body = body,
+    .body_size = size,
+    .ops = &ops,
+    .user = &o,
+  };
+  assert_int_equal (bgap_backend_send (f.backend, f.id, &request, &o.id),
+                    BGAP_OK);
+  support_run (f.base, &o.ended);
+  assert_true (o.complete);
+  free (body);
+  f.server.answer = _answer;
+  assert_true (_run (&f, "/ok").complete);
+  assert_int_equal (f.server.accepted, 2);
+  _stop (&f);
+}
+
 int
 main (void)
 {
@@ -596,6 +640,7 @@
     cmocka_unit_test (test_paused_response_completes_after_resume),
     cmocka_unit_test (test_cancel_within_a_callback),
     cmocka_unit_test (test_request_is_framed_anew),
+    cmocka_unit_test (test_early_answer_ends_the_connection),
   };
   return cmocka_run_group_tests_name ("backend", tests, NULL, NULL);
 }
--- a/packages/platform/include/banyangap/platform/log_http.h
+++ b/packages/platform/include/banyangap/platform/log_http.h
@@ -47,7 +47,8 @@
 struct bgap_log_http;
 
 /**
- * bgap_log_http_setup() - create the client; connects on the first call
+ * bgap_log_http_setup() - create the client; connects on the first call;
+ * SIGPIPE is ignored from then on
  *
  * Return: BGAP_OK, BGAP_ERR_INVALID or BGAP_ERR_NO_MEMORY.
  */
--- a/packages/platform/src/http_client.c
+++ b/packages/platform/src/http_client.c
@@ -6,6 +6,7 @@
 #include <event2/bufferevent.h>
 #include <event2/event_struct.h>
 #include <event2/util.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -103,6 +104,9 @@
                              "\"%s\" is not a numeric address and port",
                              address ? address : "");
     }
+  /* A write to a connection that the log has closed must not end the
+     process.  */
+  signal (SIGPIPE, SIG_IGN);
   c->base = base;
   c->body_size_max = body_size_max;
   LIST_INIT (&c->idle);
