--- a/packages/resource/include/banyangap/resource/config.h
+++ b/packages/resource/include/banyangap/resource/config.h
@@ -61,6 +61,9 @@
 
 /**
  * struct bgap_config_desc - limits; 0 means the default
+ *
+ * They decide whether a change is accepted and must be equal on all instances.
+ *
  * @resources: limits of the resources of all owners together
  * @owners_max: owners; default 64
  * @documents_max: bytes of one owner's documents; default 512 KiB
--- a/packages/resource/include/banyangap/resource/set.h
+++ b/packages/resource/include/banyangap/resource/set.h
@@ -32,7 +32,7 @@
  * struct bgap_resource_set_desc - limits; 0 means the default
  * @text_max: bytes of one text; default 1 MiB
  * @documents_max: documents in the set; default 4096
- * @nodes_max: YAML nodes of one text; default 131072
+ * @nodes_max: YAML nodes of one text; default 65536
  * @servers_max: backend servers in the set; default 16384
  */
 struct bgap_resource_set_desc
--- a/packages/resource/src/findings.c
+++ b/packages/resource/src/findings.c
@@ -78,10 +78,13 @@
   for (uint32_t i = 0; i < findings->count && status == BGAP_OK; i++)
     {
       const struct bgap_finding *item = &findings->items[i];
-      status = bgap_buffer_printf (out, "%s:%u:%u: %s%s%s\n    remedy: %s\n",
-                                   item->file, item->line, item->column,
-                                   item->path, item->path[0] ? ": " : "",
-                                   item->message, item->remedy);
+      status = bgap_buffer_printf (out, "%s:", item->file);
+      if (status == BGAP_OK && item->line > 0)
+        status = bgap_buffer_printf (out, "%u:%u:", item->line, item->column);
+      if (status == BGAP_OK)
+        status = bgap_buffer_printf (out, " %s%s%s\n    remedy: %s\n",
+                                     item->path, item->path[0] ? ": " : "",
+                                     item->message, item->remedy);
     }
   if (status == BGAP_OK && findings->dropped > 0)
     status = bgap_buffer_printf (out, "%u more findings are not shown\n",
--- a/packages/resource/src/set.c
+++ b/packages/resource/src/set.c
@@ -9,7 +9,7 @@
 /* Default limits.  */
 #define TEXT_MAX ((size_t)1024 * 1024)
 #define DOCUMENTS_MAX 4096
-#define NODES_MAX 131072
+#define NODES_MAX 65536
 #define SERVERS_MAX 16384
 
 enum bgap_status
--- a/packages/resource/tests/fuzz/fuzz_config.c
+++ b/packages/resource/tests/fuzz/fuzz_config.c
@@ -149,6 +149,9 @@
                             && strcmp (event.owner, owners[o]) == 0;
       CHECK (bgap_config_version (&world->reference, owners[o])
              == (accepted ? offset : before[o]));
+      if (strcmp (event.owner, owners[o]) == 0)
+        CHECK ((event.result == BGAP_CONFIG_STALE)
+               == (event.based_on != before[o]));
     }
   CHECK ((event.result == BGAP_CONFIG_REFUSED)
          == !bgap_findings_empty (&event.findings));
@@ -191,9 +194,9 @@
       CHECK (bgap_config_snapshot_record (id, as_of, part, state, record)
              == BGAP_OK);
       /* A damaged part must not become the state.  */
-      char *mark = strstr (record->data, "as_of\\\"");
+      char *mark = strstr (record->data, "deadline_ms: ");
       if (argument % 16 == 9 && mark != NULL)
-        mark[0] = 'x';
+        mark[strlen ("deadline_ms: ")] ^= 1;
       /* A part whose answer was lost is appended again.  */
       if (argument % 16 == 5 && part == 0 && world->end < RECORDS_MAX)
         {
