--- a/packages/resource/tests/support.c
+++ b/packages/resource/tests/support.c
@@ -68,3 +68,47 @@
                         "slots: 4, connections: 110}\n",
                         owner, i, (unsigned char)owner[0], i + 1);
 }
+
+void
+support_setup (struct bgap_config *config)
+{
+  const struct bgap_config_desc desc = { 0 };
+  assert_int_equal (bgap_config_setup (config, &desc), BGAP_OK);
+}
+
+enum bgap_config_result
+support_apply (struct bgap_config *config, int64_t offset,
+               const struct bgap_buffer *record)
+{
+  struct bgap_config_event event = { 0 };
+  assert_int_equal (
+      bgap_config_apply (config, offset, record->data, record->size, &event),
+      BGAP_OK);
+  bgap_config_event_shutdown (&event);
+  return event.result;
+}
+
+void
+support_change (struct bgap_buffer *out, const char *owner, int64_t based_on,
+                unsigned servers, unsigned deadline_ms)
+{
+  struct bgap_buffer documents = { 0 };
+  support_owner (&documents, owner, servers, deadline_ms);
+  out->size = 0;
+  assert_int_equal (
+      bgap_config_encode (owner, based_on, documents.data, "jens", out),
+      BGAP_OK);
+  bgap_buffer_shutdown (&documents);
+}
+
+enum bgap_config_result
+support_apply_change (struct bgap_config *config, const char *owner,
+                      int64_t based_on, unsigned servers, unsigned deadline_ms)
+{
+  struct bgap_buffer record = { 0 };
+  support_change (&record, owner, based_on, servers, deadline_ms);
+  const enum bgap_config_result result
+      = support_apply (config, bgap_config_next (config), &record);
+  bgap_buffer_shutdown (&record);
+  return result;
+}
--- a/packages/resource/tests/support.h
+++ b/packages/resource/tests/support.h
@@ -4,6 +4,7 @@
 #include <stddef.h>
 
 #include "banyangap/base/buffer.h"
+#include "banyangap/resource/config.h"
 #include "banyangap/resource/set.h"
 
 /**
@@ -29,4 +30,31 @@
 void support_owner (struct bgap_buffer *out, const char *owner,
                     unsigned servers, unsigned deadline_ms);
 
+/**
+ * support_setup() - an empty replay
+ */
+void support_setup (struct bgap_config *config);
+
+/**
+ * support_apply() - apply a record
+ */
+enum bgap_config_result support_apply (struct bgap_config *config,
+                                       int64_t offset,
+                                       const struct bgap_buffer *record);
+
+/**
+ * support_change() - record of a change to the documents of support_owner()
+ */
+void support_change (struct bgap_buffer *out, const char *owner,
+                     int64_t based_on, unsigned servers, unsigned deadline_ms);
+
+/**
+ * support_apply_change() - apply such a change at the next offset
+ */
+enum bgap_config_result support_apply_change (struct bgap_config *config,
+                                              const char *owner,
+                                              int64_t based_on,
+                                              unsigned servers,
+                                              unsigned deadline_ms);
+
 #endif
--- a/programs/banyangapctl/command_watch.c
+++ b/programs/banyangapctl/command_watch.c
@@ -103,6 +103,17 @@
   return BGAP_CTL_OK;
 }
 
+/* Waits before the next request if progress is followed, or if the instance
+   answered at once and without anything new.  */
+static void
+_bgap_ctl_pause (const struct bgap_ctl_watch *watch, int64_t from,
+                 int64_t asked_ms)
+{
+  if (watch->followed_count > 0
+      || (watch->from == from && _bgap_ctl_now_ms () - asked_ms < POLL_MS))
+    _bgap_ctl_sleep_ms (POLL_MS);
+}
+
 /* Remembers the progress of an accepted change.
 
    Return: whether it is news.  */
@@ -206,6 +217,8 @@
        left_ms = deadline_ms - _bgap_ctl_now_ms ())
     {
       json_t *json;
+      const int64_t from = watch.from;
+      const int64_t asked_ms = _bgap_ctl_now_ms ();
       const enum bgap_ctl_exit status = _bgap_ctl_poll (
           options, &watch, left_ms < WAIT_MS ? left_ms : WAIT_MS, &json);
       if (status != BGAP_CTL_OK)
@@ -222,8 +235,7 @@
       json_decref (json);
       if (verdict != BGAP_CTL_UNREACHABLE && watch.followed_count == 0)
         return verdict;
-      if (watch.followed_count > 0)
-        _bgap_ctl_sleep_ms (POLL_MS);
+      _bgap_ctl_pause (&watch, from, asked_ms);
     }
   if (verdict == BGAP_CTL_OK)
     fprintf (stderr, "banyangapctl: accepted, but not yet in force on all "
@@ -257,6 +269,8 @@
           wait_ms = left_ms < wait_ms ? left_ms : wait_ms;
         }
       json_t *json;
+      const int64_t from = watch.from;
+      const int64_t asked_ms = _bgap_ctl_now_ms ();
       const enum bgap_ctl_exit status
           = _bgap_ctl_poll (options, &watch, wait_ms, &json);
       if (status != BGAP_CTL_OK)
@@ -267,8 +281,7 @@
         }
       _bgap_ctl_take (options, &watch, json, 0, NULL);
       json_decref (json);
-      if (watch.followed_count > 0)
-        _bgap_ctl_sleep_ms (POLL_MS);
+      _bgap_ctl_pause (&watch, from, asked_ms);
     }
   fprintf (stderr, "banyangapctl: resume with --from %" PRId64 "\n",
            _bgap_ctl_oldest (&watch));
