Make the instance program lint-clean

Cause: clang-tidy found widening multiplications and, inside uthash's deletion macros, uses after free that do not exist.

--- a/programs/banyangapd/cells.c
+++ b/programs/banyangapd/cells.c
@@ -55,7 +55,7 @@
       free (cells);
       return bgap_error_set (err, BGAP_ERR_NO_MEMORY, "no memory for cells");
     }
-  const struct timeval interval = { .tv_usec = TICK_MS * 1000 };
+  const struct timeval interval = bgap_timeval (TICK_MS);
   event_add (cells->timer, &interval);
   *out = cells;
   return BGAP_OK;
--- a/programs/banyangapd/configuration.c
+++ b/programs/banyangapd/configuration.c
@@ -240,7 +240,7 @@
       return bgap_error_set (err, BGAP_ERR_NO_MEMORY,
                              "no memory for the configuration");
     }
-  const struct timeval interval = { .tv_usec = CHECK_INTERVAL_MS * 1000 };
+  const struct timeval interval = bgap_timeval (CHECK_INTERVAL_MS);
   event_add (configuration->timer, &interval);
   *out = configuration;
   return BGAP_OK;
--- a/programs/banyangapd/daemon.c
+++ b/programs/banyangapd/daemon.c
@@ -154,7 +154,7 @@
   daemon->stop_state = UNREADY;
   daemon->stop_since_ms = bgap_now_ms ();
   bgap_operators_set_ready (daemon->operators, false);
-  const struct timeval interval = { .tv_usec = STOP_CHECK_MS * 1000 };
+  const struct timeval interval = bgap_timeval (STOP_CHECK_MS);
   event_add (daemon->stop_timer, &interval);
 }
 
--- a/programs/banyangapd/main.c
+++ b/programs/banyangapd/main.c
@@ -8,7 +8,7 @@
 #include "daemon.h"
 
 /* Largest settings file in bytes.  */
-#define SETTINGS_MAX (256 * 1024)
+#define SETTINGS_MAX ((size_t)256 * 1024)
 
 /* Exit codes.  */
 #define EXIT_FINDINGS 1
@@ -23,7 +23,9 @@
   int check;
 };
 
+/* The signature is argp's.  */
 static error_t
+/* NOLINTNEXTLINE(readability-non-const-parameter) */
 _bgap_main_option (int key, char *value, struct argp_state *state)
 {
   struct arguments *arguments = state->input;
--- a/programs/banyangapd/members.c
+++ b/programs/banyangapd/members.c
@@ -225,8 +225,8 @@
       bgap_members_shutdown (members);
       return bgap_error_set (err, BGAP_ERR_NO_MEMORY, "no memory for members");
     }
-  const struct timeval fetch = { .tv_usec = FETCH_INTERVAL_MS * 1000 };
-  const struct timeval status = { .tv_usec = STATUS_INTERVAL_MS * 1000 };
+  const struct timeval fetch = bgap_timeval (FETCH_INTERVAL_MS);
+  const struct timeval status = bgap_timeval (STATUS_INTERVAL_MS);
   event_add (members->fetch_timer, &fetch);
   event_add (members->status_timer, &status);
   event_active (members->fetch_timer, EV_TIMEOUT, 0);
--- a/programs/banyangapd/now.h
+++ b/programs/banyangapd/now.h
@@ -1,6 +1,8 @@
 #ifndef BGAPD_NOW_H
 #define BGAPD_NOW_H
 
+#include <sys/time.h>
+
 #include "banyangap/base/clock.h"
 
 /**
@@ -26,4 +28,13 @@
   return clock->wall_ms (clock->context);
 }
 
+/**
+ * bgap_timeval() - milliseconds for libevent
+ */
+static inline struct timeval
+bgap_timeval (long ms)
+{
+  return (struct timeval){ .tv_sec = ms / 1000, .tv_usec = ms % 1000 * 1000L };
+}
+
 #endif
--- a/programs/banyangapd/operators.c
+++ b/programs/banyangapd/operators.c
@@ -329,7 +329,7 @@
       bgap_operators_shutdown (operators);
       return status != BGAP_OK ? status : BGAP_ERR_NO_MEMORY;
     }
-  const struct timeval interval = { .tv_usec = CHECK_INTERVAL_MS * 1000 };
+  const struct timeval interval = bgap_timeval (CHECK_INTERVAL_MS);
   event_add (operators->timer, &interval);
   *out = operators;
   return BGAP_OK;
--- a/programs/banyangapd/probes.c
+++ b/programs/banyangapd/probes.c
@@ -115,7 +115,7 @@
       free (probes);
       return BGAP_ERR_NO_MEMORY;
     }
-  const struct timeval interval = { .tv_sec = PROBE_INTERVAL_MS / 1000 };
+  const struct timeval interval = bgap_timeval (PROBE_INTERVAL_MS);
   event_add (probes->timer, &interval);
   *out = probes;
   return BGAP_OK;
--- a/programs/banyangapd/requests.c
+++ b/programs/banyangapd/requests.c
@@ -280,7 +280,7 @@
       bgap_requests_shutdown (requests);
       return status != BGAP_OK ? status : BGAP_ERR_NO_MEMORY;
     }
-  const struct timeval interval = { .tv_usec = TICK_MS * 1000 };
+  const struct timeval interval = bgap_timeval (TICK_MS);
   event_add (requests->timer, &interval);
   *out = requests;
   return BGAP_OK;
--- a/programs/banyangapd/tail.c
+++ b/programs/banyangapd/tail.c
@@ -38,7 +38,7 @@
 static void
 _bgap_tail_schedule (struct bgap_tail *tail, int delay_ms)
 {
-  const struct timeval delay = { .tv_usec = delay_ms * 1000 };
+  const struct timeval delay = bgap_timeval (delay_ms);
   event_add (tail->timer, &delay);
 }
 
--- a/programs/banyangapd/token.c
+++ b/programs/banyangapd/token.c
@@ -15,7 +15,7 @@
   if (token == NULL || strlen (digest) != DIGEST_TEXT_SIZE - 1)
     return false;
   SHA256 ((const unsigned char *)token, strlen (token), hash);
-  for (int i = 0; i < SHA256_DIGEST_LENGTH; i++)
-    snprintf (text + 2 * i, 3, "%02x", hash[i]);
+  for (size_t i = 0; i < SHA256_DIGEST_LENGTH; i++)
+    snprintf (&text[2 * i], 3, "%02x", hash[i]);
   return strcasecmp (text, digest) == 0;
 }
