Move the keys of a lost server that does not check grants

Ruled out: a failed renewal as the sign, because the instance answers it. The loss that two probes in a row find counts as leaving; the second probe follows at once. Requests are bracketed with the engine's begin and end, and their deadline is at most the 30 s that a move waits. Routes own their names: the engine's pointers are valid only until its next call.

--- a/programs/banyangapd/cell.c
+++ b/programs/banyangapd/cell.c
@@ -238,6 +238,7 @@
     .now_ms = bgap_now_ms (),
     .policy = policy,
     .placement = bgap_placer_ops (cell->placer),
+    .deadline_max_ms = BGAP_CELLS_DEADLINE_MAX_MS,
   };
   if (bgap_engine_setup (&cell->engine, &engine_desc, &err) != BGAP_OK)
     {
--- a/programs/banyangapd/cells.c
+++ b/programs/banyangapd/cells.c
@@ -145,7 +145,10 @@
           && strcmp (member->address, upstream->resource.address) == 0)
         return true;
     }
-  return upstream->resource.draining;
+  /* The lease for a server that does not check grants does not lapse with the
+     server, so its loss is treated as leaving.  */
+  bool lost = upstream->lost && !upstream->resource.checks_grants;
+  return lost || upstream->resource.draining;
 }
 
 static void
@@ -261,15 +264,17 @@
     return false;
   *route = (struct bgap_cell_route){ 0 };
   route->slice = bgap_slice_of_key (key, size, service->slices);
-  route->cell = service->cells[service->home[route->slice]].name;
+  snprintf (route->cell, sizeof route->cell, "%s",
+            service->cells[service->home[route->slice]].name);
   struct bgap_cell *cell = _bgap_cells_find (cells, route->cell);
   struct bgap_engine_route found;
   if (cell == NULL
       || bgap_engine_lookup (cell->engine, service_name, key, size, &found)
              != BGAP_OK)
     return true;
-  route->server = found.server;
-  route->via = found.via;
+  snprintf (route->server, sizeof route->server, "%s", found.server);
+  snprintf (route->via, sizeof route->via, "%s",
+            found.via != NULL ? found.via : "");
   route->slice = found.slice;
   route->token = found.token;
   route->held = true;
@@ -282,19 +287,26 @@
 }
 
 bool
-bgap_cells_may_send (const struct bgap_cells *cells,
-                     const struct bgap_cell_route *route, const char *service,
-                     const void *key, size_t size)
+bgap_cells_begin (struct bgap_cells *cells,
+                  const struct bgap_cell_route *route, const char *service,
+                  const void *key, size_t size, uint32_t *request)
 {
-  const struct bgap_cell *cell = _bgap_cells_find (cells, route->cell);
-  const struct bgap_holder *holder
-      = cell != NULL ? bgap_engine_holder (cell->engine, route->server) : NULL;
-  return holder != NULL
-         && bgap_holder_check (holder, service, key, size, route->token,
-                               bgap_now_ms ())
+  struct bgap_cell *cell = _bgap_cells_find (cells, route->cell);
+  return cell != NULL
+         && bgap_engine_begin (cell->engine, route->server, service, key, size,
+                               route->token, bgap_now_ms (), request)
                 == BGAP_HOLDER_OK;
 }
 
+void
+bgap_cells_end (struct bgap_cells *cells, const struct bgap_cell_route *route,
+                uint32_t request)
+{
+  struct bgap_cell *cell = _bgap_cells_find (cells, route->cell);
+  if (cell != NULL)
+    bgap_engine_end (cell->engine, route->server, request);
+}
+
 void
 bgap_cells_leave (struct bgap_cells *cells)
 {
--- a/programs/banyangapd/cells.h
+++ b/programs/banyangapd/cells.h
@@ -37,7 +37,7 @@
 /**
  * struct bgap_cell_route - where a key is served
  * @server: name of the backend server
- * @via: instance that must send the request, or NULL
+ * @via: instance that must send the request, empty for any
  * @cell: name of the home cell
  * @token: fencing token
  * @held: false if nobody holds the key at present; then only @slice and @cell
@@ -46,9 +46,9 @@
  */
 struct bgap_cell_route
 {
-  const char *server;
-  const char *via;
-  const char *cell;
+  char server[BGAP_UPSTREAM_NAME_SIZE];
+  char via[BGAP_UPSTREAM_NAME_SIZE];
+  char cell[BGAP_UPSTREAM_NAME_SIZE];
   uint32_t slice;
   uint64_t token;
   bool held;
@@ -84,15 +84,29 @@
                         const void *key, size_t size,
                         struct bgap_cell_route *route);
 
+/* Longest deadline of a request to a server that does not check grants: a move
+   without an acknowledgement waits this long.  */
+#define BGAP_CELLS_DEADLINE_MAX_MS 30000
+
 /**
- * bgap_cells_may_send() - whether this instance may send a request to a server
- * that does not check grants
+ * bgap_cells_begin() - check a request to a server that does not check grants,
+ * whose lease this instance holds, and note that it runs
+ * @request: handle for bgap_cells_end()
  *
  * Call it immediately before sending.
+ *
+ * Return: false if the request must not be sent.
+ */
+bool bgap_cells_begin (struct bgap_cells *cells,
+                       const struct bgap_cell_route *route,
+                       const char *service, const void *key, size_t size,
+                       uint32_t *request);
+
+/**
+ * bgap_cells_end() - such a request has ended
  */
-bool bgap_cells_may_send (const struct bgap_cells *cells,
-                          const struct bgap_cell_route *route,
-                          const char *service, const void *key, size_t size);
+void bgap_cells_end (struct bgap_cells *cells,
+                     const struct bgap_cell_route *route, uint32_t request);
 
 /**
  * bgap_cells_leave() - announce the shutdown of this instance
--- a/programs/banyangapd/daemon.c
+++ b/programs/banyangapd/daemon.c
@@ -266,7 +266,9 @@
                                     .members = daemon->members,
                                     .upstreams = daemon->upstreams,
                                     .cells = daemon->cells,
-                                    .faults = daemon->faults },
+                                    .faults = daemon->faults,
+                                    .server_changed = _bgap_daemon_apply,
+                                    .context = daemon },
       &daemon->requests, err);
   if (status == BGAP_OK)
     status = bgap_configuration_setup (
--- a/programs/banyangapd/exchange.c
+++ b/programs/banyangapd/exchange.c
@@ -64,7 +64,7 @@
 static bool
 _bgap_exchange_needs_relay (const struct bgap_exchange *exchange)
 {
-  return exchange->route.via != NULL
+  return exchange->route.via[0] != '\0'
          && strcmp (exchange->route.via,
                     exchange->requests->desc.settings->name)
                 != 0;
@@ -196,6 +196,7 @@
   struct bgap_exchange *exchange = user;
   struct bgap_requests *requests = exchange->requests;
   exchange->calling = false;
+  bgap_exchange_end_lease (exchange);
   if (end == BGAP_CALL_COMPLETE && exchange->relay_end != RELAY_ANSWERED)
     end = (enum bgap_call_end)exchange->relay_end;
   const struct bgap_attempt_result result = {
@@ -264,13 +265,33 @@
 
 /* A server that checks grants decides itself.  */
 static bool
-_bgap_exchange_may_send (const struct bgap_exchange *exchange)
+_bgap_exchange_may_send (struct bgap_exchange *exchange)
 {
-  if (exchange->route.via == NULL || exchange->relayed)
+  if (exchange->route.via[0] == '\0' || exchange->relayed)
     return true;
-  return bgap_cells_may_send (exchange->requests->desc.cells, &exchange->route,
-                              exchange->service, exchange->parts.key,
-                              exchange->parts.key_size);
+  exchange->leased = bgap_cells_begin (
+      exchange->requests->desc.cells, &exchange->route, exchange->service,
+      exchange->parts.key, exchange->parts.key_size, &exchange->lease);
+  return exchange->leased;
+}
+
+void
+bgap_exchange_end_lease (struct bgap_exchange *exchange)
+{
+  if (exchange->leased)
+    bgap_cells_end (exchange->requests->desc.cells, &exchange->route,
+                    exchange->lease);
+  exchange->leased = false;
+}
+
+static uint32_t
+_bgap_exchange_deadline (const struct bgap_exchange *exchange,
+                         const struct bgap_router_action *action)
+{
+  bool bounded = exchange->route.via[0] != '\0';
+  if (bounded && action->deadline_ms > BGAP_CELLS_DEADLINE_MAX_MS)
+    return BGAP_CELLS_DEADLINE_MAX_MS;
+  return (uint32_t)action->deadline_ms;
 }
 
 void
@@ -302,7 +323,7 @@
         .headers = &exchange->headers,
         .body = exchange->body.data,
         .body_size = exchange->body.size,
-        .deadline_ms = (uint32_t)action->deadline_ms,
+        .deadline_ms = _bgap_exchange_deadline (exchange, action),
         .ops = &call_ops,
         .user = exchange,
       };
@@ -310,6 +331,8 @@
                                    &exchange->call);
     }
   exchange->calling = status == BGAP_OK;
+  if (!exchange->calling)
+    bgap_exchange_end_lease (exchange);
   if (!exchange->calling)
     _bgap_exchange_result (exchange, &(struct bgap_attempt_result){
                                          .kind = BGAP_RESULT_NO_CONNECT });
--- a/programs/banyangapd/probes.c
+++ b/programs/banyangapd/probes.c
@@ -28,12 +28,18 @@
   /* A slow or frozen server is not lost: its requests may still run.  */
   if (end != BGAP_CALL_NO_CONNECT)
     return;
-  if (++upstream->probes_failed < PROBES_LOST || upstream->lost)
+  if (++upstream->probes_failed < PROBES_LOST)
+    {
+      bgap_probes_now (requests->probes, upstream->name);
+      return;
+    }
+  if (upstream->lost)
     return;
   upstream->lost = true;
   bgap_log_warn ("routing", "server is lost; server=%s", upstream->name);
   bgap_router_server_lost (&requests->router, bgap_now_ms (),
                            (struct bgap_server_id){ upstream->router_id });
+  requests->desc.server_changed (requests->desc.context);
 }
 
 static void
@@ -53,10 +59,14 @@
                      upstream->name, err.message);
       return;
     }
-  if (upstream->lost)
-    bgap_log_info ("routing", "server is back; server=%s", upstream->name);
+  bool back = upstream->lost;
   upstream->lost = false;
   upstream->probes_failed = 0;
+  if (back)
+    {
+      bgap_log_info ("routing", "server is back; server=%s", upstream->name);
+      requests->desc.server_changed (requests->desc.context);
+    }
   bgap_router_server_alive (&requests->router, now_ms, id, reply.incarnation);
   bgap_router_server_load (
       &requests->router, now_ms, id,
--- a/programs/banyangapd/requests.c
+++ b/programs/banyangapd/requests.c
@@ -43,6 +43,7 @@
     return;
   bgap_upstreams_cancel (requests->desc.upstreams, exchange->call);
   exchange->calling = false;
+  bgap_exchange_end_lease (exchange);
 }
 
 static void
--- a/programs/banyangapd/requests.h
+++ b/programs/banyangapd/requests.h
@@ -20,6 +20,7 @@
 
 /**
  * struct bgap_requests_desc - options; all are required
+ * @server_changed: a backend server was lost or is back
  */
 struct bgap_requests_desc
 {
@@ -32,6 +33,8 @@
   struct bgap_upstreams *upstreams;
   struct bgap_cells *cells;
   struct bgap_faults *faults;
+  void (*server_changed) (void *context);
+  void *context;
 };
 
 struct bgap_requests;
--- a/programs/banyangapd/requests_private.h
+++ b/programs/banyangapd/requests_private.h
@@ -33,6 +33,7 @@
  * @status: HTTP status of the answer
  * @relayed: the attempt goes through another instance
  * @relay_end: how the attempt ends if that instance did not get an answer
+ * @leased: the attempt runs under the lease with handle @lease
  * @streaming: the answer's head was sent to the caller
  * @gone: the caller has gone
  */
@@ -59,6 +60,8 @@
   int status;
   bool keyed;
   bool relayed;
+  bool leased;
+  uint32_t lease;
   bool streaming;
   bool gone;
   int relay_end;
@@ -116,6 +119,12 @@
 void bgap_exchange_dispatch (struct bgap_exchange *exchange,
                              const struct bgap_router_action *action);
 
+/**
+ * bgap_exchange_end_lease() - the attempt no longer runs under this instance's
+ * lease
+ */
+void bgap_exchange_end_lease (struct bgap_exchange *exchange);
+
 /**
  * bgap_exchange_finish() - end the exchange towards its caller and free it
  */
