ownership: hand slices over between cells

Cause: the configuration and the streams of two cells are not ordered, so a proposer of the old cell with an older configuration could grant a slice again after the new cell had granted it; and a revoke alone does not say that the lease behind it has ended. A release record in the old cell names the configuration version, is written when the leases have ended, and shuts out records of older versions. The new cell grants only after it has read it.

--- a/packages/ownership/include/banyangap/ownership/engine.h
+++ b/packages/ownership/include/banyangap/ownership/engine.h
@@ -188,6 +188,15 @@
                                      size_t key_size,
                                      struct bgap_engine_route *route);
 
+/**
+ * bgap_engine_clear() - whether this cell has given up a slice for good
+ *
+ * It has if a record of @config or a later configuration was accepted, and
+ * nobody holds the slice or a key of it, or may still have a lease for it.
+ */
+bool bgap_engine_clear (const struct bgap_engine *engine, const char *service,
+                        uint32_t slice, uint64_t config);
+
 /**
  * bgap_engine_count() - count a request for placement
  * @name: the service
--- a/packages/ownership/include/banyangap/ownership/engine_types.h
+++ b/packages/ownership/include/banyangap/ownership/engine_types.h
@@ -103,12 +103,22 @@
  * @slices: number of slices, a power of two; the first accepted grant fixes it
  * @home: one byte per slice, non-zero if the slice is at home in this cell;
  *   NULL means that all are
+ * @config: version of the configuration that divided the service among cells,
+ *   0 if this cell has all of it. It must rise with every change of @home.
+ * @clear: whether no other cell can grant the slice, or has a lease for it:
+ *   bgap_engine_clear() of the engines of all other cells that the service
+ *   has or had; NULL if there are none
+ * @context: passed to @clear
  */
 struct bgap_engine_service
 {
   const char *name;
   uint32_t slices;
   const unsigned char *home;
+  uint64_t config;
+  bool (*clear) (void *context, const char *service, uint32_t slice,
+                 uint64_t config);
+  void *context;
 };
 
 enum bgap_engine_action_kind
--- a/packages/ownership/include/banyangap/ownership/record.h
+++ b/packages/ownership/include/banyangap/ownership/record.h
@@ -30,7 +30,8 @@
   BGAP_RECORD_MERGE,
   BGAP_RECORD_REVOKE,
   BGAP_RECORD_SNAPSHOT,
-  BGAP_RECORD_UNKNOWN /* a type this release does not know; no effect */
+  BGAP_RECORD_RELEASE, /* free entries whose last leases have ended */
+  BGAP_RECORD_UNKNOWN  /* a type this release does not know; no effect */
 };
 
 /**
@@ -76,7 +77,9 @@
  * @schema: of the record; if higher than BGAP_SCHEMA nothing else is set
  * @scope: service; empty for witnesses and snapshots
  * @based_on: last accepted offset of the scope, 0 for the first record
- * @slices: number of slices of the service (grant)
+ * @slices: number of slices of the service (grant, release)
+ * @config: version of the configuration that divides the service among cells,
+ *   0 if it is not divided
  * @key: the key (split, merge)
  * @forced: the operator states that the old members' processes are stopped
  */
@@ -87,6 +90,7 @@
   char scope[BGAP_NAME_SIZE];
   uint64_t based_on;
   uint32_t slices;
+  uint64_t config;
   struct bgap_record_item *items;
   uint32_t item_count;
   unsigned char *key;
--- a/packages/ownership/include/banyangap/ownership/replica.h
+++ b/packages/ownership/include/banyangap/ownership/replica.h
@@ -63,6 +63,8 @@
 /**
  * struct bgap_scope - state of one service in the cell; read only
  * @basis: newest accepted offset of the scope
+ * @config: newest configuration version of an accepted record; records of
+ *   older ones have no effect
  * @slice_count: fixed by the first accepted grant; 0 before
  * @slices: @slice_count holdings
  * @keys: @key_count entries, ordered by hash, then bytes
@@ -71,6 +73,7 @@
 {
   char name[BGAP_NAME_SIZE];
   uint64_t basis;
+  uint64_t config;
   uint32_t slice_count;
   struct bgap_holding *slices;
   struct bgap_key_entry *keys;
--- a/packages/ownership/src/engine_config.c
+++ b/packages/ownership/src/engine_config.c
@@ -137,12 +137,14 @@
       struct bgap_service *known = &engine->services[i];
       if (strcmp (known->name, next->name) != 0)
         continue;
-      unsigned char *home = next->home;
-      uint32_t slices = next->slices;
+      struct bgap_service configured = *next;
       free (known->home);
       *next = *known;
-      next->home = home;
-      next->slices = slices;
+      next->home = configured.home;
+      next->slices = configured.slices;
+      next->config = configured.config;
+      next->clear = configured.clear;
+      next->context = configured.context;
       *known = (struct bgap_service){ 0 };
       return;
     }
@@ -165,6 +167,9 @@
       _bgap_copy_name (next[i].name, services[i].name);
       next[i].slices = services[i].slices;
       next[i].since_ms = engine->now_ms;
+      next[i].config = services[i].config;
+      next[i].clear = services[i].clear;
+      next[i].context = services[i].context;
       if (services[i].home == NULL)
         continue;
       next[i].home = malloc (services[i].slices);
--- a/packages/ownership/src/engine_plan.c
+++ b/packages/ownership/src/engine_plan.c
@@ -85,9 +85,8 @@
             ? (held ? plan->entries[index - 1].server
                     : plan->entries[index - 1].previous)
             : _bgap_plan_server_of (engine, plan, holding);
-  bool ready = !held && bgap_engine_entry_ready (engine, holding);
-  bool home
-      = !service->home || slice >= service->slices || service->home[slice];
+  bool ready = bgap_engine_grantable (engine, service, slice, holding);
+  bool home = !bgap_service_foreign (service, slice);
   plan->holdings[index] = holding;
   plan->entries[index] = (struct bgap_placement_entry){
     .slice = slice,
@@ -97,7 +96,7 @@
     .moving = (!held && !ready) || !home,
     .requests = bgap_service_rate (service, index),
   };
-  plan->ready += ready && home;
+  plan->ready += ready;
   plan->view.entry_count++;
 }
 
@@ -198,6 +197,7 @@
   struct bgap_record record = {
     .type = grant ? BGAP_RECORD_GRANT : BGAP_RECORD_REVOKE,
     .based_on = scope ? scope->basis : 0,
+    .config = service->config,
     .slices
     = scope && scope->slice_count ? scope->slice_count : service->slices,
     .items = items,
@@ -227,6 +227,28 @@
   return true;
 }
 
+bool
+bgap_engine_grantable (const struct bgap_engine *engine,
+                       const struct bgap_service *service, uint32_t slice,
+                       const struct bgap_holding *holding)
+{
+  return bgap_engine_entry_ready (engine, holding)
+         && !bgap_service_foreign (service, slice)
+         && (!service->clear
+             || service->clear (service->context, service->name, slice,
+                                service->config));
+}
+
+/* Whether no entry has or had a holder.  */
+static bool
+_bgap_scope_fresh (const struct bgap_scope *scope)
+{
+  for (uint32_t i = 0; scope && i < scope->slice_count; i++)
+    if (scope->slices[i].token || scope->slices[i].revoked)
+      return false;
+  return true;
+}
+
 /* Whether a plan is due: entries are ready, or the period has passed.  */
 static bool
 _bgap_engine_plan_due (const struct bgap_engine *engine,
@@ -234,16 +256,19 @@
                        const struct bgap_scope *scope)
 {
   int64_t since = engine->now_ms - service->planned_ms;
-  if (scope == NULL || scope->slice_count == 0)
+  if (since < BGAP_SPACING_MS)
+    return false;
+  if (_bgap_scope_fresh (scope))
     return since >= PLAN_SPACING_MS
            && _bgap_engine_servers_known (engine, service);
   if (since >= BGAP_PLAN_MS)
     return true;
   for (uint32_t i = 0; i < scope->slice_count; i++)
-    if (bgap_engine_entry_ready (engine, &scope->slices[i]))
+    if (bgap_engine_grantable (engine, service, i, &scope->slices[i]))
       return true;
   for (uint32_t i = 0; i < scope->key_count; i++)
-    if (bgap_engine_entry_ready (engine, &scope->keys[i].holding))
+    if (bgap_engine_grantable (engine, service, scope->keys[i].slice,
+                               &scope->keys[i].holding))
       return true;
   return false;
 }
--- a/packages/ownership/src/engine_private.h
+++ b/packages/ownership/src/engine_private.h
@@ -128,6 +128,15 @@
 const struct bgap_target *
 bgap_engine_holder_target (const struct bgap_engine *engine,
                            const struct bgap_holding *holding);
+bool bgap_service_foreign (const struct bgap_service *service, uint32_t slice);
+bool bgap_engine_grantable (const struct bgap_engine *engine,
+                            const struct bgap_service *service, uint32_t slice,
+                            const struct bgap_holding *holding);
+
+/* engine_release.c */
+bool bgap_engine_tick_release (struct bgap_engine *engine,
+                               struct bgap_service *service,
+                               const struct bgap_scope *scope);
 bool bgap_engine_plan (struct bgap_engine *engine,
                        struct bgap_service *service,
                        const struct bgap_scope *scope);
--- a/packages/ownership/src/engine_propose.c
+++ b/packages/ownership/src/engine_propose.c
@@ -118,8 +118,8 @@
 }
 
 /* Whether slice @slice is at home in another cell.  */
-static bool
-_bgap_service_foreign (const struct bgap_service *service, uint32_t slice)
+bool
+bgap_service_foreign (const struct bgap_service *service, uint32_t slice)
 {
   return service->home && slice < service->slices && !service->home[slice];
 }
@@ -146,7 +146,7 @@
           judged = i;
           revoke = _bgap_engine_must_revoke (engine, slice);
         }
-      if (!revoke && !_bgap_service_foreign (service, i))
+      if (!revoke && !bgap_service_foreign (service, i))
         continue;
       if (count > 0 && items[count - 1].first + items[count - 1].count == i)
         items[count - 1].count++;
@@ -158,7 +158,7 @@
       const struct bgap_key_entry *key = &scope->keys[i];
       if (bgap_holding_held (&key->holding)
           && (_bgap_engine_must_revoke (engine, &key->holding)
-              || _bgap_service_foreign (service, key->slice)))
+              || bgap_service_foreign (service, key->slice)))
         items[count++] = (struct bgap_record_item){ .key = key->bytes,
                                                     .key_size = key->size };
     }
@@ -175,6 +175,7 @@
     return true;
   struct bgap_record record = { .type = BGAP_RECORD_REVOKE,
                                 .based_on = scope->basis,
+                                .config = service->config,
                                 .items = items };
   memcpy (record.scope, scope->name, sizeof record.scope);
   record.item_count = _bgap_engine_revocations (engine, service, scope, items);
@@ -192,9 +193,16 @@
       = bgap_replica_scope (engine->replica, service->name);
   if (!bgap_engine_may_propose (engine, &service->proposal,
                                 scope ? scope->basis : 0)
-      || !_bgap_engine_any_usable (engine, service->name))
+      || (scope && service->config < scope->config))
+    return;
+  /* Entries of other cells are given up even without a server to take over. */
+  if (bgap_engine_tick_release (engine, service, scope))
+    return;
+  bool usable = _bgap_engine_any_usable (engine, service->name);
+  if (scope && (usable || service->home)
+      && _bgap_engine_propose_revokes (engine, service, scope))
     return;
-  if (scope && _bgap_engine_propose_revokes (engine, service, scope))
+  if (!usable)
     return;
   if (scope && bgap_engine_tick_requests (engine, service, scope))
     return;
--- a/packages/ownership/src/engine_requests.c
+++ b/packages/ownership/src/engine_requests.c
@@ -116,6 +116,7 @@
       struct bgap_record_item item;
       struct bgap_record record = { .type = BGAP_RECORD_SPLIT,
                                     .based_on = scope->basis,
+                                    .config = service->config,
                                     .key = request->key,
                                     .key_size = request->size };
       memcpy (record.scope, scope->name, sizeof record.scope);
--- a/packages/ownership/src/engine_state.h
+++ b/packages/ownership/src/engine_state.h
@@ -171,6 +171,10 @@
   char name[BGAP_NAME_SIZE];
   uint32_t slices;
   unsigned char *home;
+  uint64_t config;
+  bool (*clear) (void *context, const char *service, uint32_t slice,
+                 uint64_t config);
+  void *context;
   int64_t since_ms;
   int64_t planned_ms;
   struct bgap_proposal proposal;
--- a/packages/ownership/src/record.c
+++ b/packages/ownership/src/record.c
@@ -15,6 +15,7 @@
   { "witnesses", BGAP_RECORD_WITNESSES }, { "grant", BGAP_RECORD_GRANT },
   { "split", BGAP_RECORD_SPLIT },         { "merge", BGAP_RECORD_MERGE },
   { "revoke", BGAP_RECORD_REVOKE },       { "snapshot", BGAP_RECORD_SNAPSHOT },
+  { "release", BGAP_RECORD_RELEASE },
 };
 
 static enum bgap_record_type
@@ -65,11 +66,12 @@
 {
   const json_t *items = json_object_get (object, "items");
   size_t count = json_array_size (items);
-  if (count == 0 || count > BGAP_RECORD_ITEMS_MAX)
+  size_t least = record->type == BGAP_RECORD_RELEASE ? 0 : 1;
+  if (!json_is_array (items) || count < least || count > BGAP_RECORD_ITEMS_MAX)
     return bgap_error_set (err, BGAP_ERR_PROTOCOL,
-                           "\"items\" must have 1 to %d items",
+                           "\"items\" must have %zu to %d items", least,
                            BGAP_RECORD_ITEMS_MAX);
-  record->items = calloc (count, sizeof *record->items);
+  record->items = calloc (count + 1, sizeof *record->items);
   if (record->items == NULL)
     return bgap_error_set (err, BGAP_ERR_NO_MEMORY, "out of memory");
   record->item_count = (uint32_t)count;
@@ -143,12 +145,14 @@
   int64_t slices;
   enum bgap_status status = bgap_codec_name (object, "scope", record->scope,
                                              sizeof record->scope, err);
+  if (status == BGAP_OK && json_object_get (object, "config"))
+    status = bgap_codec_offset (object, "config", &record->config, err);
   if (status != BGAP_OK)
     return status;
   if (record->type == BGAP_RECORD_SPLIT || record->type == BGAP_RECORD_MERGE)
     return bgap_codec_blob (object, "key", BGAP_KEY_MAX, &record->key,
                             &record->key_size, err);
-  if (record->type == BGAP_RECORD_GRANT)
+  if (record->type == BGAP_RECORD_GRANT || record->type == BGAP_RECORD_RELEASE)
     {
       status = bgap_codec_number (object, "slices", 1, BGAP_SLICES_MAX,
                                   &slices, err);
--- a/packages/ownership/src/record_print.c
+++ b/packages/ownership/src/record_print.c
@@ -3,8 +3,9 @@
 #include "codec.h"
 
 /* In the order of enum bgap_record_type.  */
-static const char *const type_names[]
-    = { "witnesses", "grant", "split", "merge", "revoke", "snapshot" };
+static const char *const type_names[] = { "witnesses", "grant",  "split",
+                                          "merge",     "revoke", "snapshot",
+                                          "release" };
 
 static enum bgap_status
 _bgap_record_print_key (const void *key, size_t size, struct bgap_buffer *out)
@@ -101,6 +102,7 @@
                  ? _bgap_record_print_key (record->key, record->key_size, out)
                  : status;
     case BGAP_RECORD_GRANT:
+    case BGAP_RECORD_RELEASE:
       status = bgap_buffer_printf (out, ",\"slices\":%u", record->slices);
       return status == BGAP_OK ? _bgap_record_print_items (record, out)
                                : status;
@@ -126,9 +128,13 @@
       if (status == BGAP_OK)
         status = bgap_codec_print_string (out, record->scope);
     }
-  return status == BGAP_OK ? bgap_buffer_printf (
-             out, ",\"based_on\":%llu", (unsigned long long)record->based_on)
-                           : status;
+  if (status == BGAP_OK)
+    status = bgap_buffer_printf (out, ",\"based_on\":%llu",
+                                 (unsigned long long)record->based_on);
+  if (status == BGAP_OK && record->config > 0)
+    status = bgap_buffer_printf (out, ",\"config\":%llu",
+                                 (unsigned long long)record->config);
+  return status;
 }
 
 enum bgap_status
--- a/packages/ownership/src/replica_rule.c
+++ b/packages/ownership/src/replica_rule.c
@@ -159,6 +159,59 @@
   return BGAP_OK;
 }
 
+static void
+_bgap_rule_accept (struct bgap_scope *scope, uint64_t offset,
+                   const struct bgap_record *record,
+                   enum bgap_verdict *verdict)
+{
+  scope->basis = offset;
+  scope->config = record->config;
+  *verdict = BGAP_ACCEPTED;
+}
+
+/* Whether a grant or release may apply to the scope, NULL if it is new.  */
+static bool
+_bgap_rule_open (const struct bgap_replica_state *state,
+                 const struct bgap_scope *scope,
+                 const struct bgap_record *record)
+{
+  if (scope == NULL)
+    return record->based_on == 0 && state->scope_count < BGAP_SCOPES_MAX;
+  return record->based_on == scope->basis && record->config >= scope->config
+         && (!scope->slice_count || scope->slice_count == record->slices);
+}
+
+/* Forgets the last holders of free entries, whose leases have ended. From then
+   on no record of an older configuration has an effect, so another cell may
+   take the entries that the newer configuration gives to it.  */
+static enum bgap_status
+_bgap_rule_release (struct bgap_replica_state *state, uint64_t offset,
+                    const struct bgap_record *record,
+                    enum bgap_verdict *verdict)
+{
+  static const struct bgap_scope none = { 0 };
+  struct bgap_scope *scope = _bgap_rule_scope (state, record->scope);
+  bool valid;
+  if (!_bgap_rule_open (state, scope, record))
+    return BGAP_OK;
+  enum bgap_status status = _bgap_rule_items_valid (
+      scope ? scope : &none, record->slices, record, false, &valid);
+  if (status != BGAP_OK || !valid)
+    return status;
+  status = _bgap_rule_grant_scope (state, record, &scope);
+  if (status != BGAP_OK)
+    return status;
+  for (uint32_t i = 0; i < record->item_count; i++)
+    {
+      struct bgap_holding *holding;
+      for (uint32_t at = 0;
+           (holding = _bgap_rule_next (scope, &record->items[i], &at));)
+        *holding = (struct bgap_holding){ 0 };
+    }
+  _bgap_rule_accept (scope, offset, record, verdict);
+  return BGAP_OK;
+}
+
 static enum bgap_status
 _bgap_rule_grant (struct bgap_replica_state *state, uint64_t offset,
                   const struct bgap_record *record, enum bgap_verdict *verdict)
@@ -168,9 +221,7 @@
   const struct bgap_scope *current = scope ? scope : &none;
   bool valid;
   *verdict = BGAP_REJECTED;
-  if (state->witnesses.offset == 0 || record->based_on != current->basis
-      || (current->slice_count && current->slice_count != record->slices)
-      || (!scope && state->scope_count == BGAP_SCOPES_MAX))
+  if (state->witnesses.offset == 0 || !_bgap_rule_open (state, scope, record))
     return BGAP_OK;
   enum bgap_status status = _bgap_rule_items_valid (current, record->slices,
                                                     record, false, &valid);
@@ -193,8 +244,7 @@
                                           .incarnation = item->incarnation,
                                           .holder = holder };
     }
-  scope->basis = offset;
-  *verdict = BGAP_ACCEPTED;
+  _bgap_rule_accept (scope, offset, record, verdict);
   return BGAP_OK;
 }
 
@@ -218,8 +268,7 @@
           holding->revoked = offset;
         }
     }
-  scope->basis = offset;
-  *verdict = BGAP_ACCEPTED;
+  _bgap_rule_accept (scope, offset, record, verdict);
   return BGAP_OK;
 }
 
@@ -238,8 +287,7 @@
       &scope->slices[hash & (scope->slice_count - 1)]);
   if (status != BGAP_OK)
     return status;
-  scope->basis = offset;
-  *verdict = BGAP_ACCEPTED;
+  _bgap_rule_accept (scope, offset, record, verdict);
   return BGAP_OK;
 }
 
@@ -263,8 +311,7 @@
       || key->incarnation != slice->incarnation)
     return;
   bgap_scope_key_remove (scope, position);
-  scope->basis = offset;
-  *verdict = BGAP_ACCEPTED;
+  _bgap_rule_accept (scope, offset, record, verdict);
 }
 
 enum bgap_status
@@ -284,8 +331,11 @@
     }
   if (record->type == BGAP_RECORD_GRANT)
     return _bgap_rule_grant (state, offset, record, verdict);
+  if (record->type == BGAP_RECORD_RELEASE)
+    return _bgap_rule_release (state, offset, record, verdict);
   struct bgap_scope *scope = _bgap_rule_scope (state, record->scope);
-  if (scope == NULL || record->based_on != scope->basis)
+  if (scope == NULL || record->based_on != scope->basis
+      || record->config < scope->config)
     return BGAP_OK;
   if (record->type == BGAP_RECORD_REVOKE)
     return _bgap_rule_revoke (scope, offset, record, verdict);
--- a/packages/ownership/src/replica_save.c
+++ b/packages/ownership/src/replica_save.c
@@ -54,9 +54,10 @@
   uint32_t runs = 0;
   for (uint32_t i = 0; i < scope->slice_count; i += _bgap_save_run (scope, i))
     runs++;
-  msgpack_pack_array (packer, 5);
+  msgpack_pack_array (packer, 6);
   bgap_pack_put_name (packer, scope->name);
   msgpack_pack_uint64 (packer, scope->basis);
+  msgpack_pack_uint64 (packer, scope->config);
   msgpack_pack_uint32 (packer, scope->slice_count);
   msgpack_pack_array (packer, runs);
   for (uint32_t i = 0; i < scope->slice_count; i += _bgap_save_run (scope, i))
@@ -195,14 +196,16 @@
   for (uint32_t i = 0; i < scopes.count; i++)
     {
       char name[BGAP_NAME_SIZE];
-      struct bgap_pack_list fields = bgap_pack_list (&scopes, 5);
+      struct bgap_pack_list fields = bgap_pack_list (&scopes, 6);
       bgap_pack_name (&fields, name, false);
       uint64_t basis = bgap_pack_uint (&fields, INT64_MAX);
+      uint64_t config = bgap_pack_uint (&fields, INT64_MAX);
       struct bgap_scope *scope
           = fields.ok ? bgap_replica_state_add_scope (state, name) : NULL;
       if (scope == NULL)
         return false;
       scope->basis = basis;
+      scope->config = config;
       if (!_bgap_load_slices (&fields, scope, state->holder_count)
           || !_bgap_load_keys (&fields, scope, state->holder_count))
         return false;
--- a/packages/ownership/tests/test_replica.c
+++ b/packages/ownership/tests/test_replica.c
@@ -211,6 +211,42 @@
   assert_int_equal (_key_record (BGAP_RECORD_MERGE, 5, "hot"), BGAP_REJECTED);
 }
 
+/* Guards against a proposer with an older configuration that grants a slice
+   which has gone to another cell.  */
+static void
+test_release_shuts_out_older_configurations (void **state)
+{
+  (void)state;
+  _apply (WITNESSES);
+  struct bgap_record_item item = _item (0, 16, NULL, "s1", 7);
+  struct bgap_record record = { .type = BGAP_RECORD_GRANT,
+                                .scope = "listing",
+                                .slices = 16,
+                                .config = 5,
+                                .items = &item,
+                                .item_count = 1 };
+  assert_int_equal (_apply_record (&record), BGAP_ACCEPTED);
+  record.type = BGAP_RECORD_RELEASE;
+  record.based_on = 2;
+  record.config = 6;
+  item = _item (0, 8, NULL, "", 0);
+  assert_int_equal (_apply_record (&record), BGAP_REJECTED);
+  record.type = BGAP_RECORD_REVOKE;
+  assert_int_equal (_apply_record (&record), BGAP_ACCEPTED);
+  assert_int_equal (_scope ()->config, 6);
+  record.type = BGAP_RECORD_RELEASE;
+  record.based_on = _scope ()->basis;
+  assert_int_equal (_apply_record (&record), BGAP_ACCEPTED);
+  assert_int_equal (_scope ()->slices[0].revoked, 0);
+  record.type = BGAP_RECORD_GRANT;
+  record.based_on = _scope ()->basis;
+  record.config = 5;
+  item = _item (0, 8, NULL, "s1", 7);
+  assert_int_equal (_apply_record (&record), BGAP_REJECTED);
+  record.config = 7;
+  assert_int_equal (_apply_record (&record), BGAP_ACCEPTED);
+}
+
 static enum bgap_verdict
 _witnesses (uint64_t based_on, const char *members, const char *forced)
 {
@@ -329,6 +365,7 @@
     TEST (test_slice_count_is_fixed),
     TEST (test_split_and_merge),
     TEST (test_merge_needs_holders),
+    TEST (test_release_shuts_out_older_configurations),
     TEST (test_witness_sets_change_one_member),
     TEST (test_schema_and_order),
     TEST (test_snapshot_round_trip),
