--- a/packages/ownership/tests/fuzz/world.h
+++ b/packages/ownership/tests/fuzz/world.h
@@ -173,6 +173,7 @@
   int64_t pause_us;
   uint32_t members;
   bool leaving;
+  uint64_t incarnation;
   uint64_t applied_checked;
   struct bgap_world_inbox inbox;
   uint64_t sent_bytes;
