--- a/packages/gateway/include/banyangap/gateway/frontend.h
+++ b/packages/gateway/include/banyangap/gateway/frontend.h
@@ -74,8 +74,8 @@
 /**
  * struct bgap_frontend_ops - what the frontend reports
  * @request: a complete request
- * @cancel: the caller went away, or did not read for the idle limit; the
- *   exchange has ended
+ * @cancel: the caller went away, which includes closing only its sending side,
+ *   or did not read for the idle limit; the exchange has ended
  * @resume: the response buffer, which was above its limit, is below the lower
  *   one; may be NULL
  * @stopped: the last exchange has ended after bgap_frontend_stop(); may be
