--- a/tests/process/deployment.py
+++ b/tests/process/deployment.py
@@ -190,6 +190,7 @@
         try:
             self.start()
         except BaseException:
+            self.print_logs()
             self.close()
             raise
         return self
