routing: refuse keys that a jump of the clock made the once table forget

A clock that jumps ahead by more than the window and back emptied the table; a repeat of a key that had run was then taken for a new one. Forgetting a key, or skipping the record of an outdated one, now marks all keys up to its time as possibly run. Records dated ahead of the clock are kept instead of ignored, and the search for outdated keys no longer stops at the first key that is dated ahead.

--- a/packages/routing/src/once.c
+++ b/packages/routing/src/once.c
@@ -257,26 +257,37 @@
   return false;
 }
 
+static void
+_bgap_once_expire (struct bgap_once_state *state, int64_t wall_ms,
+                   struct bgap_once_entry *entry)
+{
+  int64_t time_ms = bgap_uuid7_time_ms (&entry->key);
+  if (!bgap_once_outdated (state, wall_ms, time_ms)
+      || _bgap_once_running (entry))
+    return;
+  bgap_once_release (state, entry,
+                     entry->has_winner && !entry->closing
+                         ? BGAP_ONCE_EVENT_LOST
+                         : BGAP_ONCE_EVENT_EXPIRED);
+  if (entry->waiters != NULL)
+    return;
+  if (time_ms > state->dropped_until_ms)
+    state->dropped_until_ms = time_ms;
+  bgap_once_free (state, entry);
+}
+
 void
 bgap_once_tick (struct bgap_once *once, int64_t now_ms, int64_t wall_ms)
 {
   (void)now_ms;
   struct bgap_once_state *state = once->state;
-  int64_t keep_ms = state->desc.window_ms + 2 * state->desc.skew_ms;
-  for (int i = 0; i < EXPIRE_PER_TICK; i++)
+  if (state->oldest == NULL)
+    state->oldest = state->entries;
+  for (int i = 0; i < EXPIRE_PER_TICK && state->oldest != NULL; i++)
     {
-      struct bgap_once_entry *entry = state->entries;
-      if (entry == NULL
-          || wall_ms - bgap_uuid7_time_ms (&entry->key) <= keep_ms
-          || _bgap_once_running (entry))
-        return;
-      bgap_once_release (state, entry,
-                         entry->has_winner && !entry->closing
-                             ? BGAP_ONCE_EVENT_LOST
-                             : BGAP_ONCE_EVENT_EXPIRED);
-      if (entry->waiters != NULL)
-        return;
-      bgap_once_free (state, entry);
+      struct bgap_once_entry *entry = state->oldest;
+      state->oldest = entry->hh.next;
+      _bgap_once_expire (state, wall_ms, entry);
     }
 }
 
--- a/packages/routing/src/once_entry.c
+++ b/packages/routing/src/once_entry.c
@@ -28,6 +28,13 @@
   entry->body_size = 0;
 }
 
+bool
+bgap_once_outdated (const struct bgap_once_state *state, int64_t wall_ms,
+                    int64_t time_ms)
+{
+  return wall_ms - time_ms > state->desc.window_ms + 2 * state->desc.skew_ms;
+}
+
 void
 bgap_once_free (struct bgap_once_state *state, struct bgap_once_entry *entry)
 {
@@ -37,6 +44,8 @@
                          BGAP_ONCE_PENDING_NONE);
   if (entry->queued)
     DL_DELETE (state->to_append, entry);
+  if (state->oldest == entry)
+    state->oldest = entry->hh.next;
   bgap_once_hash_remove (state, entry);
   free (entry);
 }
--- a/packages/routing/src/once_replay.c
+++ b/packages/routing/src/once_replay.c
@@ -15,28 +15,18 @@
   return a->incarnation == b->incarnation && a->sequence == b->sequence;
 }
 
-static bool
-_bgap_once_forgotten (const struct bgap_once_state *state, int64_t wall_ms,
-                      const struct bgap_uuid7 *key)
-{
-  int64_t time_ms = bgap_uuid7_time_ms (key);
-  return wall_ms - time_ms > state->desc.window_ms + 2 * state->desc.skew_ms
-         || time_ms - wall_ms > SKEWS_OF_RECORDS * state->desc.skew_ms;
-}
-
-/* Entry of a key that a record names. NULL if the key is outside the window
+/* Entry of a key that a record names. NULL if the key is older than the window
    or its history would be incomplete.  */
 static struct bgap_once_entry *
 _bgap_once_entry_of_record (struct bgap_once_state *state, int64_t wall_ms,
                             const struct bgap_uuid7 *key)
 {
   struct bgap_once_entry *entry = bgap_once_find (state, key);
-  if (entry != NULL || _bgap_once_forgotten (state, wall_ms, key))
-    return entry;
   int64_t time_ms = bgap_uuid7_time_ms (key);
-  if (time_ms <= state->dropped_until_ms)
-    return NULL;
-  entry = bgap_once_create (state, key);
+  if (entry != NULL || time_ms <= state->dropped_until_ms)
+    return entry;
+  if (!bgap_once_outdated (state, wall_ms, time_ms))
+    entry = bgap_once_create (state, key);
   if (entry == NULL)
     state->dropped_until_ms = time_ms;
   return entry;
--- a/packages/routing/src/once_state.h
+++ b/packages/routing/src/once_state.h
@@ -123,10 +123,13 @@
   uint64_t end;
   bool has_end;
   bool stopped; /* a higher schema was read */
-  /* Records of keys dated up to this time may have been missed.  */
+  /* Keys dated up to this time may have been missed or forgotten. Keys that
+     left the window count too: after a jump of the clock and back they would
+     otherwise be taken for new ones.  */
   int64_t dropped_until_ms;
   uint32_t body_bytes;
   uint32_t pending;
+  struct bgap_once_entry *oldest; /* next to be checked for its age */
   struct bgap_once_entry *entries;
   struct bgap_once_waiter *waiters;
   struct bgap_once_entry *to_append;
@@ -163,6 +166,12 @@
 struct bgap_once_entry *bgap_once_create (struct bgap_once_state *state,
                                           const struct bgap_uuid7 *key);
 
+/**
+ * bgap_once_outdated() - no instance accepts a key of this time any more
+ */
+bool bgap_once_outdated (const struct bgap_once_state *state, int64_t wall_ms,
+                         int64_t time_ms);
+
 /**
  * bgap_once_free() - remove an entry; its waiters must be gone
  */
--- a/packages/routing/tests/test_once.c
+++ b/packages/routing/tests/test_once.c
@@ -307,6 +307,32 @@
   bgap_once_shutdown (&b);
 }
 
+/* Guards against a clock that jumps ahead and back: the key is forgotten and
+   must not be taken for a new one. Also with a record read meanwhile.  */
+static void
+test_clock_jump_forgets_safely (void **state)
+{
+  (void)state;
+  struct bgap_once a = open_table ("a", 1);
+  struct bgap_once b = open_table ("b", 2);
+  assert_int_equal (begin (&a, 10), BGAP_ONCE_WAITING);
+  flush (&a, false);
+  stream_read (&a);
+  expect_event (&a, BGAP_ONCE_EVENT_WON, 10);
+  finish (&a, 10, BGAP_OUTCOME_ANSWERED);
+  int64_t ahead_ms = WALL_MS + now_ms + 3 * (int64_t)WINDOW_MS;
+  bgap_once_tick (&a, now_ms, ahead_ms);
+  assert_int_equal (bgap_once_counts (&a).keys, 0);
+  assert_int_equal (begin (&a, 11), BGAP_ONCE_FULL);
+  assert_int_equal (bgap_once_on_record (&b, now_ms, ahead_ms, 1,
+                                         stream.records[0],
+                                         strlen (stream.records[0]), NULL),
+                    BGAP_OK);
+  assert_int_equal (begin (&b, 20), BGAP_ONCE_FULL);
+  bgap_once_shutdown (&a);
+  bgap_once_shutdown (&b);
+}
+
 /* Guards against more than one append in flight, and against an append for
    every request.  */
 static void
@@ -375,6 +401,7 @@
     cmocka_unit_test_setup (test_restart_does_not_take_over, stream_reset),
     cmocka_unit_test_setup (test_window, stream_reset),
     cmocka_unit_test_setup (test_incomplete_history_refuses, stream_reset),
+    cmocka_unit_test_setup (test_clock_jump_forgets_safely, stream_reset),
     cmocka_unit_test_setup (test_group_commit, stream_reset),
     cmocka_unit_test_setup (test_bad_records, stream_reset),
   };
