--- a/packages/gateway/tests/test_frontend.c
+++ b/packages/gateway/tests/test_frontend.c
@@ -187,6 +187,23 @@
   _stop (&f);
 }
 
+/* Guards against a caller that waits for leave to send its body.  */
+static void
+test_expected_continue_is_sent (void **state)
+{
+  (void)state;
+  struct fixture f;
+  _start (&f, &(struct bgap_frontend_desc){ 0 });
+  support_client_send (&f.client,
+                       "POST /o/s/a HTTP/1.1\r\nHost: h\r\n"
+                       "Expect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+  _expect (&f, "HTTP/1.1 100 Continue\r\n\r\n");
+  assert_int_equal (f.requests, 0);
+  support_client_send (&f.client, "ab");
+  _expect (&f, "body=ab;");
+  _stop (&f);
+}
+
 /* Guards against a second request that is begun while the first one runs, and
    against a pipelined one that waits forever after it.  */
 static void
@@ -542,6 +559,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_pipelined_requests_are_answered_in_order),
+    cmocka_unit_test (test_expected_continue_is_sent),
     cmocka_unit_test (test_held_request_delays_the_next),
     cmocka_unit_test (test_any_bytes_in_the_path),
     cmocka_unit_test (test_malformed_requests_are_refused),
