--- a/packages/ownership/src/replica_save.c
+++ b/packages/ownership/src/replica_save.c
@@ -54,9 +54,10 @@
   uint32_t runs = 0;
   for (uint32_t i = 0; i < scope->slice_count; i += _bgap_save_run (scope, i))
     runs++;
-  msgpack_pack_array (packer, 5);
+  msgpack_pack_array (packer, 6);
   bgap_pack_put_name (packer, scope->name);
   msgpack_pack_uint64 (packer, scope->basis);
+  msgpack_pack_uint64 (packer, scope->config);
   msgpack_pack_uint32 (packer, scope->slice_count);
   msgpack_pack_array (packer, runs);
   for (uint32_t i = 0; i < scope->slice_count; i += _bgap_save_run (scope, i))
@@ -88,7 +89,7 @@
   msgpack_pack_uint64 (&packer, state->forced);
   msgpack_pack_array (&packer, state->holder_count);
   for (uint32_t i = 0; i < state->holder_count; i++)
-    bgap_pack_put_name (&packer, state->holders[i]);
+    bgap_pack_put_name (&packer, bgap_replica_state_name (state, i));
   int failed = msgpack_pack_array (&packer, state->scope_count);
   for (uint32_t i = 0; i < state->scope_count; i++)
     _bgap_save_scope (&packer, state->scopes[i]);
@@ -184,23 +185,27 @@
   _bgap_load_set (list, &state->previous);
   state->forced = bgap_pack_uint (list, INT64_MAX);
   struct bgap_pack_list holders = bgap_pack_list (list, BGAP_HOLDERS_MAX);
+  if (!holders.ok || bgap_replica_state_grow (state, holders.count) != BGAP_OK)
+    return false;
   state->holder_count = holders.count;
   for (uint32_t i = 0; i < holders.count; i++)
-    bgap_pack_name (&holders, state->holders[i], true);
+    bgap_pack_name (&holders, bgap_replica_state_name (state, i), true);
   struct bgap_pack_list scopes = bgap_pack_list (list, BGAP_SCOPES_MAX);
   if (!list->ok || !holders.ok)
     return false;
   for (uint32_t i = 0; i < scopes.count; i++)
     {
       char name[BGAP_NAME_SIZE];
-      struct bgap_pack_list fields = bgap_pack_list (&scopes, 5);
+      struct bgap_pack_list fields = bgap_pack_list (&scopes, 6);
       bgap_pack_name (&fields, name, false);
       uint64_t basis = bgap_pack_uint (&fields, INT64_MAX);
+      uint64_t config = bgap_pack_uint (&fields, INT64_MAX);
       struct bgap_scope *scope
           = fields.ok ? bgap_replica_state_add_scope (state, name) : NULL;
       if (scope == NULL)
         return false;
       scope->basis = basis;
+      scope->config = config;
       if (!_bgap_load_slices (&fields, scope, state->holder_count)
           || !_bgap_load_keys (&fields, scope, state->holder_count))
         return false;
@@ -213,15 +218,10 @@
                    size_t size, struct bgap_error *err)
 {
   struct bgap_pack pack;
-  struct bgap_replica_state state;
+  struct bgap_replica_state state = { 0 };
   enum bgap_status status = bgap_pack_open (&pack, bytes, size);
   if (status != BGAP_OK)
     return bgap_error_set (err, status, "the saved state is malformed");
-  if (bgap_replica_state_setup (&state) != BGAP_OK)
-    {
-      bgap_pack_close (&pack);
-      return bgap_error_set (err, BGAP_ERR_NO_MEMORY, "out of memory");
-    }
   struct bgap_pack_list list = bgap_pack_root (&pack);
   if (!_bgap_load_state (&list, &state))
     status = bgap_error_set (err, BGAP_ERR_PROTOCOL,
