--- a/packages/ownership/tests/sim.c
+++ b/packages/ownership/tests/sim.c
@@ -12,6 +12,7 @@
 #define APPEND_MS 15
 #define READ_MS 5
 #define POLL_MS 1000
+#define LATE_MS 3000
 
 enum _kind
 {
@@ -75,6 +76,20 @@
   return bgap_random_below (&sim->random, 100) < sim->drop_percent;
 }
 
+/* Sends a message between processes. While messages are dropped, some arrive a
+   second time, up to LATE_MS later.  */
+static void
+_send (struct sim *sim, enum _kind kind, uint32_t from, uint32_t to,
+       const void *data, size_t size)
+{
+  if (!_dropped (sim))
+    _post (sim, kind, from, to, _delay (sim), 0, true, data, size);
+  if (_dropped (sim) && _dropped (sim))
+    _post (sim, kind, from, to,
+           (int64_t)bgap_random_below (&sim->random, LATE_MS), 0, true, data,
+           size);
+}
+
 static int
 _find_engine (const struct sim *sim, const char *name)
 {
@@ -116,17 +131,16 @@
       return;
     case BGAP_ACTION_SEND_PEER:
       to = _find_engine (sim, action->target);
-      if (to >= 0 && !sim->cut[index][to] && !_dropped (sim))
-        _post (sim, EVENT_PEER, index, (uint32_t)to, _delay (sim), 0, true,
-               data, size);
+      if (to >= 0 && !sim->cut[index][to])
+        _send (sim, EVENT_PEER, index, (uint32_t)to, data, size);
       return;
     case BGAP_ACTION_HELLO:
     case BGAP_ACTION_RENEW:
       to = _find_server (sim, action->target);
-      if (to >= 0 && !sim->server_cut[index][to] && !_dropped (sim))
-        _post (sim,
+      if (to >= 0 && !sim->server_cut[index][to])
+        _send (sim,
                action->kind == BGAP_ACTION_HELLO ? EVENT_HELLO : EVENT_RENEW,
-               index, (uint32_t)to, _delay (sim), 0, true, data, size);
+               index, (uint32_t)to, data, size);
       return;
     case BGAP_ACTION_LOG:
       if (getenv ("SIM_VERBOSE"))
@@ -158,9 +172,8 @@
             : bgap_holder_on_renew (server->holder, event->bytes.data,
                                     event->bytes.size, clock_ms, &reply, &err);
   assert_int_equal (status, BGAP_OK);
-  if (!sim->server_cut[event->from][event->to] && !_dropped (sim))
-    _post (sim, EVENT_REPLY, event->to, event->from, _delay (sim), 0, true,
-           reply.data, reply.size);
+  if (!sim->server_cut[event->from][event->to])
+    _send (sim, EVENT_REPLY, event->to, event->from, reply.data, reply.size);
   bgap_buffer_shutdown (&reply);
 }
 
