Give names that clash between packages a prefix of their own

Cause: routing and ownership both named their actions BGAP_ACTION_*, routing and gateway both had a struct bgap_attempt_id, so no file could include both. Process tests also take ports below the range of client ports, since a connection could take a planned port before its program listened.

--- a/bench/bench_load.c
+++ b/bench/bench_load.c
@@ -92,7 +92,7 @@
 }
 
 static void
-_bgap_load_on_head (void *user, struct bgap_attempt_id id, int status,
+_bgap_load_on_head (void *user, struct bgap_backend_attempt_id id, int status,
                     const struct bgap_headers *headers)
 {
   struct request *request = user;
@@ -107,14 +107,14 @@
 }
 
 static void
-_bgap_load_on_complete (void *user, struct bgap_attempt_id id)
+_bgap_load_on_complete (void *user, struct bgap_backend_attempt_id id)
 {
   (void)id;
   _bgap_load_end (user, true);
 }
 
 static void
-_bgap_load_on_refused (void *user, struct bgap_attempt_id id,
+_bgap_load_on_refused (void *user, struct bgap_backend_attempt_id id,
                        enum bgap_refusal refusal)
 {
   struct request *request = user;
@@ -125,7 +125,7 @@
 }
 
 static void
-_bgap_load_on_failed (void *user, struct bgap_attempt_id id,
+_bgap_load_on_failed (void *user, struct bgap_backend_attempt_id id,
                       const struct bgap_backend_failure *failure)
 {
   struct request *request = user;
@@ -174,7 +174,7 @@
   const char *const patterns[]
       = { o->read_path, o->write_path, o->plain_path };
   struct bgap_headers headers = { 0 };
-  struct bgap_attempt_id id;
+  struct bgap_backend_attempt_id id;
   char path[PATH_SIZE];
   char text[37];
   bool is_write = request->kind == KIND_WRITE;
--- a/bench/bench_routing_cost.c
+++ b/bench/bench_routing_cost.c
@@ -90,7 +90,7 @@
     {
       count = 0;
       while (bgap_router_next_action (router, &action))
-        if (action.kind == BGAP_ACTION_DISPATCH)
+        if (action.kind == BGAP_ROUTER_ACTION_DISPATCH)
           attempts[count++] = action.attempt;
       const struct bgap_attempt_result result
           = { .kind = BGAP_RESULT_COMPLETE, .http_status = 200 };
--- a/bench/routing/routers.c
+++ b/bench/routing/routers.c
@@ -54,14 +54,14 @@
 {
   struct bgap_router_action action;
   while (bgap_router_next_action (&s->routers[router], &action))
-    if (action.kind == BGAP_ACTION_DISPATCH)
+    if (action.kind == BGAP_ROUTER_ACTION_DISPATCH)
       _bgap_sim_dispatch (s, router, &action);
-    else if (action.kind == BGAP_ACTION_FINISH)
+    else if (action.kind == BGAP_ROUTER_ACTION_FINISH)
       _bgap_sim_finish (s, &action);
-    else if (action.kind == BGAP_ACTION_CANCEL_ATTEMPT)
+    else if (action.kind == BGAP_ROUTER_ACTION_CANCEL_ATTEMPT)
       s->attempts[s->by_id[router][action.attempt.id & 0xffff]].cancelled
           = true;
-    else if (action.kind == BGAP_ACTION_SEND_PEER)
+    else if (action.kind == BGAP_ROUTER_ACTION_SEND_PEER)
       for (uint32_t i = 0; i < ROUTERS; i++)
         {
           char name[16];
--- a/packages/gateway/include/banyangap/gateway/backend.h
+++ b/packages/gateway/include/banyangap/gateway/backend.h
@@ -11,7 +11,7 @@
  *   struct bgap_backend_server_id server;
  *   bgap_backend_add_server (backend, "127.0.0.1:9001", 9, &server, &err);
  *
- *   struct bgap_attempt_id attempt;
+ *   struct bgap_backend_attempt_id attempt;
  *   enum bgap_status status = bgap_backend_send (backend, server,
  *     &(struct bgap_backend_request){
  *       .method = "GET", .target = "/a%2Fb", .headers = &headers,
@@ -44,9 +44,9 @@
 };
 
 /**
- * struct bgap_attempt_id - handle of an attempt
+ * struct bgap_backend_attempt_id - handle of an attempt
  */
-struct bgap_attempt_id
+struct bgap_backend_attempt_id
 {
   uint32_t id;
 };
@@ -106,14 +106,14 @@
  */
 struct bgap_backend_ops
 {
-  void (*head) (void *user, struct bgap_attempt_id id, int status,
+  void (*head) (void *user, struct bgap_backend_attempt_id id, int status,
                 const struct bgap_headers *headers);
-  void (*body) (void *user, struct bgap_attempt_id id, const void *bytes,
-                size_t size);
-  void (*complete) (void *user, struct bgap_attempt_id id);
-  void (*refused) (void *user, struct bgap_attempt_id id,
+  void (*body) (void *user, struct bgap_backend_attempt_id id,
+                const void *bytes, size_t size);
+  void (*complete) (void *user, struct bgap_backend_attempt_id id);
+  void (*refused) (void *user, struct bgap_backend_attempt_id id,
                    enum bgap_refusal refusal);
-  void (*failed) (void *user, struct bgap_attempt_id id,
+  void (*failed) (void *user, struct bgap_backend_attempt_id id,
                   const struct bgap_backend_failure *failure);
 };
 
@@ -233,7 +233,7 @@
 enum bgap_status bgap_backend_send (struct bgap_backend *backend,
                                     struct bgap_backend_server_id server,
                                     const struct bgap_backend_request *request,
-                                    struct bgap_attempt_id *id);
+                                    struct bgap_backend_attempt_id *id);
 
 /**
  * bgap_backend_cancel() - end an attempt without further callbacks and close
@@ -242,7 +242,7 @@
  * Return: BGAP_OK, or BGAP_ERR_NOT_FOUND if it has ended already.
  */
 enum bgap_status bgap_backend_cancel (struct bgap_backend *backend,
-                                      struct bgap_attempt_id id);
+                                      struct bgap_backend_attempt_id id);
 
 /**
  * bgap_backend_pause() - stop reading the response; the deadline still counts
@@ -252,7 +252,7 @@
  * Return: BGAP_OK or BGAP_ERR_NOT_FOUND.
  */
 enum bgap_status bgap_backend_pause (struct bgap_backend *backend,
-                                     struct bgap_attempt_id id);
+                                     struct bgap_backend_attempt_id id);
 
 /**
  * bgap_backend_resume() - continue reading; callbacks come from the event loop
@@ -260,7 +260,7 @@
  * Return: BGAP_OK or BGAP_ERR_NOT_FOUND.
  */
 enum bgap_status bgap_backend_resume (struct bgap_backend *backend,
-                                      struct bgap_attempt_id id);
+                                      struct bgap_backend_attempt_id id);
 
 /**
  * bgap_refusal_parse() - reason named by a Bgap-Refused header
--- a/packages/gateway/src/backend.c
+++ b/packages/gateway/src/backend.c
@@ -288,7 +288,7 @@
 bgap_backend_send (struct bgap_backend *backend,
                    struct bgap_backend_server_id server,
                    const struct bgap_backend_request *request,
-                   struct bgap_attempt_id *id)
+                   struct bgap_backend_attempt_id *id)
 {
   struct backend_server *target = bgap_pool_get (&backend->servers, server.id);
   if (target == NULL)
@@ -328,14 +328,15 @@
 
 static struct backend_connection *
 _bgap_backend_find (const struct bgap_backend *backend,
-                    struct bgap_attempt_id id)
+                    struct bgap_backend_attempt_id id)
 {
   struct backend_connection **item = bgap_pool_get (&backend->attempts, id.id);
   return item ? *item : NULL;
 }
 
 enum bgap_status
-bgap_backend_cancel (struct bgap_backend *backend, struct bgap_attempt_id id)
+bgap_backend_cancel (struct bgap_backend *backend,
+                     struct bgap_backend_attempt_id id)
 {
   struct backend_connection *c = _bgap_backend_find (backend, id);
   if (c == NULL)
@@ -345,7 +346,8 @@
 }
 
 enum bgap_status
-bgap_backend_pause (struct bgap_backend *backend, struct bgap_attempt_id id)
+bgap_backend_pause (struct bgap_backend *backend,
+                    struct bgap_backend_attempt_id id)
 {
   struct backend_connection *c = _bgap_backend_find (backend, id);
   if (c == NULL)
@@ -356,7 +358,8 @@
 }
 
 enum bgap_status
-bgap_backend_resume (struct bgap_backend *backend, struct bgap_attempt_id id)
+bgap_backend_resume (struct bgap_backend *backend,
+                     struct bgap_backend_attempt_id id)
 {
   struct backend_connection *c = _bgap_backend_find (backend, id);
   if (c == NULL)
--- a/packages/gateway/src/backend_response.c
+++ b/packages/gateway/src/backend_response.c
@@ -15,7 +15,7 @@
                               enum bgap_failure_kind kind, const char *message)
 {
   const struct bgap_backend_ops *ops = c->ops;
-  const struct bgap_attempt_id id = { c->attempt };
+  const struct bgap_backend_attempt_id id = { c->attempt };
   const struct bgap_backend_failure failure = {
     .kind = kind,
     .sent = c->sent,
@@ -41,7 +41,7 @@
 {
   struct bgap_backend *backend = c->backend;
   const struct bgap_backend_ops *ops = c->ops;
-  const struct bgap_attempt_id id = { c->attempt };
+  const struct bgap_backend_attempt_id id = { c->attempt };
   enum bgap_refusal refusal = c->refusal;
   void *user = c->user;
   bool is_clean
@@ -74,7 +74,7 @@
 _bgap_backend_use_head (struct backend_connection *c,
                         struct bgap_http_head *head)
 {
-  const struct bgap_attempt_id id = { c->attempt };
+  const struct bgap_backend_attempt_id id = { c->attempt };
   if (head->status < 200)
     {
       if (head->status != 101 && ++c->interim_count <= INTERIM_MAX)
@@ -146,7 +146,7 @@
       _bgap_backend_finish (c);
       return false;
     }
-  const struct bgap_attempt_id id = { c->attempt };
+  const struct bgap_backend_attempt_id id = { c->attempt };
   struct evbuffer *input = bufferevent_get_input (c->bev);
   struct evbuffer_iovec piece;
   size_t used;
--- a/packages/gateway/tests/test_backend.c
+++ b/packages/gateway/tests/test_backend.c
@@ -19,7 +19,7 @@
 struct outcome
 {
   struct fixture *fixture;
-  struct bgap_attempt_id id;
+  struct bgap_backend_attempt_id id;
   bool ended;
   bool complete;
   bool failed;
@@ -42,7 +42,7 @@
 };
 
 static void
-_on_head (void *user, struct bgap_attempt_id id, int status,
+_on_head (void *user, struct bgap_backend_attempt_id id, int status,
           const struct bgap_headers *headers)
 {
   struct outcome *o = user;
@@ -57,7 +57,7 @@
 }
 
 static void
-_on_body (void *user, struct bgap_attempt_id id, const void *bytes,
+_on_body (void *user, struct bgap_backend_attempt_id id, const void *bytes,
           size_t size)
 {
   struct outcome *o = user;
@@ -74,7 +74,7 @@
 }
 
 static void
-_on_complete (void *user, struct bgap_attempt_id id)
+_on_complete (void *user, struct bgap_backend_attempt_id id)
 {
   struct outcome *o = user;
   assert_false (o->ended);
@@ -85,7 +85,8 @@
 }
 
 static void
-_on_refused (void *user, struct bgap_attempt_id id, enum bgap_refusal refusal)
+_on_refused (void *user, struct bgap_backend_attempt_id id,
+             enum bgap_refusal refusal)
 {
   struct outcome *o = user;
   (void)id;
@@ -96,7 +97,7 @@
 }
 
 static void
-_on_failed (void *user, struct bgap_attempt_id id,
+_on_failed (void *user, struct bgap_backend_attempt_id id,
             const struct bgap_backend_failure *failure)
 {
   struct outcome *o = user;
--- a/packages/gateway/tests/test_proxy.c
+++ b/packages/gateway/tests/test_proxy.c
@@ -30,7 +30,7 @@
   struct bgap_backend_server_id id;
   struct support_client client;
   struct bgap_exchange_id exchange;
-  struct bgap_attempt_id attempt;
+  struct bgap_backend_attempt_id attempt;
   uint32_t pauses;
   bool is_started;
   bool is_cancelled;
@@ -79,7 +79,7 @@
 }
 
 static void
-_on_head (void *user, struct bgap_attempt_id id, int status,
+_on_head (void *user, struct bgap_backend_attempt_id id, int status,
           const struct bgap_headers *headers)
 {
   struct fixture *f = user;
@@ -91,7 +91,7 @@
 }
 
 static void
-_on_body (void *user, struct bgap_attempt_id id, const void *bytes,
+_on_body (void *user, struct bgap_backend_attempt_id id, const void *bytes,
           size_t size)
 {
   struct fixture *f = user;
@@ -104,7 +104,7 @@
 }
 
 static void
-_on_complete (void *user, struct bgap_attempt_id id)
+_on_complete (void *user, struct bgap_backend_attempt_id id)
 {
   struct fixture *f = user;
   (void)id;
@@ -112,7 +112,8 @@
 }
 
 static void
-_on_refused (void *user, struct bgap_attempt_id id, enum bgap_refusal refusal)
+_on_refused (void *user, struct bgap_backend_attempt_id id,
+             enum bgap_refusal refusal)
 {
   (void)user;
   (void)id;
@@ -120,7 +121,7 @@
 }
 
 static void
-_on_failed (void *user, struct bgap_attempt_id id,
+_on_failed (void *user, struct bgap_backend_attempt_id id,
             const struct bgap_backend_failure *failure)
 {
   struct fixture *f = user;
--- a/packages/routing/include/banyangap/routing/action.h
+++ b/packages/routing/include/banyangap/routing/action.h
@@ -8,7 +8,7 @@
  *   while (bgap_router_next_action (&router, &action))
  *     switch (action.kind)
  *       {
- *       case BGAP_ACTION_DISPATCH: ...
+ *       case BGAP_ROUTER_ACTION_DISPATCH: ...
  *       }
  *
  * Pointers in an action are valid until the next call to
@@ -23,27 +23,27 @@
 #include "banyangap/routing/types.h"
 
 /**
- * enum bgap_action_kind - kind of an action
+ * enum bgap_router_action_kind - kind of an action
  */
-enum bgap_action_kind
+enum bgap_router_action_kind
 {
   /* Send @request to @server as @attempt; report with
      bgap_router_on_attempt. Uses token, deadline_ms, keep_body.  */
-  BGAP_ACTION_DISPATCH,
+  BGAP_ROUTER_ACTION_DISPATCH,
   /* Close the connection of @attempt. Nothing is reported for it.  */
-  BGAP_ACTION_CANCEL_ATTEMPT,
+  BGAP_ROUTER_ACTION_CANCEL_ATTEMPT,
   /* End @request towards its caller. The handle is stale afterwards.  */
-  BGAP_ACTION_FINISH,
+  BGAP_ROUTER_ACTION_FINISH,
   /* Look up the holder of the key again and answer with
      bgap_router_resolved; at once or later.  */
-  BGAP_ACTION_RESOLVE,
+  BGAP_ROUTER_ACTION_RESOLVE,
   /* Append bytes to the stream once.<service> and report with
      bgap_router_on_append_done.  */
-  BGAP_ACTION_APPEND,
+  BGAP_ROUTER_ACTION_APPEND,
   /* Send bytes to all other instances of the zone as message kind
      peer_kind.  */
-  BGAP_ACTION_SEND_PEER,
-  BGAP_ACTION_KIND_COUNT
+  BGAP_ROUTER_ACTION_SEND_PEER,
+  BGAP_ROUTER_ACTION_KIND_COUNT
 };
 
 /**
@@ -107,7 +107,7 @@
  */
 struct bgap_router_action
 {
-  enum bgap_action_kind kind;
+  enum bgap_router_action_kind kind;
   struct bgap_request_id request;
   void *context;
   struct bgap_attempt_id attempt;
--- a/packages/routing/src/router_attempt.c
+++ b/packages/routing/src/router_attempt.c
@@ -34,13 +34,13 @@
 {
   const struct bgap_router_attempt *attempt
       = bgap_pool_get (&state->attempts, request->attempt);
-  bgap_router_emit (
-      state, &(struct bgap_router_action){ .kind = BGAP_ACTION_CANCEL_ATTEMPT,
-                                           .request = { request->id },
-                                           .context = request->context,
-                                           .attempt = { request->attempt },
-                                           .service = { request->service },
-                                           .server = { attempt->server } });
+  bgap_router_emit (state, &(struct bgap_router_action){
+                               .kind = BGAP_ROUTER_ACTION_CANCEL_ATTEMPT,
+                               .request = { request->id },
+                               .context = request->context,
+                               .attempt = { request->attempt },
+                               .service = { request->service },
+                               .server = { attempt->server } });
   bgap_router_end_attempt (state, now_ms, request);
 }
 
--- a/packages/routing/src/router_dispatch.c
+++ b/packages/routing/src/router_dispatch.c
@@ -31,7 +31,7 @@
   state->counts.dispatches++;
   bgap_router_set_timer (state, request);
   bgap_router_emit (state, &(struct bgap_router_action){
-                               .kind = BGAP_ACTION_DISPATCH,
+                               .kind = BGAP_ROUTER_ACTION_DISPATCH,
                                .request = { request->id },
                                .context = request->context,
                                .attempt = { id },
--- a/packages/routing/src/router_finish.c
+++ b/packages/routing/src/router_finish.c
@@ -58,7 +58,7 @@
       = bgap_router_service (state, request->service);
   bool once = request->once;
   bool detached = request->detached;
-  action->kind = BGAP_ACTION_FINISH;
+  action->kind = BGAP_ROUTER_ACTION_FINISH;
   action->request.id = request->id;
   action->context = request->context;
   action->service.id = request->service;
--- a/packages/routing/src/router_once.c
+++ b/packages/routing/src/router_once.c
@@ -41,12 +41,12 @@
     _bgap_router_on_event (state, now_ms, &event);
   struct bgap_once_append append;
   while (bgap_once_next_append (&service->once, now_ms, &append))
-    bgap_router_emit (state,
-                      &(struct bgap_router_action){ .kind = BGAP_ACTION_APPEND,
-                                                    .service = { service->id },
-                                                    .append_id = append.id,
-                                                    .bytes = append.bytes,
-                                                    .size = append.size });
+    bgap_router_emit (
+        state, &(struct bgap_router_action){ .kind = BGAP_ROUTER_ACTION_APPEND,
+                                             .service = { service->id },
+                                             .append_id = append.id,
+                                             .bytes = append.bytes,
+                                             .size = append.size });
 }
 
 void
--- a/packages/routing/src/router_peer.c
+++ b/packages/routing/src/router_peer.c
@@ -8,11 +8,11 @@
 _bgap_router_send (struct bgap_router_state *state,
                    enum bgap_routing_message kind, struct bgap_buffer *message)
 {
-  bgap_router_emit (
-      state, &(struct bgap_router_action){ .kind = BGAP_ACTION_SEND_PEER,
-                                           .peer_kind = kind,
-                                           .bytes = message->data,
-                                           .size = message->size });
+  bgap_router_emit (state, &(struct bgap_router_action){
+                               .kind = BGAP_ROUTER_ACTION_SEND_PEER,
+                               .peer_kind = kind,
+                               .bytes = message->data,
+                               .size = message->size });
 }
 
 void
--- a/packages/routing/src/router_queue.c
+++ b/packages/routing/src/router_queue.c
@@ -254,7 +254,7 @@
   request->state = BGAP_REQUEST_RESOLVING;
   request->resolves++;
   bgap_router_emit (
-      state, &(struct bgap_router_action){ .kind = BGAP_ACTION_RESOLVE,
+      state, &(struct bgap_router_action){ .kind = BGAP_ROUTER_ACTION_RESOLVE,
                                            .request = { request->id },
                                            .context = request->context,
                                            .service = { request->service } });
--- a/packages/routing/tests/fixture.c
+++ b/packages/routing/tests/fixture.c
@@ -53,12 +53,12 @@
 }
 
 struct bgap_router_action
-fixture_expect (struct fixture *f, enum bgap_action_kind kind)
+fixture_expect (struct fixture *f, enum bgap_router_action_kind kind)
 {
   struct bgap_router_action action = { 0 };
   do
     assert_true (bgap_router_next_action (&f->router, &action));
-  while (action.kind == BGAP_ACTION_SEND_PEER && kind != action.kind);
+  while (action.kind == BGAP_ROUTER_ACTION_SEND_PEER && kind != action.kind);
   assert_int_equal (action.kind, kind);
   return action;
 }
@@ -68,14 +68,15 @@
 {
   struct bgap_router_action action;
   while (bgap_router_next_action (&f->router, &action))
-    assert_int_equal (action.kind, BGAP_ACTION_SEND_PEER);
+    assert_int_equal (action.kind, BGAP_ROUTER_ACTION_SEND_PEER);
 }
 
 void
 fixture_expect_finish (struct fixture *f, struct bgap_request_id request,
                        enum bgap_outcome outcome, int http_status)
 {
-  struct bgap_router_action action = fixture_expect (f, BGAP_ACTION_FINISH);
+  struct bgap_router_action action
+      = fixture_expect (f, BGAP_ROUTER_ACTION_FINISH);
   assert_int_equal (action.request.id, request.id);
   assert_string_equal (bgap_outcome_name (action.outcome),
                        bgap_outcome_name (outcome));
--- a/packages/routing/tests/fixture.h
+++ b/packages/routing/tests/fixture.h
@@ -8,10 +8,10 @@
  *   fixture_setup (&f, &(struct bgap_service_desc){ .name = "s" });
  *   struct bgap_server_id a = fixture_server (&f, "a", "z1", 2);
  *   struct bgap_request_id r = fixture_request (&f, NULL);
- *   struct bgap_router_action d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
- *   fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
- *   fixture_expect_finish (&f, r, BGAP_OUTCOME_ANSWERED, 200);
- *   fixture_shutdown (&f);
+ *   struct bgap_router_action d = fixture_expect (&f,
+ * BGAP_ROUTER_ACTION_DISPATCH); fixture_result (&f, d.attempt,
+ * BGAP_RESULT_COMPLETE); fixture_expect_finish (&f, r, BGAP_OUTCOME_ANSWERED,
+ * 200); fixture_shutdown (&f);
  */
 
 #include <setjmp.h>
@@ -47,7 +47,7 @@
 
 /* The next action other than SEND_PEER, which must be of this kind.  */
 struct bgap_router_action fixture_expect (struct fixture *f,
-                                          enum bgap_action_kind kind);
+                                          enum bgap_router_action_kind kind);
 void fixture_expect_none (struct fixture *f);
 void fixture_expect_finish (struct fixture *f, struct bgap_request_id request,
                             enum bgap_outcome outcome, int http_status);
--- a/packages/routing/tests/fuzz/world_check.c
+++ b/packages/routing/tests/fuzz/world_check.c
@@ -228,15 +228,15 @@
           while (bgap_router_next_action (&node->router, &action))
             {
               again = true;
-              if (action.kind == BGAP_ACTION_DISPATCH)
+              if (action.kind == BGAP_ROUTER_ACTION_DISPATCH)
                 _bgap_check_dispatch (w, i, &action);
-              else if (action.kind == BGAP_ACTION_CANCEL_ATTEMPT)
+              else if (action.kind == BGAP_ROUTER_ACTION_CANCEL_ATTEMPT)
                 _bgap_check_cancel (w, i, &action);
-              else if (action.kind == BGAP_ACTION_FINISH)
+              else if (action.kind == BGAP_ROUTER_ACTION_FINISH)
                 _bgap_check_finish (w, i, &action);
-              else if (action.kind == BGAP_ACTION_RESOLVE)
+              else if (action.kind == BGAP_ROUTER_ACTION_RESOLVE)
                 _bgap_check_resolve (w, node, &action);
-              else if (action.kind == BGAP_ACTION_APPEND)
+              else if (action.kind == BGAP_ROUTER_ACTION_APPEND)
                 _bgap_check_append (w, i, &action);
               else
                 _bgap_check_deliver (w, i, &action);
--- a/packages/routing/tests/test_router.c
+++ b/packages/routing/tests/test_router.c
@@ -13,12 +13,13 @@
   fixture_server (&f, "a", "z1", 1);
   struct bgap_request_id first = fixture_request (&f, NULL);
   struct bgap_request_id second = fixture_request (&f, NULL);
-  struct bgap_router_action d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  struct bgap_router_action d
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   assert_int_equal (d.request.id, first.id);
   fixture_expect_none (&f);
   fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
   fixture_expect_finish (&f, first, BGAP_OUTCOME_ANSWERED, 200);
-  d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  d = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   assert_int_equal (d.request.id, second.id);
   fixture_shutdown (&f);
 }
@@ -34,7 +35,8 @@
                  &(struct bgap_service_desc){ .name = "s", .queue_limit = 2 });
   fixture_server (&f, "a", "z1", 1);
   fixture_request (&f, NULL);
-  struct bgap_router_action d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  struct bgap_router_action d
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   struct bgap_request_id normal = fixture_request (&f, NULL);
   struct bgap_request_id bulk = fixture_request (
       &f, &(struct bgap_request_desc){ .idempotent = true,
@@ -46,12 +48,12 @@
   struct bgap_request_id refused = fixture_request (&f, NULL);
   fixture_expect_finish (&f, refused, BGAP_OUTCOME_NOT_RUN, 503);
   fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
-  fixture_expect (&f, BGAP_ACTION_FINISH);
-  d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_FINISH);
+  d = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   assert_int_equal (d.request.id, urgent.id);
   fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
-  fixture_expect (&f, BGAP_ACTION_FINISH);
-  d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_FINISH);
+  d = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   assert_int_equal (d.request.id, normal.id);
   fixture_shutdown (&f);
 }
@@ -69,10 +71,11 @@
       = { .idempotent = true, .deadline_ms = 50 };
   struct bgap_request_id running = fixture_request (&f, &desc);
   struct bgap_request_id waiting = fixture_request (&f, &desc);
-  struct bgap_router_action d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  struct bgap_router_action d
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   assert_int_equal (d.deadline_ms, 50);
   fixture_wait (&f, 50);
-  fixture_expect (&f, BGAP_ACTION_CANCEL_ATTEMPT);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_CANCEL_ATTEMPT);
   fixture_expect_finish (&f, running, BGAP_OUTCOME_UNKNOWN, 504);
   fixture_expect_finish (&f, waiting, BGAP_OUTCOME_NOT_RUN, 503);
   fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
@@ -91,21 +94,23 @@
   struct bgap_server_id b = fixture_server (&f, "b", "z1", 4);
   struct bgap_request_id r
       = fixture_request (&f, &(struct bgap_request_desc){ 0 });
-  struct bgap_router_action d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  struct bgap_router_action d
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   fixture_result (&f, d.attempt, BGAP_RESULT_NO_CONNECT);
-  struct bgap_router_action again = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  struct bgap_router_action again
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   assert_int_equal (again.server.id, d.server.id == a.id ? b.id : a.id);
   fixture_result (&f, again.attempt, BGAP_RESULT_BROKEN);
   fixture_expect_finish (&f, r, BGAP_OUTCOME_UNKNOWN, 502);
 
   /* An idempotent one is retried, but not once its answer has started.  */
   fixture_request (&f, NULL);
-  d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  d = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   fixture_result (&f, d.attempt, BGAP_RESULT_BROKEN);
-  d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  d = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   fixture_result (&f, d.attempt, BGAP_RESULT_STARTED);
   fixture_result (&f, d.attempt, BGAP_RESULT_BROKEN);
-  d = fixture_expect (&f, BGAP_ACTION_FINISH);
+  d = fixture_expect (&f, BGAP_ROUTER_ACTION_FINISH);
   assert_int_equal (d.outcome, BGAP_OUTCOME_UNKNOWN);
   assert_true (d.streamed);
   fixture_expect_none (&f);
@@ -124,9 +129,10 @@
   fixture_server (&f, "a", "z1", 4);
   fixture_server (&f, "b", "z1", 4);
   struct bgap_request_id r = fixture_request (&f, NULL);
-  struct bgap_router_action d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  struct bgap_router_action d
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   fixture_result (&f, d.attempt, BGAP_RESULT_BROKEN);
-  d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  d = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   fixture_result (&f, d.attempt, BGAP_RESULT_NO_CONNECT);
   fixture_expect_finish (&f, r, BGAP_OUTCOME_UNKNOWN, 502);
   fixture_shutdown (&f);
@@ -148,12 +154,12 @@
     {
       fixture_request (&f, NULL);
       while (bgap_router_next_action (&f.router, &action))
-        if (action.kind == BGAP_ACTION_DISPATCH)
+        if (action.kind == BGAP_ROUTER_ACTION_DISPATCH)
           {
             dispatches++;
             fixture_result (&f, action.attempt, BGAP_RESULT_NO_CONNECT);
           }
-        else if (action.kind == BGAP_ACTION_FINISH)
+        else if (action.kind == BGAP_ROUTER_ACTION_FINISH)
           {
             assert_int_equal (action.outcome, BGAP_OUTCOME_NOT_RUN);
             budget += action.http_status == 429;
@@ -177,14 +183,16 @@
   fixture_server (&f, "b", "z1", 4);
   struct bgap_request_id r
       = fixture_request (&f, &(struct bgap_request_desc){ 0 });
-  struct bgap_router_action first = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  struct bgap_router_action first
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   fixture_result (&f, first.attempt, BGAP_RESULT_SHED);
-  struct bgap_router_action next = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  struct bgap_router_action next
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   assert_int_not_equal (next.server.id, first.server.id);
   fixture_result (&f, next.attempt, BGAP_RESULT_SHED);
   fixture_expect_none (&f);
   fixture_wait (&f, 20);
-  next = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  next = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   fixture_result (&f, next.attempt, BGAP_RESULT_COMPLETE);
   fixture_expect_finish (&f, r, BGAP_OUTCOME_ANSWERED, 200);
   fixture_shutdown (&f);
@@ -203,17 +211,18 @@
   struct bgap_server_id b = fixture_server (&f, "b", "z2", 1);
   struct bgap_request_id r = fixture_request (
       &f, &(struct bgap_request_desc){ .holder = a, .token = 5 });
-  struct bgap_router_action d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  struct bgap_router_action d
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   assert_int_equal (d.token, 5);
   fixture_result (&f, d.attempt, BGAP_RESULT_FENCED);
-  fixture_expect (&f, BGAP_ACTION_RESOLVE);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_RESOLVE);
   bgap_router_resolved (&f.router, f.now_ms, r, (struct bgap_server_id){ 0 },
                         0);
   fixture_expect_none (&f);
   fixture_wait (&f, 200);
-  fixture_expect (&f, BGAP_ACTION_RESOLVE);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_RESOLVE);
   bgap_router_resolved (&f.router, f.now_ms, r, b, 9);
-  d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  d = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   assert_int_equal (d.server.id, b.id);
   assert_int_equal (d.token, 9);
   fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
@@ -234,7 +243,8 @@
   for (int i = 0; i < 4; i++)
     {
       fixture_request (&f, NULL);
-      struct bgap_router_action d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+      struct bgap_router_action d
+          = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
       assert_int_equal (d.server.id, i < 2 ? near.id : far.id);
     }
   fixture_shutdown (&f);
@@ -251,7 +261,8 @@
   struct bgap_server_id a = fixture_server (&f, "a", "z1", 1);
   struct bgap_request_id running = fixture_request (&f, NULL);
   struct bgap_request_id waiting = fixture_request (&f, NULL);
-  struct bgap_router_action d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  struct bgap_router_action d
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   bgap_router_remove_server (&f.router, f.now_ms, a);
   struct bgap_server_id again = fixture_server (&f, "a", "z1", 1);
   /* The attempt from before the removal still uses the only slot.  */
@@ -259,10 +270,10 @@
   fixture_expect_none (&f);
   fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
   fixture_expect_finish (&f, running, BGAP_OUTCOME_ANSWERED, 200);
-  d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  d = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   assert_int_equal (d.request.id, waiting.id);
   bgap_router_remove_service (&f.router, f.now_ms, f.service);
-  fixture_expect (&f, BGAP_ACTION_CANCEL_ATTEMPT);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_CANCEL_ATTEMPT);
   fixture_expect_finish (&f, waiting, BGAP_OUTCOME_UNKNOWN, 502);
   assert_true (bgap_router_idle (&f.router));
   fixture_shutdown (&f);
--- a/packages/routing/tests/test_server.c
+++ b/packages/routing/tests/test_server.c
@@ -34,13 +34,15 @@
           &f.router, f.now_ms, a,
           (enum bgap_drain_signal) ((signal + 1) % BGAP_DRAIN_COUNT), false);
       fixture_request (&f, NULL);
-      struct bgap_router_action d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+      struct bgap_router_action d
+          = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
       assert_int_equal (d.server.id, b.id);
       bgap_router_server_drain (&f.router, f.now_ms, a,
                                 (enum bgap_drain_signal)signal, false);
     }
   fixture_request (&f, NULL);
-  assert_int_equal (fixture_expect (&f, BGAP_ACTION_DISPATCH).server.id, a.id);
+  assert_int_equal (fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH).server.id,
+                    a.id);
   fixture_shutdown (&f);
 }
 
@@ -61,7 +63,7 @@
     {
       fixture_request (&f, &(struct bgap_request_desc){ 0 });
       while (bgap_router_next_action (&f.router, &action))
-        if (action.kind == BGAP_ACTION_DISPATCH)
+        if (action.kind == BGAP_ROUTER_ACTION_DISPATCH)
           fixture_result (&f, action.attempt, BGAP_RESULT_BROKEN);
     }
   int ejected = 0;
@@ -125,11 +127,13 @@
   const struct bgap_request_desc poison = { .fingerprint = 66 };
   const struct bgap_request_desc innocent = { .fingerprint = 77 };
   struct bgap_request_id r = fixture_request (&f, &poison);
-  struct bgap_router_action d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  struct bgap_router_action d
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   bgap_router_server_lost (&f.router, f.now_ms, d.server);
-  fixture_expect (&f, BGAP_ACTION_CANCEL_ATTEMPT);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_CANCEL_ATTEMPT);
   fixture_expect_finish (&f, r, BGAP_OUTCOME_UNKNOWN, 502);
-  struct bgap_router_action news = fixture_expect (&f, BGAP_ACTION_SEND_PEER);
+  struct bgap_router_action news
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_SEND_PEER);
   assert_int_equal (news.peer_kind, BGAP_ROUTING_MESSAGE_SUSPICIONS);
 
   /* A peer reports the second death, of both requests.  */
@@ -147,27 +151,27 @@
   r = fixture_request (&f, &poison);
   fixture_expect_finish (&f, r, BGAP_OUTCOME_NOT_RUN, 422);
   fixture_request (&f, &innocent);
-  d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  d = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
-  fixture_expect (&f, BGAP_ACTION_FINISH);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_FINISH);
   fixture_request (&f, &innocent);
-  d = fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  d = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   bgap_router_server_lost (&f.router, f.now_ms, d.server);
-  fixture_expect (&f, BGAP_ACTION_CANCEL_ATTEMPT);
-  fixture_expect (&f, BGAP_ACTION_FINISH);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_CANCEL_ATTEMPT);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_FINISH);
   bgap_router_server_alive (&f.router, f.now_ms, a, 1);
   fixture_request (&f, &innocent);
-  fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
 
   /* It holds for 5 minutes.  */
   fixture_wait (&f, 299000);
   r = fixture_request (&f, &poison);
-  fixture_expect (&f, BGAP_ACTION_CANCEL_ATTEMPT);
-  fixture_expect (&f, BGAP_ACTION_FINISH);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_CANCEL_ATTEMPT);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_FINISH);
   fixture_expect_finish (&f, r, BGAP_OUTCOME_NOT_RUN, 422);
   fixture_wait (&f, 1000);
   fixture_request (&f, &poison);
-  fixture_expect (&f, BGAP_ACTION_DISPATCH);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   bgap_buffer_shutdown (&message);
   fixture_shutdown (&f);
 }
@@ -195,7 +199,8 @@
                                          sizeof array - 1, NULL),
                     BGAP_ERR_PROTOCOL);
   fixture_request (&f, &(struct bgap_request_desc){ .fingerprint = 5 });
-  assert_int_equal (fixture_expect (&f, BGAP_ACTION_FINISH).http_status, 503);
+  assert_int_equal (fixture_expect (&f, BGAP_ROUTER_ACTION_FINISH).http_status,
+                    503);
   bgap_buffer_shutdown (&message);
   fixture_shutdown (&f);
 }
--- a/programs/banyangapd/requests.c
+++ b/programs/banyangapd/requests.c
@@ -53,29 +53,29 @@
   struct bgap_exchange *exchange = action->context;
   switch (action->kind)
     {
-    case BGAP_ACTION_DISPATCH:
+    case BGAP_ROUTER_ACTION_DISPATCH:
       bgap_exchange_dispatch (exchange, action);
       return;
-    case BGAP_ACTION_CANCEL_ATTEMPT:
+    case BGAP_ROUTER_ACTION_CANCEL_ATTEMPT:
       _bgap_requests_cancel_attempt (requests, action);
       return;
-    case BGAP_ACTION_FINISH:
+    case BGAP_ROUTER_ACTION_FINISH:
       bgap_exchange_finish (exchange, action);
       return;
-    case BGAP_ACTION_RESOLVE:
+    case BGAP_ROUTER_ACTION_RESOLVE:
       {
         struct bgap_server_id holder = bgap_exchange_lookup (exchange);
         bgap_router_resolved (&requests->router, bgap_now_ms (),
                               action->request, holder, exchange->route.token);
         return;
       }
-    case BGAP_ACTION_APPEND:
+    case BGAP_ROUTER_ACTION_APPEND:
       bgap_once_streams_append (requests->once, action);
       return;
-    case BGAP_ACTION_SEND_PEER:
+    case BGAP_ROUTER_ACTION_SEND_PEER:
       _bgap_requests_send_peers (requests, action);
       return;
-    case BGAP_ACTION_KIND_COUNT:
+    case BGAP_ROUTER_ACTION_KIND_COUNT:
       return;
     }
 }
--- a/programs/banyangapd/upstreams.c
+++ b/programs/banyangapd/upstreams.c
@@ -280,8 +280,8 @@
 }
 
 static void
-_bgap_upstream_on_head (void *user, struct bgap_attempt_id id, int status,
-                        const struct bgap_headers *headers)
+_bgap_upstream_on_head (void *user, struct bgap_backend_attempt_id id,
+                        int status, const struct bgap_headers *headers)
 {
   const struct attempt *attempt = user;
   (void)id;
@@ -289,7 +289,7 @@
 }
 
 static void
-_bgap_upstream_on_body (void *user, struct bgap_attempt_id id,
+_bgap_upstream_on_body (void *user, struct bgap_backend_attempt_id id,
                         const void *bytes, size_t size)
 {
   const struct attempt *attempt = user;
@@ -308,14 +308,14 @@
 }
 
 static void
-_bgap_upstream_on_complete (void *user, struct bgap_attempt_id id)
+_bgap_upstream_on_complete (void *user, struct bgap_backend_attempt_id id)
 {
   (void)id;
   _bgap_upstream_end (user, BGAP_CALL_COMPLETE);
 }
 
 static void
-_bgap_upstream_on_refused (void *user, struct bgap_attempt_id id,
+_bgap_upstream_on_refused (void *user, struct bgap_backend_attempt_id id,
                            enum bgap_refusal refusal)
 {
   static const enum bgap_call_end ends[BGAP_REFUSAL_COUNT] = {
@@ -329,7 +329,7 @@
 }
 
 static void
-_bgap_upstream_on_failed (void *user, struct bgap_attempt_id id,
+_bgap_upstream_on_failed (void *user, struct bgap_backend_attempt_id id,
                           const struct bgap_backend_failure *failure)
 {
   enum bgap_call_end end = BGAP_CALL_BROKEN;
@@ -424,7 +424,7 @@
     .ops = &backend_ops,
     .user = attempt,
   };
-  struct bgap_attempt_id attempt_id = { 0 };
+  struct bgap_backend_attempt_id attempt_id = { 0 };
   status = bgap_backend_send (upstreams->backend, pool, &request, &attempt_id);
   if (status != BGAP_OK)
     {
@@ -444,7 +444,8 @@
   HASH_FIND_INT (upstreams->attempts, &id, attempt);
   if (attempt == NULL)
     return;
-  bgap_backend_cancel (upstreams->backend, (struct bgap_attempt_id){ id });
+  bgap_backend_cancel (upstreams->backend,
+                       (struct bgap_backend_attempt_id){ id });
   HASH_DEL (upstreams->attempts, attempt);
   free (attempt);
 }
@@ -453,7 +454,7 @@
 bgap_upstreams_pause (struct bgap_upstreams *upstreams, uint32_t id,
                       bool paused)
 {
-  struct bgap_attempt_id attempt = { id };
+  struct bgap_backend_attempt_id attempt = { id };
   if (paused)
     bgap_backend_pause (upstreams->backend, attempt);
   else
--- a/tests/process/deployment.py
+++ b/tests/process/deployment.py
@@ -10,6 +10,7 @@
 
 import hashlib
 import http.client
+import itertools
 import json
 import os
 import signal
@@ -27,11 +28,22 @@
 START_S = 20  # longest time until a new deployment serves
 
 
+PORTS = itertools.count(12000 + os.getpid() * 61 % 18000)
+
+
 def free_port():
-    """A port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """A free port below the range from which the system takes those of clients.
+
+    A port of that range could be taken by a connection before its program
+    listens on it.
+    """
+    for port in PORTS:
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 def uuid7(age_ms=0):
