--- a/packages/ownership/tests/fuzz/schedule.c
+++ b/packages/ownership/tests/fuzz/schedule.c
@@ -13,7 +13,7 @@
 
 /* Limits of one schedule; they bound the time of one run.  */
 #define MAX_OPERATIONS 16
-#define MAX_MS 3000
+#define MAX_MS 3500
 
 /* Time until all slices are served for the first time.  */
 #define START_LIMIT_MS 5000
