--- a/packages/ownership/src/engine_proxy.c
+++ b/packages/ownership/src/engine_proxy.c
@@ -81,7 +81,10 @@
   struct bgap_buffer text = { 0 };
   if (message->kind == BGAP_MESSAGE_RENEW_REPLY)
     {
-      if (message->record_count == 1)
+      /* Only the instance that holds a lease answers for it.  */
+      const char *instance = strchr (message->service, '@');
+      if (message->record_count == 1 && instance
+          && strcmp (instance + 1, from) == 0)
         bgap_engine_on_server_reply (engine, message->service,
                                      message->records[0].data,
                                      message->records[0].size, engine->now_ms);
--- a/packages/ownership/tests/sim.c
+++ b/packages/ownership/tests/sim.c
@@ -13,6 +13,7 @@
 #define READ_MS 5
 #define POLL_MS 1000
 #define LATE_MS 3000
+#define REPEAT_PERCENT 3
 
 enum _kind
 {
@@ -84,7 +85,8 @@
 {
   if (!_dropped (sim))
     _post (sim, kind, from, to, _delay (sim), 0, true, data, size);
-  if (_dropped (sim) && _dropped (sim))
+  if (sim->drop_percent > 0
+      && bgap_random_below (&sim->random, 100) < REPEAT_PERCENT)
     _post (sim, kind, from, to,
            (int64_t)bgap_random_below (&sim->random, LATE_MS), 0, true, data,
            size);
