--- a/tests/process/deployment.py
+++ b/tests/process/deployment.py
@@ -175,7 +175,7 @@
 
 
 class Deployment:
-    """Three zones with an entry host each, and three services.
+    """Three zones with per_zone entry hosts each, and three services.
 
     archive: divided by key; reads: any server; register: at most once.
     """
@@ -183,10 +183,11 @@
     ZONES = ("a", "b", "c")
 
     def __init__(self, witnesses="region", archive=3, reads=3, register=3, checks_grants=True,
-                 readiness_wait_ms=100):
+                 readiness_wait_ms=100, per_zone=1):
         self.witnesses = witnesses
         self.checks_grants = checks_grants
         self.readiness_wait_ms = readiness_wait_ms
+        self.per_zone = per_zone
         self.folder = tempfile.TemporaryDirectory(prefix="bgap-test-")
         self.counts = {"archive": archive, "reads": reads, "register": register}
         self.servers = {}
@@ -223,7 +224,9 @@
         for name in self.server_info:
             self.start_server(name)
         for zone in self.ZONES:
-            self._plan_instance("entry-" + zone, zone)
+            for number in range(self.per_zone):
+                suffix = "" if number == 0 else "-%d" % (number + 1)
+                self._plan_instance("entry-" + zone + suffix, zone)
         self._wait_listening(self.log_address, self.hosts_log)
         self.put_hosts()
         for name in self.instance_info:
