--- a/packages/gateway/src/http_body.c
+++ b/packages/gateway/src/http_body.c
@@ -1,5 +1,7 @@
 #include "http_body.h"
 
+#include "banyangap/base/hex.h"
+
 /* Bytes of one chunk's extensions, and of all trailer fields.  */
 #define LINE_SIZE_MAX 8192
 
@@ -33,18 +35,6 @@
   body->done = !body->is_chunked && body->left == 0;
 }
 
-static int
-_bgap_body_hex (char c)
-{
-  if (c >= '0' && c <= '9')
-    return c - '0';
-  if (c >= 'a' && c <= 'f')
-    return c - 'a' + 10;
-  if (c >= 'A' && c <= 'F')
-    return c - 'A' + 10;
-  return -1;
-}
-
 static enum bgap_status
 _bgap_body_expect (struct bgap_http_body *body, char c, char expected,
                    enum state next)
@@ -56,7 +46,7 @@
 static enum bgap_status
 _bgap_body_read_size (struct bgap_http_body *body, char c)
 {
-  int digit = _bgap_body_hex (c);
+  int digit = bgap_hex_digit (c);
   if (digit >= 0)
     {
       if (body->left >= CHUNK_SIZE_LIMIT)
--- a/packages/gateway/src/percent.c
+++ b/packages/gateway/src/percent.c
@@ -1,16 +1,6 @@
 #include "percent.h"
 
-static int
-_bgap_percent_hex (char c)
-{
-  if (c >= '0' && c <= '9')
-    return c - '0';
-  if (c >= 'a' && c <= 'f')
-    return c - 'a' + 10;
-  if (c >= 'A' && c <= 'F')
-    return c - 'A' + 10;
-  return -1;
-}
+#include "banyangap/base/hex.h"
 
 enum bgap_status
 bgap_percent_decode (const char *text, size_t size, unsigned char *out,
@@ -22,8 +12,8 @@
       int byte = (unsigned char)text[i];
       if (text[i] == '%')
         {
-          int high = size - i > 2 ? _bgap_percent_hex (text[i + 1]) : -1;
-          int low = size - i > 2 ? _bgap_percent_hex (text[i + 2]) : -1;
+          int high = size - i > 2 ? bgap_hex_digit (text[i + 1]) : -1;
+          int low = size - i > 2 ? bgap_hex_digit (text[i + 2]) : -1;
           if (high < 0 || low < 0)
             return BGAP_ERR_INVALID;
           byte = high * 16 + low;
--- a/packages/routing/src/uuid7.c
+++ b/packages/routing/src/uuid7.c
@@ -2,6 +2,8 @@
 
 #include <stdbool.h>
 
+#include "banyangap/base/hex.h"
+
 #define VERSION_BYTE 6
 #define VERSION_7 0x70
 #define VARIANT_BYTE 8
@@ -14,18 +16,6 @@
   return position == 8 || position == 13 || position == 18 || position == 23;
 }
 
-static int
-_bgap_uuid7_digit (char c)
-{
-  if (c >= '0' && c <= '9')
-    return c - '0';
-  if (c >= 'a' && c <= 'f')
-    return c - 'a' + 10;
-  if (c >= 'A' && c <= 'F')
-    return c - 'A' + 10;
-  return -1;
-}
-
 enum bgap_status
 bgap_uuid7_parse (const char *text, size_t size, struct bgap_uuid7 *uuid)
 {
@@ -41,7 +31,7 @@
             return BGAP_ERR_INVALID;
           continue;
         }
-      int digit = _bgap_uuid7_digit (text[i]);
+      int digit = bgap_hex_digit (text[i]);
       if (digit < 0)
         return BGAP_ERR_INVALID;
       uint8_t *byte = &parsed.bytes[digits / 2];
--- a/programs/banyangapd/cells.c
+++ b/programs/banyangapd/cells.c
@@ -137,18 +137,12 @@
 _bgap_cells_is_leaving (const struct bgap_cells *cells,
                         const struct bgap_upstream *upstream)
 {
-  for (uint32_t i = 0; i < bgap_members_count (cells->desc.members); i++)
-    {
-      const struct bgap_member *member
-          = bgap_members_at (cells->desc.members, i);
-      if (member->role == BGAP_HOST_BACKEND && member->leaving
-          && strcmp (member->address, upstream->resource.address) == 0)
-        return true;
-    }
   /* The lease for a server that does not check grants does not lapse with the
      server, so its loss is treated as leaving.  */
   bool lost = upstream->lost && !upstream->resource.checks_grants;
-  return lost || upstream->resource.draining;
+  return lost || upstream->resource.draining
+         || bgap_members_server_leaving (cells->desc.members,
+                                         upstream->resource.address);
 }
 
 static void
--- a/programs/banyangapd/members.c
+++ b/programs/banyangapd/members.c
@@ -259,6 +259,20 @@
   return &members->items[index];
 }
 
+bool
+bgap_members_server_leaving (const struct bgap_members *members,
+                             const char *address)
+{
+  for (uint32_t i = 0; i < members->count; i++)
+    {
+      const struct bgap_member *member = &members->items[i];
+      if (member->role == BGAP_HOST_BACKEND && member->leaving
+          && strcmp (member->address, address) == 0)
+        return true;
+    }
+  return false;
+}
+
 void
 bgap_members_on_status (struct bgap_members *members, const char *from,
                         const void *bytes, size_t size)
--- a/programs/banyangapd/members.h
+++ b/programs/banyangapd/members.h
@@ -80,6 +80,13 @@
 const struct bgap_member *bgap_members_at (const struct bgap_members *members,
                                            uint32_t index);
 
+/**
+ * bgap_members_server_leaving() - whether the host list says that the backend
+ * server at @address is leaving
+ */
+bool bgap_members_server_leaving (const struct bgap_members *members,
+                                  const char *address);
+
 /**
  * bgap_members_on_status() - a status message of the instance @from
  */
--- a/programs/banyangapd/requests_sync.c
+++ b/programs/banyangapd/requests_sync.c
@@ -141,21 +141,6 @@
                              (struct bgap_server_id){ upstream->router_id });
 }
 
-static bool
-_bgap_requests_host_leaving (const struct bgap_requests *requests,
-                             const struct bgap_upstream *upstream)
-{
-  const struct bgap_members *members = requests->desc.members;
-  for (uint32_t i = 0; i < bgap_members_count (members); i++)
-    {
-      const struct bgap_member *member = bgap_members_at (members, i);
-      if (member->role == BGAP_HOST_BACKEND && member->leaving
-          && strcmp (member->address, upstream->resource.address) == 0)
-        return true;
-    }
-  return false;
-}
-
 void
 bgap_requests_sync_hosts (struct bgap_requests *requests)
 {
@@ -166,7 +151,8 @@
     bgap_router_server_drain (
         &requests->router, now_ms,
         (struct bgap_server_id){ upstream->router_id }, BGAP_DRAIN_HOST_LIST,
-        _bgap_requests_host_leaving (requests, upstream));
+        bgap_members_server_leaving (requests->desc.members,
+                                     upstream->resource.address));
   const struct bgap_members *members = requests->desc.members;
   for (uint32_t i = 0; i < bgap_members_count (members); i++)
     {
--- a/programs/banyangapd/upstreams.c
+++ b/programs/banyangapd/upstreams.c
@@ -1,11 +1,10 @@
-#include "upstreams.h"
+#include "upstreams_private.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "banyangap/base/log.h"
-#include "banyangap/gateway/backend.h"
 
 /* Connections for hellos and renewals, taken from the instance's quota.  */
 #define CONTROL_CONNECTIONS 2u
@@ -15,37 +14,6 @@
 /* Two pools per server.  */
 #define POOLS_MAX 2048
 
-/* User's part of an attempt.  */
-struct attempt
-{
-  uint32_t id;
-  struct bgap_upstreams *upstreams;
-  const struct bgap_call_ops *ops;
-  void *user;
-  UT_hash_handle hh;
-};
-
-/* Connections to one instance that forwards requests.  */
-#define RELAY_CONNECTIONS 64u
-
-/* An instance that forwards requests.  */
-struct relay
-{
-  char name[BGAP_UPSTREAM_NAME_SIZE];
-  char address[BGAP_RESOURCE_ADDRESS_SIZE];
-  struct bgap_backend_server_id pool;
-  UT_hash_handle hh;
-};
-
-struct bgap_upstreams
-{
-  struct bgap_upstreams_desc desc;
-  struct bgap_backend *backend;
-  struct bgap_upstream *table;
-  struct attempt *attempts;
-  struct relay *relays;
-};
-
 enum bgap_status
 bgap_upstreams_setup (const struct bgap_upstreams_desc *desc,
                       struct bgap_upstreams **out, struct bgap_error *err)
@@ -96,15 +64,15 @@
     _bgap_upstream_free (upstreams, upstream);
   }
   bgap_backend_shutdown (upstreams->backend);
-  struct relay *relay;
-  struct relay *relay_after;
+  struct bgap_relay *relay;
+  struct bgap_relay *relay_after;
   HASH_ITER (hh, upstreams->relays, relay, relay_after)
   {
     HASH_DEL (upstreams->relays, relay);
     free (relay);
   }
-  struct attempt *attempt;
-  struct attempt *after;
+  struct bgap_upstream_attempt *attempt;
+  struct bgap_upstream_attempt *after;
   HASH_ITER (hh, upstreams->attempts, attempt, after)
   {
     HASH_DEL (upstreams->attempts, attempt);
@@ -278,185 +246,3 @@
 {
   return upstreams->table;
 }
-
-static void
-_bgap_upstream_on_head (void *user, struct bgap_backend_attempt_id id,
-                        int status, const struct bgap_headers *headers)
-{
-  const struct attempt *attempt = user;
-  (void)id;
-  attempt->ops->head (attempt->user, status, headers);
-}
-
-static void
-_bgap_upstream_on_body (void *user, struct bgap_backend_attempt_id id,
-                        const void *bytes, size_t size)
-{
-  const struct attempt *attempt = user;
-  (void)id;
-  attempt->ops->body (attempt->user, bytes, size);
-}
-
-static void
-_bgap_upstream_end (struct attempt *attempt, enum bgap_call_end end)
-{
-  const struct bgap_call_ops *ops = attempt->ops;
-  void *user = attempt->user;
-  HASH_DEL (attempt->upstreams->attempts, attempt);
-  free (attempt);
-  ops->end (user, end);
-}
-
-static void
-_bgap_upstream_on_complete (void *user, struct bgap_backend_attempt_id id)
-{
-  (void)id;
-  _bgap_upstream_end (user, BGAP_CALL_COMPLETE);
-}
-
-static void
-_bgap_upstream_on_refused (void *user, struct bgap_backend_attempt_id id,
-                           enum bgap_refusal refusal)
-{
-  static const enum bgap_call_end ends[BGAP_REFUSAL_COUNT] = {
-    [BGAP_REFUSAL_NONE] = BGAP_CALL_BROKEN,
-    [BGAP_REFUSAL_FENCED] = BGAP_CALL_FENCED,
-    [BGAP_REFUSAL_SHED] = BGAP_CALL_SHED,
-    [BGAP_REFUSAL_DRAINING] = BGAP_CALL_DRAINING,
-  };
-  (void)id;
-  _bgap_upstream_end (user, ends[refusal]);
-}
-
-static void
-_bgap_upstream_on_failed (void *user, struct bgap_backend_attempt_id id,
-                          const struct bgap_backend_failure *failure)
-{
-  enum bgap_call_end end = BGAP_CALL_BROKEN;
-  (void)id;
-  if (failure->kind == BGAP_FAILURE_DEADLINE)
-    end = BGAP_CALL_TIMEOUT;
-  if (!failure->sent)
-    end = BGAP_CALL_NO_CONNECT;
-  _bgap_upstream_end (user, end);
-}
-
-static const struct bgap_backend_ops backend_ops = {
-  .head = _bgap_upstream_on_head,
-  .body = _bgap_upstream_on_body,
-  .complete = _bgap_upstream_on_complete,
-  .refused = _bgap_upstream_on_refused,
-  .failed = _bgap_upstream_on_failed,
-};
-
-void
-bgap_upstreams_set_relay (struct bgap_upstreams *upstreams, const char *name,
-                          const char *address)
-{
-  struct bgap_error err = { 0 };
-  struct relay *relay;
-  HASH_FIND_STR (upstreams->relays, name, relay);
-  if (relay != NULL && strcmp (relay->address, address) == 0)
-    return;
-  if (relay != NULL)
-    {
-      bgap_backend_remove_server (upstreams->backend, relay->pool);
-      HASH_DEL (upstreams->relays, relay);
-      free (relay);
-    }
-  relay = calloc (1, sizeof *relay);
-  if (relay == NULL)
-    return;
-  snprintf (relay->name, sizeof relay->name, "%s", name);
-  snprintf (relay->address, sizeof relay->address, "%s", address);
-  if (bgap_backend_add_server (upstreams->backend, address, RELAY_CONNECTIONS,
-                               &relay->pool, &err)
-      != BGAP_OK)
-    {
-      bgap_log_error ("upstream", "cannot add an instance; name=%s reason=%s",
-                      name, err.message);
-      free (relay);
-      return;
-    }
-  HASH_ADD_STR (upstreams->relays, name, relay);
-}
-
-static enum bgap_status
-_bgap_upstream_pool (const struct bgap_upstreams *upstreams,
-                     const struct bgap_upstream *upstream,
-                     const struct bgap_call *call,
-                     struct bgap_backend_server_id *pool)
-{
-  pool->id = call->control ? upstream->control_pool : upstream->request_pool;
-  if (call->relay == NULL)
-    return BGAP_OK;
-  const struct relay *relay;
-  HASH_FIND_STR (upstreams->relays, call->relay, relay);
-  if (relay == NULL)
-    return BGAP_ERR_NOT_FOUND;
-  *pool = relay->pool;
-  return BGAP_OK;
-}
-
-enum bgap_status
-bgap_upstream_call (struct bgap_upstreams *upstreams,
-                    const struct bgap_upstream *upstream,
-                    const struct bgap_call *call, uint32_t *id)
-{
-  struct bgap_backend_server_id pool;
-  enum bgap_status status
-      = _bgap_upstream_pool (upstreams, upstream, call, &pool);
-  if (status != BGAP_OK)
-    return status;
-  struct attempt *attempt = calloc (1, sizeof *attempt);
-  if (attempt == NULL)
-    return BGAP_ERR_NO_MEMORY;
-  attempt->upstreams = upstreams;
-  attempt->ops = call->ops;
-  attempt->user = call->user;
-  const struct bgap_backend_request request = {
-    .method = call->method,
-    .target = call->target,
-    .headers = call->headers,
-    .body = call->body,
-    .body_size = call->body_size,
-    .deadline_ms = call->deadline_ms,
-    .ops = &backend_ops,
-    .user = attempt,
-  };
-  struct bgap_backend_attempt_id attempt_id = { 0 };
-  status = bgap_backend_send (upstreams->backend, pool, &request, &attempt_id);
-  if (status != BGAP_OK)
-    {
-      free (attempt);
-      return status;
-    }
-  attempt->id = attempt_id.id;
-  HASH_ADD_INT (upstreams->attempts, id, attempt);
-  *id = attempt->id;
-  return BGAP_OK;
-}
-
-void
-bgap_upstreams_cancel (struct bgap_upstreams *upstreams, uint32_t id)
-{
-  struct attempt *attempt;
-  HASH_FIND_INT (upstreams->attempts, &id, attempt);
-  if (attempt == NULL)
-    return;
-  bgap_backend_cancel (upstreams->backend,
-                       (struct bgap_backend_attempt_id){ id });
-  HASH_DEL (upstreams->attempts, attempt);
-  free (attempt);
-}
-
-void
-bgap_upstreams_pause (struct bgap_upstreams *upstreams, uint32_t id,
-                      bool paused)
-{
-  struct bgap_backend_attempt_id attempt = { id };
-  if (paused)
-    bgap_backend_pause (upstreams->backend, attempt);
-  else
-    bgap_backend_resume (upstreams->backend, attempt);
-}
