Spread the entries of a service without load over its servers

Ruled out: the engine's even placement for the first grant, since a lost server's entries without load would still go to one server. Every entry counts 0.01 requests/s in addition. Result: the new test failed before (60 of 60 keys on one server), passes now.

--- a/programs/banyangapd/placer.c
+++ b/programs/banyangapd/placer.c
@@ -14,6 +14,10 @@
 /* Splits and merges that wait to be applied.  */
 #define WISHES_MAX 128
 
+/* Load assumed for every entry, in requests per second. Without it all entries
+   of a service without load would go to one server.  */
+#define BASE_LOAD 0.01
+
 /* A planned split or merge of a key.  */
 struct wish
 {
@@ -88,7 +92,7 @@
       plan->entries[plan->entry_count++] = (struct bgap_placement_input_entry){
         .kind
         = entry->key.data != NULL ? BGAP_PLACEMENT_KEY : BGAP_PLACEMENT_SLICE,
-        .load = entry->requests,
+        .load = entry->requests + BASE_LOAD,
         .hash = entry->key.data != NULL
                     ? bgap_hash64 (entry->key.data, entry->key.size)
                     : 0,
--- a/tests/process/test_path.py
+++ b/tests/process/test_path.py
@@ -28,6 +28,12 @@
                 holders.add(answer.server)
             self.assertEqual(len(holders), 1, key)
 
+    def test_entries_are_spread_before_there_is_load(self):
+        """Guards against a new service whose keys all go to one server."""
+        holders = [self.deployment.holder("key-%d" % number)["holder"] for number in range(60)]
+        for server in ("acme.archive-1", "acme.archive-2", "acme.archive-3"):
+            self.assertGreaterEqual(holders.count(server), 8, holders)
+
     def test_direct_request_without_a_token_is_fenced(self):
         """Guards against a server that runs keyed work without a valid grant."""
         holder = self.deployment.holder("k1")
