Look a key up once per request and count it once

Cause: admission looked a key up twice, and each look-up counted for placement, also those of retries and of explain.

--- a/programs/banyangapd/cells.c
+++ b/programs/banyangapd/cells.c
@@ -270,16 +270,29 @@
   snprintf (route->via, sizeof route->via, "%s",
             found.via != NULL ? found.via : "");
   route->slice = found.slice;
+  route->entry = found.entry;
   route->token = found.token;
   route->held = true;
   const struct bgap_scope *scope
       = bgap_replica_scope (bgap_engine_replica (cell->engine), service_name);
   route->hot = scope != NULL && bgap_scope_find_key (scope, key, size) != NULL;
-  bgap_engine_count (cell->engine, service_name, &found);
-  bgap_placer_count (cell->placer, service_name, bgap_now_ms (), key, size);
   return true;
 }
 
+void
+bgap_cells_count (struct bgap_cells *cells,
+                  const struct bgap_cell_route *route, const char *service,
+                  const void *key, size_t size)
+{
+  struct bgap_cell *cell = _bgap_cells_find (cells, route->cell);
+  if (cell == NULL || !route->held)
+    return;
+  const struct bgap_engine_route counted
+      = { .slice = route->slice, .entry = route->entry };
+  bgap_engine_count (cell->engine, service, &counted);
+  bgap_placer_count (cell->placer, service, bgap_now_ms (), key, size);
+}
+
 bool
 bgap_cells_begin (struct bgap_cells *cells,
                   const struct bgap_cell_route *route, const char *service,
--- a/programs/banyangapd/cells.h
+++ b/programs/banyangapd/cells.h
@@ -39,6 +39,7 @@
  * @server: name of the backend server
  * @via: instance that must send the request, empty for any
  * @cell: name of the home cell
+ * @entry: for bgap_cells_count()
  * @token: fencing token
  * @held: false if nobody holds the key at present; then only @slice and @cell
  *   are set
@@ -50,6 +51,7 @@
   char via[BGAP_UPSTREAM_NAME_SIZE];
   char cell[BGAP_UPSTREAM_NAME_SIZE];
   uint32_t slice;
+  uint32_t entry;
   uint64_t token;
   bool held;
   bool hot;
@@ -84,6 +86,14 @@
                         const void *key, size_t size,
                         struct bgap_cell_route *route);
 
+/**
+ * bgap_cells_count() - count a request for placement
+ * @route: from bgap_cells_lookup() for the same key, without calls in between
+ */
+void bgap_cells_count (struct bgap_cells *cells,
+                       const struct bgap_cell_route *route,
+                       const char *service, const void *key, size_t size);
+
 /* Longest deadline of a request to a server that does not check grants: a move
    without an acknowledgement waits this long.  */
 #define BGAP_CELLS_DEADLINE_MAX_MS 30000
--- a/programs/banyangapd/exchange.c
+++ b/programs/banyangapd/exchange.c
@@ -70,27 +70,29 @@
                 != 0;
 }
 
-struct bgap_server_id
-bgap_exchange_lookup (struct bgap_exchange *exchange)
+bool
+bgap_exchange_lookup (struct bgap_exchange *exchange,
+                      struct bgap_server_id *holder)
 {
   const struct bgap_requests_desc *desc = &exchange->requests->desc;
-  const struct bgap_server_id none = { 0 };
+  holder->id = BGAP_INVALID_ID;
   exchange->route = (struct bgap_cell_route){ 0 };
   if (!bgap_cells_lookup (desc->cells, exchange->service, exchange->parts.key,
-                          exchange->parts.key_size, &exchange->route)
-      || !exchange->route.held)
-    return none;
+                          exchange->parts.key_size, &exchange->route))
+    return false;
+  if (!exchange->route.held)
+    return true;
   /* A server that does not check grants gets work only from the instance that
      holds its lease. A forwarded request is not forwarded again: the sender's
      route was out of date.  */
   if (_bgap_exchange_needs_relay (exchange)
       && bgap_headers_find (&exchange->headers, FORWARDED) != NULL)
-    return none;
+    return true;
   const struct bgap_upstream *upstream
       = bgap_upstreams_find (desc->upstreams, exchange->route.server);
-  if (upstream == NULL)
-    return none;
-  return (struct bgap_server_id){ upstream->router_id };
+  if (upstream != NULL)
+    holder->id = upstream->router_id;
+  return true;
 }
 
 static void
--- a/programs/banyangapd/requests.c
+++ b/programs/banyangapd/requests.c
@@ -64,7 +64,8 @@
       return;
     case BGAP_ROUTER_ACTION_RESOLVE:
       {
-        struct bgap_server_id holder = bgap_exchange_lookup (exchange);
+        struct bgap_server_id holder;
+        bgap_exchange_lookup (exchange, &holder);
         bgap_router_resolved (&requests->router, bgap_now_ms (),
                               action->request, holder, exchange->route.token);
         return;
@@ -142,13 +143,13 @@
     .wall_ms = bgap_wall_ms (),
     .context = exchange,
   };
-  exchange->keyed = bgap_cells_lookup (
-      requests->desc.cells, exchange->service, exchange->parts.key,
-      exchange->parts.key_size, &exchange->route);
+  exchange->keyed = bgap_exchange_lookup (exchange, &request.holder);
   if (exchange->keyed)
     {
-      request.holder = bgap_exchange_lookup (exchange);
       request.token = exchange->route.token;
+      bgap_cells_count (requests->desc.cells, &exchange->route,
+                        exchange->service, exchange->parts.key,
+                        exchange->parts.key_size);
     }
   exchange->handle
       = bgap_router_request (&requests->router, bgap_now_ms (), &request);
--- a/programs/banyangapd/requests_private.h
+++ b/programs/banyangapd/requests_private.h
@@ -141,10 +141,12 @@
 
 /**
  * bgap_exchange_lookup() - look up the key's holder and keep the route
+ * @holder: handle of the holder's server, { 0 } if there is none
  *
- * Return: handle of the holder's server, { 0 } if there is none.
+ * Return: whether the service is divided by key.
  */
-struct bgap_server_id bgap_exchange_lookup (struct bgap_exchange *exchange);
+bool bgap_exchange_lookup (struct bgap_exchange *exchange,
+                           struct bgap_server_id *holder);
 
 /* At-most-once streams.  */
 enum bgap_status bgap_once_streams_setup (struct bgap_requests *requests,
