ownership: refuse a witness set based on one that is not in force

Cause: replay accepted two changes in a row; replicas keep one previous set, so majorities of the first and the third need not intersect, and two servers held one key (test_witness_chain). Proposers never did this, records by operators could. Ruled out: keeping more previous sets, which has no bound. An unforced change now names the set that its author saw in force, and it has to be the one that the change is based on. The oracle has the same rule. Tests that publish a legal change name it too; the chain names the first set truthfully, as an operator who knows only that one.

--- a/packages/ownership/include/banyangap/ownership/record.h
+++ b/packages/ownership/include/banyangap/ownership/record.h
@@ -81,6 +81,8 @@
  * @config: version of the configuration that divides the service among cells,
  *   0 if it is not divided
  * @key: the key (split, merge)
+ * @in_force: offset of the witness set that the author has seen in force;
+ *   required to be @based_on unless the record is the first or forced
  * @forced: the operator states that the old members' processes are stopped
  */
 struct bgap_record
@@ -97,6 +99,7 @@
   size_t key_size;
   char members[BGAP_WITNESSES_MAX][BGAP_NAME_SIZE];
   uint32_t member_count;
+  uint64_t in_force;
   bool forced;
   struct bgap_record_snapshot snapshot;
 };
--- a/packages/ownership/src/engine_witness_set.c
+++ b/packages/ownership/src/engine_witness_set.c
@@ -101,8 +101,9 @@
 _bgap_engine_change_set (struct bgap_engine *engine,
                          const struct bgap_witness_set *set)
 {
-  struct bgap_record record
-      = { .type = BGAP_RECORD_WITNESSES, .based_on = set->offset };
+  struct bgap_record record = { .type = BGAP_RECORD_WITNESSES,
+                                .based_on = set->offset,
+                                .in_force = set->offset };
   int gone = -1;
   for (uint32_t i = 0; i < set->count; i++)
     {
--- a/packages/ownership/src/record.c
+++ b/packages/ownership/src/record.c
@@ -110,7 +110,9 @@
     }
   record->member_count = (uint32_t)count;
   record->forced = json_is_true (json_object_get (object, "forced"));
-  return BGAP_OK;
+  if (json_object_get (object, "in_force") == NULL)
+    return BGAP_OK;
+  return bgap_codec_offset (object, "in_force", &record->in_force, err);
 }
 
 static enum bgap_status
--- a/packages/ownership/src/record_print.c
+++ b/packages/ownership/src/record_print.c
@@ -67,6 +67,9 @@
     }
   if (status != BGAP_OK)
     return status;
+  if (record->in_force > 0)
+    return bgap_buffer_printf (out, "],\"in_force\":%llu",
+                               (unsigned long long)record->in_force);
   return bgap_buffer_printf (out, "]%s",
                              record->forced ? ",\"forced\":true" : "");
 }
--- a/packages/ownership/src/replica_rule.c
+++ b/packages/ownership/src/replica_rule.c
@@ -32,13 +32,18 @@
 _bgap_rule_witnesses (struct bgap_replica_state *state, uint64_t offset,
                       const struct bgap_record *record)
 {
+  bool first = state->witnesses.offset == 0;
   if (record->based_on != state->witnesses.offset)
     return BGAP_REJECTED;
+  /* Only one previous set is kept, so a change on top of one that is not in
+     force would leave majorities that do not intersect.  */
+  if (!first && !record->forced && record->in_force != record->based_on)
+    return BGAP_REJECTED;
   struct bgap_witness_set next = { .offset = offset,
                                    .count = record->member_count,
                                    .forced = record->forced };
   memcpy (next.members, record->members, sizeof next.members);
-  if (state->witnesses.offset != 0 && !record->forced
+  if (!first && !record->forced
       && !_bgap_set_one_step (&state->witnesses, &next))
     return BGAP_REJECTED;
   if (record->forced)
--- a/packages/ownership/tests/fuzz/oracle_model.c
+++ b/packages/ownership/tests/fuzz/oracle_model.c
@@ -97,6 +97,10 @@
         joined++;
     }
   uint32_t left = m->member_count - kept;
+  const json_t *in_force = json_object_get (record, "in_force");
+  if (m->witnesses != 0 && !json_is_true (json_object_get (record, "forced"))
+      && (uint64_t)json_integer_value (in_force) != m->witnesses)
+    return false;
   if (m->witnesses != 0 && !json_is_true (json_object_get (record, "forced"))
       && (joined > 1 || left > 1 || joined + left == 0))
     return false;
--- a/packages/ownership/tests/test_golden.c
+++ b/packages/ownership/tests/test_golden.c
@@ -156,11 +156,12 @@
                       const char *members, bool forced)
 {
   char record[256];
-  int size = snprintf (
-      record, sizeof record,
-      "{\"schema\":1,\"type\":\"witnesses\",\"based_on\":%llu,"
-      "\"members\":[%s]%s}",
-      (unsigned long long)based_on, members, forced ? ",\"forced\":true" : "");
+  int size
+      = snprintf (record, sizeof record,
+                  "{\"schema\":1,\"type\":\"witnesses\",\"based_on\":%llu,"
+                  "\"in_force\":%llu,\"members\":[%s]%s}",
+                  (unsigned long long)based_on, (unsigned long long)based_on,
+                  members, forced ? ",\"forced\":true" : "");
   bgap_world_append (w, record, (size_t)size);
 }
 
--- a/packages/ownership/tests/test_replica.c
+++ b/packages/ownership/tests/test_replica.c
@@ -253,8 +253,8 @@
   char text[200];
   snprintf (text, sizeof text,
             "{\"schema\":1,\"type\":\"witnesses\",\"based_on\":%u,"
-            "\"members\":[%s]%s}",
-            (unsigned)based_on, members, forced);
+            "\"in_force\":%u,\"members\":[%s]%s}",
+            (unsigned)based_on, (unsigned)based_on, members, forced);
   return _apply (text);
 }
 
--- a/packages/ownership/tests/test_witness_chain.c
+++ b/packages/ownership/tests/test_witness_chain.c
@@ -20,15 +20,16 @@
 #define SET_SIZE 3
 
 static void
-_bgap_publish (struct bgap_world *w, uint64_t based_on,
+_bgap_publish (struct bgap_world *w, uint64_t based_on, uint64_t in_force,
                const uint32_t members[SET_SIZE])
 {
-  char record[160];
-  int size = snprintf (
-      record, sizeof record,
-      "{\"schema\":1,\"type\":\"witnesses\",\"based_on\":%llu,"
-      "\"members\":[\"e%u\",\"e%u\",\"e%u\"]}",
-      (unsigned long long)based_on, members[0], members[1], members[2]);
+  char record[200];
+  int size
+      = snprintf (record, sizeof record,
+                  "{\"schema\":1,\"type\":\"witnesses\",\"based_on\":%llu,"
+                  "\"in_force\":%llu,\"members\":[\"e%u\",\"e%u\",\"e%u\"]}",
+                  (unsigned long long)based_on, (unsigned long long)in_force,
+                  members[0], members[1], members[2]);
   bgap_world_append (w, record, (size_t)size);
 }
 
@@ -61,8 +62,8 @@
                            true, true);
       const uint32_t second[SET_SIZE] = { in[0], in[1], out[0] };
       const uint32_t third[SET_SIZE] = { in[0], out[1], out[0] };
-      _bgap_publish (w, based_on, second);
-      _bgap_publish (w, w->log.count, third);
+      _bgap_publish (w, based_on, based_on, second);
+      _bgap_publish (w, w->log.count, based_on, third);
       bgap_world_run_ms (w, RUN_MS);
       bgap_world_shutdown (w);
     }
