Replace a service in the router when its kind changes, remove it when it goes

Cause: an accepted change of repeat, keyed or the window never came into force: the router refuses it by design, the daemon only logged that. A service without servers was never removed. Ruled out: changing the router, whose tables depend on these fields. The daemon keeps a table of its services, removes and adds those that the router cannot change, and removes those that are configured no longer.

--- a/programs/banyangapd/requests.c
+++ b/programs/banyangapd/requests.c
@@ -302,6 +302,7 @@
   struct bgap_exchange *next;
   HASH_ITER (hh, requests->exchanges, exchange, next)
   bgap_exchange_free (exchange);
+  bgap_requests_free_services (requests);
   if (requests->router.state != NULL)
     bgap_router_shutdown (&requests->router);
   free (requests);
--- a/programs/banyangapd/requests_private.h
+++ b/programs/banyangapd/requests_private.h
@@ -71,6 +71,7 @@
 /**
  * struct bgap_requests - the request path of an instance
  * @exchanges: by frontend handle; those whose caller has gone are not in it
+ * @services: services in the router, by name
  */
 struct bgap_requests
 {
@@ -78,6 +79,7 @@
   struct bgap_router router;
   struct bgap_frontend *frontend;
   struct bgap_exchange *exchanges;
+  struct bgap_requests_service *services;
   struct bgap_probes *probes;
   struct bgap_once_streams *once;
   struct event *timer;
@@ -88,6 +90,11 @@
   bool stopping;
 };
 
+/**
+ * bgap_requests_free_services() - free the table of services
+ */
+void bgap_requests_free_services (struct bgap_requests *requests);
+
 /**
  * bgap_requests_run() - carry out the router's pending actions
  */
--- a/tests/process/test_operators.py
+++ b/tests/process/test_operators.py
@@ -5,7 +5,7 @@
 import subprocess
 import unittest
 
-from deployment import BIN, OWNER_TOKEN, TOKEN, Deployment
+from deployment import BIN, OWNER_TOKEN, TOKEN, Deployment, uuid7
 
 
 class OperatorsTest(unittest.TestCase):
@@ -43,6 +43,29 @@
         self.assertEqual(again.returncode, 3, again.stderr)
         self.deployment.version = got["version"]
 
+    def test_changed_and_removed_services(self):
+        """Guards against an accepted change of a service that never comes into force."""
+        with Deployment(archive=0) as deployment:
+            documents = deployment.documents()
+            changed = documents.replace('"repeat": "never"', '"repeat": "idempotent"')
+            self.assertEqual(deployment.apply(changed).status, 202)
+            for instance in deployment.instance_info:
+                deployment.wait(lambda: deployment.request(
+                    instance, "POST", "/acme/register/x", b"").status == 200, 12,
+                    "writes without a key")
+            kept = "\n---\n".join(document for document in documents.split("\n---\n")
+                                  if '"reads"' not in document)
+            self.assertEqual(deployment.apply(kept).status, 202)
+            for instance in deployment.instance_info:
+                deployment.wait(lambda: deployment.request(
+                    instance, "GET", "/acme/reads/x").status == 404, 12, "removal")
+                deployment.wait(lambda: deployment.request(
+                    instance, "POST", "/acme/register/x", b"").outcome == "not-run", 12,
+                    "writes want a key again")
+                deployment.wait(lambda: deployment.request(
+                    instance, "POST", "/acme/register/x", b"",
+                    {"Idempotency-Key": uuid7()}).status == 200, 12, "writes with a key")
+
     def test_findings_are_reported_together(self):
         """Guards against a refusal that names only the first fault, or applies a part."""
         text = self.deployment.documents().replace('"repeat": "never"', '"repeat": "sometimes"')
