--- /dev/null
+++ b/packages/gateway/tests/test_backend_flow.c
@@ -0,0 +1,211 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <cmocka.h>
+
+#include <event2/buffer.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "backend_fixture.h"
+
+#define STREAM_SIZE ((uint64_t)64 * 1024 * 1024)
+
+/* Sends a body of STREAM_SIZE zero bytes as fast as it is taken.  */
+static void
+_on_stream_written (struct bufferevent *bev, void *user)
+{
+  static const char piece[65536] = { 0 };
+  uint64_t *left = user;
+  size_t size = *left < sizeof piece ? (size_t)*left : sizeof piece;
+  bufferevent_write (bev, piece, size);
+  *left -= size;
+}
+
+static uint64_t stream_left;
+
+static void
+_answer_stream (struct support_server *server, struct bufferevent *bev,
+                const char *request)
+{
+  (void)server;
+  (void)request;
+  static const char head[] = "HTTP/1.1 200 OK\r\nContent-Length: 67108864"
+                             "\r\n\r\n";
+  bufferevent_write (bev, head, sizeof head - 1);
+  bufferevent_setcb (bev, NULL, _on_stream_written, NULL, &stream_left);
+}
+
+/* Guards against a paused response that is read into memory, goes on without
+   being resumed, or loses bytes.  */
+static void
+test_paused_response_is_not_read (void **state)
+{
+  (void)state;
+  struct backend_fixture f;
+  struct backend_outcome o = { .pause_at_head = true };
+  backend_fixture_start (&f, &(struct bgap_backend_desc){ 0 }, 1);
+  f.server.answer = _answer_stream;
+  stream_left = STREAM_SIZE;
+  assert_int_equal (backend_fixture_send (&f, "/stream", 0, &o), BGAP_OK);
+  while (o.status == 0)
+    event_base_loop (f.base, EVLOOP_ONCE);
+  for (int i = 0; i < 20; i++)
+    support_settle (f.base);
+  assert_int_equal (o.size, 0);
+  assert_true (STREAM_SIZE - stream_left < STREAM_SIZE / 4);
+  assert_int_equal (bgap_backend_resume (f.backend, o.id), BGAP_OK);
+  support_run (f.base, &o.ended);
+  assert_true (o.complete);
+  assert_int_equal (o.size, STREAM_SIZE);
+  backend_fixture_stop (&f);
+}
+
+/* Guards against the end of a response that overtakes its paused start.  */
+static void
+test_paused_response_completes_after_resume (void **state)
+{
+  (void)state;
+  static const char *const paths[] = { "/ok", "/none", "/close", "/in-body" };
+  struct backend_fixture f;
+  backend_fixture_start (&f, &(struct bgap_backend_desc){ 0 }, 1);
+  for (size_t i = 0; i < sizeof paths / sizeof *paths; i++)
+    {
+      struct backend_outcome o = { .pause_at_head = true };
+      assert_int_equal (backend_fixture_send (&f, paths[i], 0, &o), BGAP_OK);
+      while (o.status == 0)
+        event_base_loop (f.base, EVLOOP_ONCE);
+      support_settle (f.base);
+      assert_false (o.ended);
+      assert_int_equal (o.size, 0);
+      bgap_backend_resume (f.backend, o.id);
+      support_run (f.base, &o.ended);
+      assert_int_equal (o.complete, strcmp (paths[i], "/in-body") != 0);
+    }
+  backend_fixture_stop (&f);
+}
+
+/* Guards against use of a connection that a callback has closed.  */
+static void
+test_cancel_within_a_callback (void **state)
+{
+  (void)state;
+  struct backend_fixture f;
+  struct backend_outcome o = { .cancel_in_body = true };
+  backend_fixture_start (&f, &(struct bgap_backend_desc){ 0 }, 1);
+  assert_int_equal (backend_fixture_send (&f, "/chunked", 0, &o), BGAP_OK);
+  support_run (f.base, &o.got_body);
+  support_settle (f.base);
+  assert_int_equal (o.size, 1);
+  assert_true (backend_fixture_run (&f, "/ok").complete);
+  assert_int_equal (f.server.accepted, 2);
+  backend_fixture_stop (&f);
+}
+
+static void
+_answer_post (struct support_server *server, struct bufferevent *bev,
+              const char *request)
+{
+  (void)server;
+  assert_memory_equal (request, "POST /a%2Fb?c HTTP/1.1\r\n", 24);
+  assert_non_null (strstr (request, "\r\nBgap-Token: 7\r\n"));
+  assert_non_null (strstr (request, "\r\nHost: 127.0.0.1:"));
+  assert_non_null (strstr (request, "\r\nContent-Length: 4\r\n\r\nbody"));
+  assert_null (strstr (request, "X-Private"));
+  assert_null (strstr (request, "Transfer-Encoding"));
+  assert_null (strstr (request, ": 99\r\n"));
+  bufferevent_write (bev, "HTTP/1.1 204 Done\r\n\r\n", 21);
+}
+
+/* Guards against headers of the caller's connection that change how the
+   server reads the request.  */
+static void
+test_request_is_framed_anew (void **state)
+{
+  (void)state;
+  struct backend_fixture f;
+  struct backend_outcome o = { .fixture = &f };
+  struct bgap_headers headers = { 0 };
+  backend_fixture_start (&f, &(struct bgap_backend_desc){ 0 }, 1);
+  f.server.answer = _answer_post;
+  bgap_headers_add (&headers, "Connection", "X-Private, Bgap-Token");
+  bgap_headers_add (&headers, "Bgap-Token", "7");
+  bgap_headers_add (&headers, "X-Private", "1");
+  bgap_headers_add (&headers, "Transfer-Encoding", "chunked");
+  bgap_headers_add (&headers, "content-length", "99");
+  const struct bgap_backend_request request = {
+    .method = "POST",
+    .target = "/a%2Fb?c",
+    .headers = &headers,
+    .body = "body",
+    .body_size = 4,
+    .ops = &backend_fixture_ops,
+    .user = &o,
+  };
+  assert_int_equal (bgap_backend_send (f.backend, f.id, &request, &o.id),
+                    BGAP_OK);
+  support_run (f.base, &o.ended);
+  assert_true (o.complete);
+  bgap_headers_shutdown (&headers);
+  backend_fixture_stop (&f);
+}
+
+static void
+_answer_early (struct support_server *server, struct bufferevent *bev,
+               const char *request)
+{
+  static const char answer[]
+      = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+  (void)server;
+  (void)request;
+  bufferevent_disable (bev, EV_READ);
+  bufferevent_write (bev, answer, sizeof answer - 1);
+}
+
+/* Guards against a connection that is reused although a part of the last
+   request's body is still to be sent: the server would take the next request
+   for the rest of that body.  */
+static void
+test_early_answer_ends_the_connection (void **state)
+{
+  (void)state;
+  struct backend_fixture f;
+  struct backend_outcome o = { .fixture = &f };
+  size_t size = STREAM_SIZE / 4;
+  char *body = calloc (1, size);
+  backend_fixture_start (&f, &(struct bgap_backend_desc){ 0 }, 1);
+  f.server.answer = _answer_early;
+  const struct bgap_backend_request request = {
+    .method = "POST",
+    .target = "/a",
+    .body = body,
+    .body_size = size,
+    .ops = &backend_fixture_ops,
+    .user = &o,
+  };
+  assert_int_equal (bgap_backend_send (f.backend, f.id, &request, &o.id),
+                    BGAP_OK);
+  support_run (f.base, &o.ended);
+  assert_true (o.complete);
+  free (body);
+  f.server.answer = backend_fixture_answer;
+  assert_true (backend_fixture_run (&f, "/ok").complete);
+  assert_int_equal (f.server.accepted, 2);
+  backend_fixture_stop (&f);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_paused_response_is_not_read),
+    cmocka_unit_test (test_paused_response_completes_after_resume),
+    cmocka_unit_test (test_cancel_within_a_callback),
+    cmocka_unit_test (test_request_is_framed_anew),
+    cmocka_unit_test (test_early_answer_ends_the_connection),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/programs/banyangapd/requests_services.c
+++ b/programs/banyangapd/requests_services.c
@@ -120,8 +120,7 @@
   struct bgap_requests_service *service;
   struct bgap_requests_service *next;
   HASH_ITER (hh, requests->services, service, next)
-  service->configured
-      = false;
+  service->configured = false;
   for (uint32_t i = 0; i < set->service_count; i++)
     _bgap_requests_set_service (requests, &set->services[i]);
   HASH_ITER (hh, requests->services, service, next)
