--- /dev/null
+++ b/packages/gateway/tests/frontend_fixture.h
@@ -0,0 +1,48 @@
+#ifndef BANYANGAP_GATEWAY_TESTS_FRONTEND_FIXTURE_H
+#define BANYANGAP_GATEWAY_TESTS_FRONTEND_FIXTURE_H
+
+/* Callers' server that echoes or streams, with a raw client.  */
+
+#include "banyangap/gateway/frontend.h"
+#include "support.h"
+
+#define STREAM_SIZE ((size_t)64 * 1024 * 1024)
+#define STREAM_PIECE 16384u
+
+struct frontend_fixture
+{
+  struct event_base *base;
+  struct bgap_frontend *frontend;
+  struct support_client client;
+  struct bgap_exchange_id id;
+  bool hold; /* keep the request, else echo it */
+  uint32_t requests;
+  uint32_t cancelled;
+  bool arrived;
+  bool gone;
+  bool stopped;
+  size_t sent;
+  size_t largest;
+};
+
+/* Starts a server; it echoes requests unless @hold is set.  */
+void frontend_fixture_start (struct frontend_fixture *f,
+                             const struct bgap_frontend_desc *limits);
+
+void frontend_fixture_stop (struct frontend_fixture *f);
+
+/* Waits for @text in what the client receives.  */
+void frontend_fixture_expect (struct frontend_fixture *f, const char *text);
+
+/* Sends @request on a connection of its own and wants @status.  */
+void frontend_fixture_expect_refusal (const char *request, const char *status);
+
+/* Writes pieces of the response until the frontend is full.  */
+void frontend_fixture_stream (struct frontend_fixture *f);
+
+/* Answers a request with what it was.  */
+void frontend_fixture_echo (struct frontend_fixture *f,
+                            struct bgap_exchange_id id,
+                            const struct bgap_frontend_request *request);
+
+#endif
