--- a/programs/banyangapd/requests_services.c
+++ b/programs/banyangapd/requests_services.c
@@ -18,14 +18,15 @@
   UT_hash_handle hh;
 };
 
-static enum bgap_class _bgap_requests_class (enum bgap_resource_class class)
+static enum bgap_class
+_bgap_requests_class (enum bgap_resource_class value)
 {
   static const enum bgap_class classes[] = {
     [BGAP_RESOURCE_CLASS_URGENT] = BGAP_CLASS_URGENT,
     [BGAP_RESOURCE_CLASS_NORMAL] = BGAP_CLASS_NORMAL,
     [BGAP_RESOURCE_CLASS_BULK] = BGAP_CLASS_BULK,
   };
-  return classes[class];
+  return classes[value];
 }
 
 static void
