Name file-local structs without a leading underscore

Cause: the underscore is reserved for the private function prefix _bgap_, and names such as struct _plan were used in seven files only.

--- a/packages/ownership/src/engine_plan.c
+++ b/packages/ownership/src/engine_plan.c
@@ -10,11 +10,11 @@
 #define PLAN_SPACING_MS 100
 
 /**
- * struct _plan - a view of one service and what was decided from it
+ * struct plan - a view of one service and what was decided from it
  * @targets: target of each server of the view
  * @moves: decisions of the placement
  */
-struct _plan
+struct plan
 {
   struct bgap_placement_server servers[BGAP_ENGINE_SERVERS_MAX];
   const struct bgap_target *targets[BGAP_ENGINE_SERVERS_MAX];
@@ -30,7 +30,7 @@
 
 static void
 _bgap_plan_servers (const struct bgap_engine *engine, const char *service,
-                    struct _plan *plan)
+                    struct plan *plan)
 {
   for (uint32_t i = 0; i < engine->target_count; i++)
     {
@@ -56,7 +56,7 @@
 
 static uint32_t
 _bgap_plan_server_of (const struct bgap_engine *engine,
-                      const struct _plan *plan,
+                      const struct plan *plan,
                       const struct bgap_holding *holding)
 {
   if (!holding->token && !holding->revoked)
@@ -71,7 +71,7 @@
 
 static void
 _bgap_plan_entry (const struct bgap_engine *engine,
-                  const struct bgap_service *service, struct _plan *plan,
+                  const struct bgap_service *service, struct plan *plan,
                   const struct bgap_holding *holding, uint32_t slice,
                   const struct bgap_key_entry *key)
 {
@@ -103,7 +103,7 @@
 static void
 _bgap_plan_entries (const struct bgap_engine *engine,
                     const struct bgap_service *service,
-                    const struct bgap_scope *scope, struct _plan *plan)
+                    const struct bgap_scope *scope, struct plan *plan)
 {
   bool granted = scope && scope->slice_count > 0;
   uint32_t slices = granted ? scope->slice_count : service->slices;
@@ -117,7 +117,7 @@
 
 /* Appends entry @index to @items, to the last item if it follows it.  */
 static uint32_t
-_bgap_plan_item (const struct _plan *plan, uint32_t index, const char *holder,
+_bgap_plan_item (const struct plan *plan, uint32_t index, const char *holder,
                  uint64_t incarnation, struct bgap_record_item *items,
                  uint32_t count)
 {
@@ -152,7 +152,7 @@
 /* Writes the items of a grant of ready entries, or of a revoke of entries that
    move. Moves are ordered by entry, so that ranges form.  */
 static uint32_t
-_bgap_plan_items (const struct bgap_engine *engine, const struct _plan *plan,
+_bgap_plan_items (const struct bgap_engine *engine, const struct plan *plan,
                   bool grant, struct bgap_record_item *items)
 {
   uint32_t count = 0;
@@ -188,7 +188,7 @@
 
 static bool
 _bgap_plan_propose (struct bgap_engine *engine, struct bgap_service *service,
-                    const struct bgap_scope *scope, const struct _plan *plan,
+                    const struct bgap_scope *scope, const struct plan *plan,
                     bool grant)
 {
   struct bgap_record_item *items = calloc (ITEMS_MAX, sizeof *items);
@@ -276,7 +276,7 @@
 static bool
 _bgap_engine_plan_run (struct bgap_engine *engine,
                        struct bgap_service *service,
-                       const struct bgap_scope *scope, struct _plan *plan)
+                       const struct bgap_scope *scope, struct plan *plan)
 {
   const struct bgap_placement_ops *ops = engine->desc.placement;
   uint32_t capacity
@@ -313,7 +313,7 @@
 {
   if (!_bgap_engine_plan_due (engine, service, scope))
     return false;
-  struct _plan *plan = calloc (1, sizeof *plan);
+  struct plan *plan = calloc (1, sizeof *plan);
   if (plan == NULL)
     return false;
   service->planned_ms = engine->now_ms;
--- a/packages/ownership/src/message.c
+++ b/packages/ownership/src/message.c
@@ -14,7 +14,7 @@
 /* Loads in one message: every slice and key entry.  */
 #define LOADS_MAX (BGAP_SLICES_MAX + BGAP_KEYS_MAX)
 
-enum _flags
+enum flags
 {
   FLAG_CAUGHT_UP = 1,
   FLAG_STOPPED = 2,
@@ -23,9 +23,9 @@
 };
 
 /**
- * struct _memory - lists of a parsed message
+ * struct memory - lists of a parsed message
  */
-struct _memory
+struct memory
 {
   struct bgap_pack pack;
   struct bgap_message_scope *scopes;
@@ -36,8 +36,7 @@
 
 static void
 _bgap_message_read_scopes (struct bgap_pack_list *list,
-                           struct bgap_message *message,
-                           struct _memory *memory)
+                           struct bgap_message *message, struct memory *memory)
 {
   struct bgap_pack_list items = bgap_pack_list (list, BGAP_SCOPES_MAX);
   memory->scopes = calloc (items.count + 1, sizeof *memory->scopes);
@@ -56,7 +55,7 @@
 static void
 _bgap_message_read_servers (struct bgap_pack_list *list,
                             struct bgap_message *message,
-                            struct _memory *memory)
+                            struct memory *memory)
 {
   struct bgap_pack_list items
       = bgap_pack_list (list, BGAP_MESSAGE_SERVERS_MAX);
@@ -82,7 +81,7 @@
 
 static void
 _bgap_message_read_loads (struct bgap_pack_list *list,
-                          struct bgap_message *message, struct _memory *memory)
+                          struct bgap_message *message, struct memory *memory)
 {
   struct bgap_pack_list items = bgap_pack_list (list, LOADS_MAX);
   memory->loads = calloc (items.count + 1, sizeof *memory->loads);
@@ -103,7 +102,7 @@
 static void
 _bgap_message_read_records (struct bgap_pack_list *list,
                             struct bgap_message *message,
-                            struct _memory *memory)
+                            struct memory *memory)
 {
   struct bgap_pack_list items
       = bgap_pack_list (list, BGAP_MESSAGE_RECORDS_MAX);
@@ -120,7 +119,7 @@
 
 static bool
 _bgap_message_read (struct bgap_pack_list *list, struct bgap_message *message,
-                    struct _memory *memory)
+                    struct memory *memory)
 {
   if (list->count != FIELD_COUNT)
     return false;
@@ -159,7 +158,7 @@
     return bgap_error_set (err, BGAP_ERR_PROTOCOL,
                            "a message has more than %d bytes",
                            BGAP_MESSAGE_MAX);
-  struct _memory *memory = calloc (1, sizeof *memory);
+  struct memory *memory = calloc (1, sizeof *memory);
   if (memory == NULL)
     return bgap_error_set (err, BGAP_ERR_NO_MEMORY, "out of memory");
   enum bgap_status status = bgap_pack_open (&memory->pack, bytes, size);
@@ -179,7 +178,7 @@
 void
 bgap_message_shutdown (struct bgap_message *message)
 {
-  struct _memory *memory = message->memory;
+  struct memory *memory = message->memory;
   if (memory)
     {
       free (memory->scopes);
--- a/packages/ownership/src/pack.c
+++ b/packages/ownership/src/pack.c
@@ -13,13 +13,13 @@
 }
 
 /**
- * struct _form - layout of a value
+ * struct form - layout of a value
  * @head: bytes of tag and length
  * @width: bytes of the length, at the end of @head
  * @body: bytes that follow if there is no length
  * @children: values per unit of length; 0 means that the length counts bytes
  */
-struct _form
+struct form
 {
   unsigned char tag;
   unsigned char width;
@@ -27,7 +27,7 @@
   unsigned char children;
 };
 
-static const struct _form forms[] = {
+static const struct form forms[] = {
   { 0xc4, 1, 0, 0 }, { 0xc5, 2, 0, 0 }, { 0xc6, 4, 0, 0 }, { 0xca, 0, 4, 0 },
   { 0xcb, 0, 8, 0 }, { 0xcc, 0, 1, 0 }, { 0xcd, 0, 2, 0 }, { 0xce, 0, 4, 0 },
   { 0xcf, 0, 8, 0 }, { 0xd0, 0, 1, 0 }, { 0xd1, 0, 2, 0 }, { 0xd2, 0, 4, 0 },
--- a/packages/ownership/src/placement_even.c
+++ b/packages/ownership/src/placement_even.c
@@ -7,10 +7,10 @@
 #define MOVES_MAX 64
 
 /**
- * struct _share - entries of one server
+ * struct share - entries of one server
  * @held: entries now, moves included
  */
-struct _share
+struct share
 {
   uint32_t held;
 };
@@ -18,7 +18,7 @@
 /* Server with the fewest entries per slot, or BGAP_PLACEMENT_NONE.  */
 static uint32_t
 _bgap_even_least (const struct bgap_placement_view *view,
-                  const struct _share *shares)
+                  const struct share *shares)
 {
   uint32_t best = BGAP_PLACEMENT_NONE;
   for (uint32_t i = 0; i < view->server_count; i++)
@@ -33,7 +33,7 @@
 /* Entries of a server that are more than its share, rounded up.  */
 static bool
 _bgap_even_above (const struct bgap_placement_view *view,
-                  const struct _share *shares, uint32_t server, uint32_t least)
+                  const struct share *shares, uint32_t server, uint32_t least)
 {
   const struct bgap_placement_server *from = &view->servers[server];
   const struct bgap_placement_server *to = &view->servers[least];
@@ -46,7 +46,7 @@
 /* Gives the entries without a holder to the servers in runs, so that grants
    stay short: each server gets what it lacks to its share at once.  */
 static uint32_t
-_bgap_even_fill (const struct bgap_placement_view *view, struct _share *shares,
+_bgap_even_fill (const struct bgap_placement_view *view, struct share *shares,
                  struct bgap_placement_move *moves, uint32_t capacity)
 {
   uint32_t *wanted = calloc ((size_t)view->server_count + 1, sizeof *wanted);
@@ -82,9 +82,8 @@
 
 /* Moves entries from draining servers and from those above their share.  */
 static uint32_t
-_bgap_even_level (const struct bgap_placement_view *view,
-                  struct _share *shares, struct bgap_placement_move *moves,
-                  uint32_t capacity)
+_bgap_even_level (const struct bgap_placement_view *view, struct share *shares,
+                  struct bgap_placement_move *moves, uint32_t capacity)
 {
   uint32_t count = 0;
   for (uint32_t i = 0; i < view->entry_count; i++)
@@ -111,7 +110,7 @@
                  struct bgap_placement_move *moves, uint32_t capacity)
 {
   (void)context;
-  struct _share *shares
+  struct share *shares
       = calloc ((size_t)view->server_count + 1, sizeof *shares);
   if (shares == NULL)
     return 0;
--- a/packages/ownership/src/replica_rule.c
+++ b/packages/ownership/src/replica_rule.c
@@ -58,11 +58,11 @@
 }
 
 /**
- * struct _target - entries named by the items of a record
+ * struct target - entries named by the items of a record
  * @slices: one byte per slice, set if an item names it
  * @keys: one byte per key entry
  */
-struct _target
+struct target
 {
   unsigned char *slices;
   unsigned char *keys;
@@ -73,7 +73,7 @@
 static bool
 _bgap_rule_mark (const struct bgap_scope *scope, uint32_t slice_count,
                  const struct bgap_record_item *item, bool held,
-                 struct _target *target)
+                 struct target *target)
 {
   if (item->count == 0)
     {
@@ -106,7 +106,7 @@
                         const struct bgap_record *record, bool held,
                         bool *valid)
 {
-  struct _target target
+  struct target target
       = { calloc (slice_count + 1, 1), calloc (scope->key_count + 1, 1) };
   bool memory = target.slices && target.keys;
   *valid = memory;
--- a/packages/ownership/tests/fuzz/oracle_fingerprint.c
+++ b/packages/ownership/tests/fuzz/oracle_fingerprint.c
@@ -8,9 +8,9 @@
 #include "oracle_model.h"
 
 /**
- * struct _part - one part of a state; hashed with all its bytes
+ * struct part - one part of a state; hashed with all its bytes
  */
-struct _part
+struct part
 {
   uint64_t numbers[6];
   char names[2][BGAP_MODEL_NAME];
@@ -20,7 +20,7 @@
 _bgap_model_hash_entry (const char *scope, const char *hex, uint64_t slice,
                         const struct bgap_model_entry *entry)
 {
-  struct _part part = { .numbers = { 0 } };
+  struct part part = { .numbers = { 0 } };
   if (hex == NULL && entry->token == 0 && entry->revoked == 0)
     return 0;
   part.numbers[0] = hex ? bgap_hash64 (hex, strlen (hex)) : slice;
@@ -39,7 +39,7 @@
 static uint64_t
 _bgap_model_hash_scope (const char *name, uint64_t basis, uint32_t slice_count)
 {
-  struct _part part = { .numbers = { 3, basis, slice_count } };
+  struct part part = { .numbers = { 3, basis, slice_count } };
   snprintf (part.names[0], sizeof part.names[0], "%s", name);
   return bgap_hash64 (&part, sizeof part);
 }
@@ -47,7 +47,7 @@
 static uint64_t
 _bgap_model_hash_member (uint64_t offset, uint32_t count, const char *name)
 {
-  struct _part part = { .numbers = { 4, offset, count } };
+  struct part part = { .numbers = { 4, offset, count } };
   snprintf (part.names[0], sizeof part.names[0], "%s", name);
   return bgap_hash64 (&part, sizeof part);
 }
--- a/packages/ownership/tests/sim.c
+++ b/packages/ownership/tests/sim.c
@@ -15,7 +15,7 @@
 #define LATE_MS 3000
 #define REPEAT_PERCENT 3
 
-enum _kind
+enum kind
 {
   EVENT_PEER,
   EVENT_HELLO,
@@ -30,7 +30,7 @@
 {
   struct sim_event *next;
   int64_t at_ms;
-  enum _kind kind;
+  enum kind kind;
   uint32_t from;
   uint32_t to;
   uint64_t id;
@@ -46,7 +46,7 @@
 }
 
 static void
-_post (struct sim *sim, enum _kind kind, uint32_t from, uint32_t to,
+_post (struct sim *sim, enum kind kind, uint32_t from, uint32_t to,
        int64_t delay_ms, uint64_t id, bool ok, const void *data, size_t size)
 {
   struct sim_event *event = calloc (1, sizeof *event);
@@ -80,7 +80,7 @@
 /* Sends a message between processes. While messages are dropped, some arrive a
    second time, up to LATE_MS later.  */
 static void
-_send (struct sim *sim, enum _kind kind, uint32_t from, uint32_t to,
+_send (struct sim *sim, enum kind kind, uint32_t from, uint32_t to,
        const void *data, size_t size)
 {
   if (!_dropped (sim))
