--- a/programs/banyangapd/upstreams.c
+++ b/programs/banyangapd/upstreams.c
@@ -223,9 +223,7 @@
 {
   struct bgap_upstream *upstream;
   struct bgap_upstream *next;
-  for (upstream = upstreams->table; upstream != NULL;
-       upstream = upstream->hh.next)
-    upstream->stale = true;
+  HASH_ITER (hh, upstreams->table, upstream, next) upstream->stale = true;
   for (uint32_t i = 0; i < set->servers_count; i++)
     _bgap_upstreams_sync_servers (upstreams, set, &set->servers[i]);
   HASH_ITER (hh, upstreams->table, upstream, next)
