Look up the owner of an operator's command in one place

Cause: get, faults and watch each picked the owner, and two of them built the same request; the daemon kept a field that nothing read. Ruled out: joining the setups of the log and host list clients, which share shape but differ in every option. Result: bgap_ctl_owner and bgap_ctl_get_owned; messages and exit statuses are the same (get and faults without an owner still exit with 2). Lint of programs/ is clean, the process tests of the tool, the operators and the path pass.

--- a/programs/banyangapctl/command_config.c
+++ b/programs/banyangapctl/command_config.c
@@ -128,16 +128,10 @@
 enum bgap_ctl_exit
 bgap_ctl_get_command (const struct bgap_ctl_options *options)
 {
-  const char *owner
-      = options->arg_count > 0 ? options->args[0] : options->owner;
-  if (owner == NULL)
-    return bgap_ctl_usage ("get needs an owner");
-  struct bgap_buffer path = { 0 };
-  bgap_buffer_printf (&path, "/config?owner=");
-  bgap_ctl_encode (&path, owner);
+  const char *owner = bgap_ctl_owner (options);
   json_t *json;
-  const enum bgap_ctl_exit status = bgap_ctl_get (options, path.data, &json);
-  bgap_buffer_shutdown (&path);
+  const enum bgap_ctl_exit status
+      = bgap_ctl_get_owned (options, "get", "/config", &json);
   if (status != BGAP_CTL_OK)
     return status;
   if (options->json)
--- a/programs/banyangapctl/command_state.c
+++ b/programs/banyangapctl/command_state.c
@@ -95,16 +95,9 @@
 enum bgap_ctl_exit
 bgap_ctl_faults (const struct bgap_ctl_options *options)
 {
-  const char *owner
-      = options->arg_count > 0 ? options->args[0] : options->owner;
-  if (owner == NULL)
-    return bgap_ctl_usage ("faults needs an owner");
-  struct bgap_buffer path = { 0 };
-  bgap_buffer_printf (&path, "/faults?owner=");
-  bgap_ctl_encode (&path, owner);
   json_t *json;
-  const enum bgap_ctl_exit status = bgap_ctl_get (options, path.data, &json);
-  bgap_buffer_shutdown (&path);
+  const enum bgap_ctl_exit status
+      = bgap_ctl_get_owned (options, "faults", "/faults", &json);
   if (status != BGAP_CTL_OK)
     return status;
   if (options->json)
--- a/programs/banyangapctl/command_watch.c
+++ b/programs/banyangapctl/command_watch.c
@@ -251,7 +251,7 @@
 bgap_ctl_watch (const struct bgap_ctl_options *options)
 {
   struct bgap_ctl_watch watch = {
-    .owner = options->arg_count > 0 ? options->args[0] : options->owner,
+    .owner = bgap_ctl_owner (options),
     .from = options->from,
   };
   if (watch.owner == NULL)
--- a/programs/banyangapctl/http.c
+++ b/programs/banyangapctl/http.c
@@ -1,4 +1,5 @@
 #include "http.h"
+#include "output.h"
 
 #include <event2/buffer.h>
 #include <event2/event.h>
@@ -179,3 +180,29 @@
   bgap_buffer_printf (path, "%s", encoded ? encoded : "");
   free (encoded);
 }
+
+const char *
+bgap_ctl_owner (const struct bgap_ctl_options *options)
+{
+  return options->arg_count > 0 ? options->args[0] : options->owner;
+}
+
+enum bgap_ctl_exit
+bgap_ctl_get_owned (const struct bgap_ctl_options *options,
+                    const char *command, const char *path, json_t **json)
+{
+  const char *owner = bgap_ctl_owner (options);
+  struct bgap_buffer text = { 0 };
+  if (owner == NULL)
+    {
+      bgap_buffer_printf (&text, "%s needs an owner", command);
+      const enum bgap_ctl_exit usage = bgap_ctl_usage (text.data);
+      bgap_buffer_shutdown (&text);
+      return usage;
+    }
+  bgap_buffer_printf (&text, "%s?owner=", path);
+  bgap_ctl_encode (&text, owner);
+  const enum bgap_ctl_exit status = bgap_ctl_get (options, text.data, json);
+  bgap_buffer_shutdown (&text);
+  return status;
+}
--- a/programs/banyangapctl/http.h
+++ b/programs/banyangapctl/http.h
@@ -49,6 +49,22 @@
 enum bgap_ctl_exit bgap_ctl_get (const struct bgap_ctl_options *options,
                                  const char *path, json_t **json);
 
+/**
+ * bgap_ctl_owner() - owner that a command is about, from its argument or the
+ * option; NULL if neither is given
+ */
+const char *bgap_ctl_owner (const struct bgap_ctl_options *options);
+
+/**
+ * bgap_ctl_get_owned() - GET @path of the command's owner
+ * @command: name of the command, for the message when no owner is given
+ *
+ * Return: as above, or BGAP_CTL_USAGE.
+ */
+enum bgap_ctl_exit bgap_ctl_get_owned (const struct bgap_ctl_options *options,
+                                       const char *command, const char *path,
+                                       json_t **json);
+
 /**
  * bgap_ctl_refused() - print the error of an answer and release it
  *
--- a/programs/banyangapd/requests.c
+++ b/programs/banyangapd/requests.c
@@ -333,7 +333,6 @@
 void
 bgap_requests_stop (struct bgap_requests *requests)
 {
-  requests->stopping = true;
   bgap_frontend_stop (requests->frontend);
 }
 
--- a/programs/banyangapd/requests_private.h
+++ b/programs/banyangapd/requests_private.h
@@ -87,7 +87,6 @@
   uint64_t request_prefix;
   bool running_actions;
   bool frontend_stopped;
-  bool stopping;
 };
 
 /**
