--- /dev/null
+++ b/programs/banyangapd/edge_servers.c
@@ -0,0 +1,396 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge_private.h"
+#include "now.h"
+
+/* Time from one read of the registrations to the next. Servers register every
+   second or so, so that a read that waits would return at once. A server that
+   leaves gets nothing new after this time and the way of a request.  */
+#define REGISTRATIONS_PAUSE_MS 1050
+
+/* Connections that an instance opens to a server at least.  */
+#define CONNECTIONS_MIN 4u
+
+/* Refused connections after an attempt broke that show that the process has
+   ended.  */
+#define CLOSED_MAX 2u
+
+/* They count if they come so soon after it.  */
+#define CLOSED_WINDOW_MS 3000
+
+static struct bgap_event_kind event_server
+    = { .name = "server", .burst = 1000 };
+static struct bgap_event_kind event_bad_server = { .name = "server-skipped" };
+
+struct bgap_edge_server *
+bgap_edge_server (const struct bgap_edge *edge, struct bgap_server_id id)
+{
+  struct bgap_edge_server *server;
+  HASH_FIND (hh, edge->servers, &id.id, sizeof id.id, server);
+  return server;
+}
+
+struct bgap_edge_server *
+bgap_edge_server_named (const struct bgap_edge *edge,
+                        const struct bgap_edge_service *service,
+                        const char *id)
+{
+  return bgap_edge_server (
+      edge, bgap_router_find_server (&edge->router, service->id, id));
+}
+
+/* Limits.  */
+
+static uint32_t
+_bgap_servers_connections (const struct bgap_edge *edge,
+                           const struct bgap_edge_service *service)
+{
+  const struct bgap_routed_service *routed
+      = edge->table != NULL
+            ? bgap_route_table_service (edge->table, service->name)
+            : NULL;
+  uint32_t instances = bgap_membership_count (edge->membership);
+  uint32_t all = routed != NULL ? routed->connections_max : CONNECTIONS_MIN;
+  uint32_t share
+      = all > BGAP_EDGE_ORDER_CONNECTIONS
+            ? (all - BGAP_EDGE_ORDER_CONNECTIONS) / (instances + 1)
+            : 1;
+  return share > CONNECTIONS_MIN ? share : CONNECTIONS_MIN;
+}
+
+static void
+_bgap_servers_set_router (struct bgap_edge *edge,
+                          struct bgap_edge_service *service,
+                          const struct bgap_server_entry *entry,
+                          struct bgap_server_id *id)
+{
+  struct bgap_error err = { 0 };
+  const struct bgap_server_desc desc = {
+    .name = entry->id,
+    .zone = entry->zone,
+    .slots = entry->slots,
+    .connections = _bgap_servers_connections (edge, service),
+    .entry_hosts_max = 1,
+    .in_place = true,
+    .cold_ms = entry->cold_ms,
+  };
+  if (bgap_router_set_server (&edge->router, bgap_now_ms (), service->id,
+                              &desc, id, &err)
+      != BGAP_OK)
+    bgap_event (&event_bad_server, "server=%s reason=\"%s\"", entry->id,
+                err.message);
+}
+
+/* Adding and removing.  */
+
+static bool
+_bgap_servers_open (struct bgap_edge *edge, struct bgap_edge_server *server,
+                    const struct bgap_server_entry *entry)
+{
+  struct bgap_error err = { 0 };
+  uint32_t connections = _bgap_servers_connections (edge, server->service);
+  if (bgap_backend_add_server (edge->backend, entry->address, connections,
+                               &server->requests, &err)
+      != BGAP_OK)
+    {
+      bgap_event (&event_bad_server, "server=%s reason=\"%s\"", entry->id,
+                  err.message);
+      return false;
+    }
+  if (bgap_backend_add_server (edge->backend, entry->address,
+                               BGAP_EDGE_ORDER_CONNECTIONS, &server->orders,
+                               &err)
+      != BGAP_OK)
+    {
+      bgap_backend_remove_server (edge->backend, server->requests);
+      bgap_event (&event_bad_server, "server=%s reason=\"%s\"", entry->id,
+                  err.message);
+      return false;
+    }
+  return true;
+}
+
+static void
+_bgap_servers_add (struct bgap_edge *edge, struct bgap_known_server *known)
+{
+  struct bgap_edge_service *service
+      = bgap_edge_service (edge, known->entry.service);
+  if (service == NULL || known->user != NULL)
+    return;
+  struct bgap_edge_server *server = calloc (1, sizeof *server);
+  if (server == NULL)
+    return;
+  server->known = known;
+  server->service = service;
+  server->lost_sequence = -1;
+  snprintf (server->id, sizeof server->id, "%s", known->entry.id);
+  if (!_bgap_servers_open (edge, server, &known->entry))
+    {
+      free (server);
+      return;
+    }
+  _bgap_servers_set_router (edge, service, &known->entry, &server->router_id);
+  if (server->router_id.id == BGAP_INVALID_ID)
+    {
+      bgap_backend_remove_server (edge->backend, server->requests);
+      bgap_backend_remove_server (edge->backend, server->orders);
+      free (server);
+      return;
+    }
+  /* One that was removed and still has attempts keeps its handle.  */
+  struct bgap_edge_server *old = bgap_edge_server (edge, server->router_id);
+  if (old != NULL)
+    HASH_DEL (edge->servers, old);
+  if (old != NULL)
+    old->router_id.id = BGAP_INVALID_ID;
+  HASH_ADD (hh, edge->servers, router_id.id, sizeof server->router_id.id,
+            server);
+  known->user = server;
+  bgap_router_server_alive (&edge->router, bgap_now_ms (), server->router_id,
+                            (uint64_t)known->entry.born_ms);
+  if (service->granter != NULL)
+    bgap_edge_set_granter_server (edge, service, &known->entry);
+}
+
+static void
+_bgap_servers_free (struct bgap_edge *edge, struct bgap_edge_server *server)
+{
+  if (server->router_id.id != BGAP_INVALID_ID)
+    HASH_DEL (edge->servers, server);
+  bgap_backend_remove_server (edge->backend, server->requests);
+  bgap_backend_remove_server (edge->backend, server->orders);
+  free (server);
+}
+
+void
+bgap_edge_call_ended (struct bgap_edge *edge, struct bgap_edge_server *server)
+{
+  server->calls--;
+  if (server->calls == 0 && server->known == NULL)
+    _bgap_servers_free (edge, server);
+}
+
+static void
+_bgap_servers_remove (struct bgap_edge *edge, struct bgap_edge_server *server)
+{
+  if (server->service->granter != NULL)
+    bgap_granter_remove_server (server->service->granter, bgap_now_ms (),
+                                server->id);
+  server->known = NULL;
+  server->calls++;
+  bgap_router_remove_server (&edge->router, bgap_now_ms (),
+                             server->router_id);
+  bgap_edge_run_actions (edge);
+  bgap_edge_call_ended (edge, server);
+}
+
+void
+bgap_edge_adopt_servers (struct bgap_edge *edge)
+{
+  for (struct bgap_known_server *known = bgap_server_view_first (edge->view);
+       known != NULL; known = known->hh.next)
+    {
+      struct bgap_edge_server *server = known->user;
+      if (server == NULL)
+        {
+          _bgap_servers_add (edge, known);
+          continue;
+        }
+      uint32_t connections
+          = _bgap_servers_connections (edge, server->service);
+      bgap_backend_set_limit (edge->backend, server->requests, connections);
+      _bgap_servers_set_router (edge, server->service, &known->entry,
+                                &server->router_id);
+    }
+}
+
+/* Signs of life.  */
+
+void
+bgap_edge_server_failed (struct bgap_edge *edge,
+                         struct bgap_edge_server *server, bool closed)
+{
+  int64_t now_ms = bgap_now_ms ();
+  if (server->known == NULL)
+    return;
+  if (server->service->granter != NULL)
+    bgap_granter_suspect (server->service->granter, now_ms, server->id);
+  if (!closed)
+    {
+      server->broken_ms = now_ms;
+      return;
+    }
+  server->closed++;
+  if (server->closed < CLOSED_MAX || server->broken_ms == 0
+      || now_ms - server->broken_ms > CLOSED_WINDOW_MS
+      || server->lost_sequence >= 0)
+    return;
+  server->lost_sequence = server->known->entry.sequence;
+  bgap_event (&event_server,
+              "server=%s service=%s change=ended reason=\"no listener after a "
+              "broken attempt\" refused=%u",
+              server->id, server->service->name, server->closed);
+  bgap_router_server_lost (&edge->router, now_ms, server->router_id);
+}
+
+/* A server that was taken for dead and goes on registering is alive.  */
+static void
+_bgap_servers_revive (struct bgap_edge *edge, struct bgap_edge_server *server)
+{
+  const struct bgap_server_entry *entry = &server->known->entry;
+  if (server->lost_sequence < 0 || entry->sequence <= server->lost_sequence + 1)
+    return;
+  server->lost_sequence = -1;
+  server->closed = 0;
+  bgap_event (&event_server, "server=%s service=%s change=back", server->id,
+              server->service->name);
+  bgap_router_server_alive (&edge->router, bgap_now_ms (), server->router_id,
+                            (uint64_t)entry->born_ms);
+}
+
+/* The view.  */
+
+static void
+_bgap_servers_on_change (void *context, struct bgap_known_server *known,
+                         enum bgap_server_change change)
+{
+  struct bgap_edge *edge = context;
+  const struct bgap_server_entry *entry = &known->entry;
+  int64_t now_ms = bgap_now_ms ();
+  bgap_event (&event_server,
+              "server=%s service=%s change=%s zone=%s slots=%u born=%lld "
+              "sequence=%lld software=%s",
+              entry->id, entry->service, bgap_server_change_name (change),
+              entry->zone, entry->slots, (long long)entry->born_ms,
+              (long long)entry->sequence, entry->software);
+  if (change == BGAP_SERVER_ADDED)
+    _bgap_servers_add (edge, known);
+  struct bgap_edge_server *server = known->user;
+  if (server == NULL)
+    return;
+  if (change == BGAP_SERVER_GONE)
+    {
+      _bgap_servers_remove (edge, server);
+      return;
+    }
+  if (change == BGAP_SERVER_REBORN)
+    {
+      server->lost_sequence = -1;
+      server->closed = 0;
+      server->broken_ms = 0;
+      bgap_router_server_alive (&edge->router, now_ms, server->router_id,
+                                (uint64_t)entry->born_ms);
+    }
+  if (change == BGAP_SERVER_CHANGED || change == BGAP_SERVER_REBORN)
+    _bgap_servers_set_router (edge, server->service, entry,
+                              &server->router_id);
+  bgap_router_server_drain (&edge->router, now_ms, server->router_id,
+                            BGAP_DRAIN_HOST_LIST, entry->draining);
+}
+
+/* Registrations.  */
+
+static void
+_bgap_servers_on_record (void *context,
+                         const struct bgap_store_record *record)
+{
+  struct bgap_edge *edge = context;
+  struct bgap_error err = { 0 };
+  struct bgap_server_entry entry;
+  int64_t now_ms = bgap_now_ms ();
+  if (record->removed)
+    {
+      bgap_server_view_remove (edge->view, now_ms, record->key);
+      return;
+    }
+  if (edge->desc.wire->decode_server (record->key, record->value, record->size,
+                                      &entry, &err)
+      != BGAP_OK)
+    {
+      bgap_event (&event_bad_server, "server=%.64s offset=%llu reason=\"%s\"",
+                  record->key, (unsigned long long)record->offset,
+                  err.message);
+      return;
+    }
+  bgap_server_view_put (edge->view, now_ms, &entry);
+  const struct bgap_known_server *known
+      = bgap_server_view_find (edge->view, entry.id);
+  if (known == NULL || known->user == NULL)
+    return;
+  struct bgap_edge_server *server = known->user;
+  _bgap_servers_revive (edge, server);
+  if (server->service->granter != NULL)
+    bgap_edge_set_granter_server (edge, server->service, &known->entry);
+}
+
+static void
+_bgap_servers_on_load (void *context)
+{
+  struct bgap_edge *edge = context;
+  bgap_server_view_begin_load (edge->view);
+}
+
+static void
+_bgap_servers_on_loaded (void *context)
+{
+  struct bgap_edge *edge = context;
+  bgap_server_view_end_load (edge->view, bgap_now_ms ());
+  bgap_edge_apply_limits (edge);
+}
+
+static void
+_bgap_servers_on_contact (void *context, int64_t sent_ms)
+{
+  struct bgap_edge *edge = context;
+  edge->servers_ms = sent_ms;
+  bgap_server_view_tick (edge->view, bgap_now_ms ());
+  bgap_edge_contact (edge);
+  bgap_edge_run_actions (edge);
+}
+
+static void
+_bgap_servers_on_trouble (void *context, enum bgap_store_outcome outcome,
+                          const char *message)
+{
+  struct bgap_edge *edge = context;
+  bgap_server_view_trouble (edge->view, bgap_now_ms ());
+  bgap_edge_trouble (edge, edge->desc.topics.servers, outcome, message);
+}
+
+enum bgap_status
+bgap_edge_follow_servers (struct bgap_edge *edge, struct bgap_error *err)
+{
+  edge->view = bgap_server_view_new (&(struct bgap_server_view_ops){
+      .changed = _bgap_servers_on_change, .context = edge });
+  if (edge->view == NULL)
+    return bgap_error_set (err, BGAP_ERR_NO_MEMORY, "out of memory");
+  return bgap_follower_setup (
+      &edge->registrations,
+      &(struct bgap_follower_desc){
+          .base = edge->base,
+          .store = edge->desc.store,
+          .topic = edge->desc.topics.servers,
+          .pause_ms = REGISTRATIONS_PAUSE_MS,
+          .ops = { .load = _bgap_servers_on_load,
+                   .record = _bgap_servers_on_record,
+                   .loaded = _bgap_servers_on_loaded,
+                   .contact = _bgap_servers_on_contact,
+                   .trouble = _bgap_servers_on_trouble,
+                   .context = edge } },
+      err);
+}
+
+void
+bgap_edge_free_servers (struct bgap_edge *edge)
+{
+  struct bgap_edge_server *server;
+  struct bgap_edge_server *next;
+  HASH_ITER (hh, edge->servers, server, next)
+  {
+    HASH_DEL (edge->servers, server);
+    free (server);
+  }
+  bgap_server_view_free (edge->view);
+}
--- a/programs/banyangapd/main.c
+++ b/programs/banyangapd/main.c
@@ -6,21 +6,18 @@
 #include "banyangap/base/buffer.h"
 #include "banyangap/base/log.h"
 #include "daemon.h"
+#include "main_platform.h"
 
 /* Largest settings file in bytes.  */
 #define SETTINGS_MAX ((size_t)256 * 1024)
 
-/* Exit codes.  */
-#define EXIT_FINDINGS 1
-#define EXIT_USAGE 2
-#define EXIT_SETUP 3
-
 const char *argp_program_version = "banyangapd " BGAP_VERSION;
 
 struct arguments
 {
   const char *settings;
   int check;
+  int platform;
 };
 
 /* The signature is argp's.  */
@@ -37,6 +34,9 @@
     case 'c':
       arguments->check = 1;
       return 0;
+    case 'p':
+      arguments->platform = 1;
+      return 0;
     case ARGP_KEY_END:
       if (arguments->settings == NULL)
         argp_error (state, "option --settings is required");
@@ -51,6 +51,9 @@
   { .name = "check",
     .key = 'c',
     .doc = "Check the settings, print all findings and exit" },
+  { .name = "platform",
+    .key = 'p',
+    .doc = "The settings are the platform's; its store keeps everything" },
   { 0 },
 };
 
@@ -63,8 +66,8 @@
          "usage, 3 an address cannot be opened.",
 };
 
-static enum bgap_status
-_bgap_main_read (const char *path, struct bgap_buffer *text)
+enum bgap_status
+bgap_main_read (const char *path, struct bgap_buffer *text)
 {
   char block[4096];
   size_t size = 0;
@@ -84,7 +87,7 @@
   struct bgap_buffer text = { 0 };
   struct bgap_findings findings = { 0 };
   struct bgap_buffer report = { 0 };
-  enum bgap_status status = _bgap_main_read (path, &text);
+  enum bgap_status status = bgap_main_read (path, &text);
   if (status != BGAP_OK)
     {
       fprintf (stderr, "banyangapd: cannot read \"%s\": %s\n", path,
@@ -134,6 +137,8 @@
   struct bgap_settings settings = { 0 };
   argp_err_exit_status = EXIT_USAGE;
   argp_parse (&argp, argc, argv, 0, NULL, &arguments);
+  if (arguments.platform)
+    return bgap_main_platform (arguments.settings, arguments.check != 0);
   int code = _bgap_main_settings (arguments.settings, &settings);
   if (code != 0 || arguments.check)
     return code;
--- /dev/null
+++ b/programs/banyangapd/main_platform.h
@@ -0,0 +1,35 @@
+#ifndef BGAPD_MAIN_PLATFORM_H
+#define BGAPD_MAIN_PLATFORM_H
+
+/*
+ * Runs an instance on the users' platform, behind the same command line.
+ *
+ *   exit (bgap_main_platform ("/etc/banyangap/boot.yaml", false));
+ */
+
+#include <stdbool.h>
+
+#include "banyangap/base/buffer.h"
+
+/* Exit codes.  */
+#define EXIT_FINDINGS 1
+#define EXIT_USAGE 2
+#define EXIT_SETUP 3
+
+/**
+ * bgap_main_read() - read a settings file
+ *
+ * Return: BGAP_OK, BGAP_ERR_NOT_FOUND or BGAP_ERR_FULL.
+ */
+enum bgap_status bgap_main_read (const char *path, struct bgap_buffer *text);
+
+/**
+ * bgap_main_platform() - serve until told to stop
+ * @settings: path of the platform's settings file
+ * @check: only check the settings
+ *
+ * Return: an exit code.
+ */
+int bgap_main_platform (const char *settings, bool check);
+
+#endif
--- a/programs/banyangapd/members.h
+++ b/programs/banyangapd/members.h
@@ -17,7 +17,7 @@
 #include <stdint.h>
 
 #include "banyangap/peer/peer.h"
-#include "banyangap/platform/host_list.h"
+#include "banyangap/logservice/host_list.h"
 #include "banyangap/resource/settings.h"
 
 /* Size of names and addresses in bytes, terminating zero included.  */
--- a/programs/banyangapd/tail.h
+++ b/programs/banyangapd/tail.h
@@ -14,7 +14,7 @@
 #include <event2/event.h>
 #include <stdbool.h>
 
-#include "banyangap/platform/log_service.h"
+#include "banyangap/logservice/log_service.h"
 
 /**
  * struct bgap_tail_ops - user of a tail
