--- a/packages/keyrange/src/granter_plan.c
+++ b/packages/keyrange/src/granter_plan.c
@@ -7,6 +7,9 @@
    after this time.  */
 #define PROPOSAL_TIMEOUT_MS 1500
 
+/* Pieces that are moved at a time to even out the load.  */
+#define MOVES_MAX 6
+
 /* Pause after a proposal that was refused, so that what stands in its way can
    be read first.  */
 #define PROPOSAL_RETRY_MS 30
@@ -208,7 +211,11 @@
       && _bgap_plan_is_calm (g))
     {
       g->balanced_ms = now_ms;
-      changed = bgap_balance_move (g, now_ms, &g->proposal, g->proposal.fence);
+      for (int i = 0; i < MOVES_MAX
+                      && bgap_balance_move (g, now_ms, &g->proposal,
+                                            g->proposal.fence);
+           i++)
+        changed = true;
     }
   /* A proposal without a response is settled by the next record, whatever it
      says.  */
--- a/packages/registry/include/banyangap/registry/instance_settings.h
+++ b/packages/registry/include/banyangap/registry/instance_settings.h
@@ -18,6 +18,7 @@
  * @callers_address: listens for callers
  * @ready_address: answers whether callers may be sent here
  * @operators_address: serves metrics and dumps; "" for none
+ * @peers_address: listens for other instances
  * @store_address: of the store
  * @memory_mb: limit of the process, in MB
  * @heartbeat_ms: how often servers register
@@ -36,6 +37,7 @@
   char callers_address[BGAP_INSTANCE_ADDRESS_SIZE];
   char ready_address[BGAP_INSTANCE_ADDRESS_SIZE];
   char operators_address[BGAP_INSTANCE_ADDRESS_SIZE];
+  char peers_address[BGAP_INSTANCE_ADDRESS_SIZE];
   char store_address[BGAP_INSTANCE_ADDRESS_SIZE];
   uint32_t memory_mb;
   int64_t heartbeat_ms;
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -238,6 +238,7 @@
       bgap_event_log_flush ();
     }
   bgap_edge_update_candidates (edge);
+  bgap_edge_report_keys (edge, now_ms);
   if (edge->stopping_ms != 0)
     _bgap_edge_check_stop (edge, now_ms);
   bgap_edge_run_actions (edge);
@@ -306,7 +307,7 @@
       &(struct bgap_membership_desc){ .base = edge->base,
                                       .store = edge->desc.store,
                                       .group = GROUP,
-                                      .member = edge->settings.name,
+                                      .member = edge->member,
                                       .ttl_ms = MEMBER_TTL_MS,
                                       .interval_ms = MEMBER_INTERVAL_MS,
                                       .ops = { .changed
@@ -333,6 +334,15 @@
   edge->settings = *desc->settings;
   edge->base = desc->base;
   edge->life = bgap_random_seed () | 1;
+  int size = snprintf (edge->member, sizeof edge->member, "%s@%s",
+                       edge->settings.name, edge->settings.peers_address);
+  if (size >= (int)sizeof edge->member)
+    {
+      free (edge);
+      return bgap_error_set (err, BGAP_ERR_INVALID,
+                             "the name \"%s\" is too long",
+                             desc->settings->name);
+    }
   enum bgap_status status = bgap_counters_setup (
       &edge->counters, &(struct bgap_counters_desc){ .capacity = 64 });
   if (status == BGAP_OK)
@@ -341,6 +351,8 @@
     status = _bgap_edge_open_traffic (edge, err);
   if (status == BGAP_OK)
     status = bgap_edge_open_reports (edge, err);
+  if (status == BGAP_OK)
+    status = bgap_edge_open_peers (edge, err);
   if (status == BGAP_OK)
     status = _bgap_edge_open_store (edge, err);
   *out = edge;
@@ -368,6 +380,7 @@
   bgap_follower_shutdown (edge->registrations);
   bgap_follower_shutdown (edge->own);
   bgap_membership_shutdown (edge->membership);
+  bgap_peer_shutdown (edge->peer);
   bgap_admin_shutdown (edge->ready);
   bgap_admin_shutdown (edge->operators);
   bgap_edge_free_exchanges (edge);
--- a/programs/banyangapd/edge_config.c
+++ b/programs/banyangapd/edge_config.c
@@ -105,7 +105,7 @@
   if (routed->keyed
       && bgap_granter_setup (
              &service->granter,
-             &(struct bgap_granter_desc){ .instance = edge->settings.name,
+             &(struct bgap_granter_desc){ .instance = edge->member,
                                           .life = edge->life },
              &err)
              != BGAP_OK)
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -456,7 +456,7 @@
         continue;
       const char *granter
           = bgap_granter_assignment (service->granter)->granter;
-      bool is_own = strcmp (granter, edge->settings.name) == 0
+      bool is_own = strcmp (granter, edge->member) == 0
                     && !bgap_granter_is_active (service->granter);
       bool missing = granter[0] != '\0'
                      && (is_own
--- a/programs/banyangapd/edge_private.h
+++ b/programs/banyangapd/edge_private.h
@@ -8,6 +8,7 @@
  *   edge_config.c    configuration -> services of the router
  *   edge_servers.c   registrations -> servers of the router, their connections
  *   edge_keys.c      assignment of keys: records, grants, candidates
+ *   edge_peers.c     counts of requests for keys -> granter
  *   edge_request.c   callers' requests -> router
  *   edge_attempt.c   attempts: router -> servers, and their responses
  *   edge_report.c    metrics and dumps
@@ -20,6 +21,7 @@
 #include "banyangap/gateway/backend.h"
 #include "banyangap/gateway/frontend.h"
 #include "banyangap/keyrange/granter.h"
+#include "banyangap/peer/peer.h"
 #include "banyangap/routing/balancer.h"
 #include "banyangap/routing/router.h"
 #include "banyangap/store/follower.h"
@@ -32,16 +34,31 @@
 
 struct bgap_edge;
 
+/* Keys of requests that are reported at a time at most.  */
+#define BGAP_EDGE_KEYS_MAX 1024
+
+/**
+ * struct bgap_edge_key_sample - keys of requests since the last report
+ * @seen: requests; beyond the table a key replaces an earlier one
+ */
+struct bgap_edge_key_sample
+{
+  uint32_t seen;
+  uint32_t count;
+  uint16_t keys[BGAP_EDGE_KEYS_MAX];
+};
+
 /**
  * struct bgap_edge_service - a service in the router
  * @granter: engine that divides its keys, NULL for other services
+ * @sample: keys of recent requests, for the granter
  */
 struct bgap_edge_service
 {
   char name[BGAP_REGISTRY_NAME_SIZE];
   struct bgap_service_id id;
   struct bgap_granter *granter;
-  bool configured;
+  struct bgap_edge_key_sample sample;
   struct bgap_edge_metrics metrics;
   UT_hash_handle hh;
 };
@@ -108,6 +125,7 @@
 
 /**
  * struct bgap_edge - the instance
+ * @member: name and address for other instances, "<name>@<address>"
  * @table: configuration in force, NULL if there is none yet
  * @servers: by handle in the router
  * @stopping_ms: when the order to stop came, 0 for never
@@ -116,6 +134,7 @@
 {
   struct bgap_edge_desc desc;
   struct bgap_instance_settings settings;
+  char member[BGAP_KEYRANGE_NAME_SIZE];
   struct event_base *base;
   struct bgap_route_table *table;
   struct bgap_server_view *view;
@@ -129,6 +148,7 @@
   struct bgap_follower *registrations;
   struct bgap_follower *own;
   struct bgap_membership *membership;
+  struct bgap_peer *peer;
   struct bgap_edge_service *services;
   struct bgap_edge_server *servers;
   struct bgap_edge_exchange *exchanges;
@@ -139,6 +159,7 @@
   bool store_trouble;
   int64_t store_trouble_ms;
   int64_t granter_missing_ms;
+  int64_t reported_ms;
   int64_t config_ms;
   int64_t servers_ms;
   int64_t housekeeping_ms;
@@ -240,6 +261,22 @@
 void bgap_edge_share_news (struct bgap_edge *edge,
                            const struct bgap_router_action *action);
 
+/* edge_peers.c */
+enum bgap_status bgap_edge_open_peers (struct bgap_edge *edge,
+                                       struct bgap_error *err);
+
+/**
+ * bgap_edge_count_key() - a request for a key
+ */
+void bgap_edge_count_key (struct bgap_edge *edge,
+                          struct bgap_edge_service *service, uint32_t key);
+
+/**
+ * bgap_edge_report_keys() - tell the granters about recent requests, if it is
+ * time
+ */
+void bgap_edge_report_keys (struct bgap_edge *edge, int64_t now_ms);
+
 /* edge_request.c */
 void bgap_edge_on_request (void *context, struct bgap_exchange_id id,
                            const struct bgap_frontend_request *request);
--- a/programs/banyangapd/edge_request.c
+++ b/programs/banyangapd/edge_request.c
@@ -94,8 +94,7 @@
   };
   if (exchange->service->granter != NULL)
     {
-      bgap_granter_count_request (exchange->service->granter,
-                                  exchange->wire.key);
+      bgap_edge_count_key (edge, exchange->service, exchange->wire.key);
       desc.holder = bgap_edge_holder (edge, exchange->service,
                                       exchange->wire.key, &desc.token);
     }
