--- a/packages/keyrange/src/assignment_codec.c
+++ b/packages/keyrange/src/assignment_codec.c
@@ -87,7 +87,7 @@
                            count);
   for (size_t i = 0; i < count; i++)
     {
-      struct bgap_key_range range;
+      struct bgap_key_range range = { 0 };
       enum bgap_status status = _bgap_assignment_decode_range (
           json_array_get (ranges, i), next, out->fence, &range, err);
       if (status == BGAP_OK)
--- a/packages/keyrange/src/granter_balance.c
+++ b/packages/keyrange/src/granter_balance.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -190,7 +191,7 @@
           g, first, last, (int64_t)room->share - (int64_t)room->load, &load);
       struct bgap_key_range range
           = { .fence = fence, .born_ms = room->born_ms };
-      strcpy (range.server, room->server);
+      snprintf (range.server, sizeof range.server, "%s", room->server);
       room->load += load;
       if (bgap_assignment_set (next, first, end, &range) != BGAP_OK)
         placed = false;
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -115,7 +115,7 @@
 {
   struct order *order = user;
   struct bgap_wire_response response;
-  (void)refusal;
+  *refusal = BGAP_REFUSAL_NONE;
   order->edge->desc.wire->read_response (headers, status, "", &response);
   order->status = status;
   order->not_run = response.not_run;
--- a/programs/banyangapd/main_platform.h
+++ b/programs/banyangapd/main_platform.h
@@ -25,11 +25,11 @@
 
 /**
  * bgap_main_platform() - serve until told to stop
- * @settings: path of the platform's settings file
+ * @path: of the platform's settings file
  * @check: only check the settings
  *
  * Return: an exit code.
  */
-int bgap_main_platform (const char *settings, bool check);
+int bgap_main_platform (const char *path, bool check);
 
 #endif
