Do not take a refused connection for the end of a server

Ruled out: late grants (the holders' fence numbers show that both grants were in order). Keys move now after a release, another server at the address, a new process, or the end of the hold. Holds are shorter instead (2 s, renewed every 0.5 s), so that a crashed server's keys are back after 1.6 to 2.2 s.

Reads that wait are given up and sent again when any call to the store succeeds after trouble.

--- a/packages/keyrange/include/banyangap/keyrange/granter.h
+++ b/packages/keyrange/include/banyangap/keyrange/granter.h
@@ -47,10 +47,10 @@
  * struct bgap_granter_desc - options; zero means the default
  * @instance: name of this instance, required
  * @life: random number drawn at the start of the process, required
- * @hold_ms: how long a grant holds; default 2500
- * @renew_ms: between renewals; default 700
+ * @hold_ms: how long a grant holds; default 2000
+ * @renew_ms: between renewals; default 500
  * @call_timeout_ms: after it an order counts as not answered and its
- *   connection is reset, so that it cannot arrive later; default 600
+ *   connection is reset, so that it cannot arrive later; default 400
  * @view_max_ms: grants stop when the view of the store is older; the same at
  *   all instances; default 9500
  * @settle_ms: wait for servers to register before the first assignment;
@@ -135,7 +135,7 @@
   BGAP_GRANTER_FENCED,   /* the server knows a higher fence number */
   BGAP_GRANTER_REJECTED, /* refused for another reason; it has no effect */
   BGAP_GRANTER_REPLACED, /* another server has the address */
-  BGAP_GRANTER_CLOSED,   /* no process listens there; it was not sent */
+  BGAP_GRANTER_CLOSED,   /* the connection was refused; it was not sent */
   BGAP_GRANTER_NOT_SENT, /* not sent for another reason */
   BGAP_GRANTER_LOST,     /* no response; it may have an effect */
   BGAP_GRANTER_RESULT_COUNT
--- a/packages/keyrange/src/granter_calls.c
+++ b/packages/keyrange/src/granter_calls.c
@@ -20,10 +20,10 @@
 #define RELEASE_RETRY_MS 150
 #define HANDOVER_KEPT_MS 5000
 
-/* Refused connections in a row that show that the process has ended. A full
-   server resets connections that it has accepted.  */
-#define CLOSED_MAX 2
-#define CLOSED_RETRY_MS 60
+/* A refused connection does not show that the process has ended: a cut network
+   can refuse connections for a server that lives and holds its keys. It only
+   shows that the grant has no effect.  */
+#define CLOSED_RETRY_MS 150
 
 /* How long a server that did not answer gets no keys; doubles each time.  */
 #define AVOID_FIRST_MS 2000
@@ -109,7 +109,6 @@
   if (is_new || (target->dead && server->sequence > target->dead_sequence + 1))
     {
       target->dead = false;
-      target->closed = 0;
       target->lost = 0;
       target->silent_since_ms = 0;
     }
@@ -329,17 +328,6 @@
   bgap_holds_died (g, now_ms, target->desc.id, target->desc.born_ms);
 }
 
-static void
-_bgap_calls_target_closed (struct bgap_granter *g, int64_t now_ms,
-                           struct bgap_grant_target *target,
-                           enum bgap_granter_result result)
-{
-  if (result == BGAP_GRANTER_CLOSED && ++target->closed < CLOSED_MAX)
-    return;
-  if (result == BGAP_GRANTER_CLOSED || result == BGAP_GRANTER_REPLACED)
-    _bgap_calls_target_died (g, now_ms, target);
-}
-
 static void
 _bgap_calls_target_silent (struct bgap_grant_target *target, int64_t now_ms)
 {
@@ -358,7 +346,6 @@
 _bgap_calls_target_answered (struct bgap_granter *g, int64_t now_ms,
                              struct bgap_grant_target *target)
 {
-  target->closed = 0;
   if (target->lost == 0)
     return;
   target->lost = 0;
@@ -429,10 +416,13 @@
   if (result == BGAP_GRANTER_DONE || result == BGAP_GRANTER_FENCED
       || result == BGAP_GRANTER_REJECTED)
     _bgap_calls_target_answered (g, now_ms, target);
-  else if (result == BGAP_GRANTER_LOST || result == BGAP_GRANTER_NOT_SENT)
+  else if (result == BGAP_GRANTER_REPLACED)
+    {
+      if (target->desc.born_ms == hold->born_ms)
+        _bgap_calls_target_died (g, now_ms, target);
+    }
+  else
     _bgap_calls_target_silent (target, now_ms);
-  else if (target->desc.born_ms == hold->born_ms)
-    _bgap_calls_target_closed (g, now_ms, target, result);
 }
 
 static void
@@ -456,9 +446,8 @@
                         range->server, range->born_ms, release->fence, true);
     }
   else if (target != NULL && target->desc.born_ms == range->born_ms
-           && (result == BGAP_GRANTER_CLOSED
-               || result == BGAP_GRANTER_REPLACED))
-    _bgap_calls_target_closed (g, now_ms, target, result);
+           && result == BGAP_GRANTER_REPLACED)
+    _bgap_calls_target_died (g, now_ms, target);
 }
 
 void
--- a/packages/keyrange/src/granter_state.h
+++ b/packages/keyrange/src/granter_state.h
@@ -44,7 +44,6 @@
  * @silent_since_ms: first of them, 0 for none
  * @avoid_until_ms: gets no keys before, because it did not answer
  * @avoid_ms: how long it is avoided the next time
- * @closed: times in a row that no process listened
  * @dead: its process is known to have ended
  * @dead_sequence: its registrations at that time
  * @gone: its registration is gone
@@ -56,7 +55,6 @@
   int64_t silent_since_ms;
   int64_t avoid_until_ms;
   int64_t avoid_ms;
-  uint32_t closed;
   bool dead;
   int64_t dead_sequence;
   bool gone;
--- a/packages/keyrange/tests/world.c
+++ b/packages/keyrange/tests/world.c
@@ -77,6 +77,7 @@
   int64_t paused_until_ms;
   int64_t store_cut_until_ms;
   int64_t server_cut_until_ms[WORLD_SERVERS];
+  bool server_cut_refuses[WORLD_SERVERS];
   int64_t next_read_ms;
   int64_t registered_ms;
 };
@@ -267,6 +268,12 @@
 order_arrives (struct world *w, struct event *event)
 {
   struct server *server = &w->servers[event->server];
+  if (cut_off (w, event->instance, event->server)
+      && w->instances[event->instance].server_cut_refuses[event->server])
+    {
+      reply (w, event, BGAP_GRANTER_CLOSED, 2);
+      return;
+    }
   if (cut_off (w, event->instance, event->server)
       || (!server->alive && server->dark))
     {
@@ -545,6 +552,7 @@
 world_cut_server (struct world *w, int i, int s, int64_t for_ms)
 {
   w->instances[i].server_cut_until_ms[s] = w->now_ms + for_ms;
+  w->instances[i].server_cut_refuses[s] = chance (w, 400);
 }
 
 void
--- a/packages/keyrange/tests/world.h
+++ b/packages/keyrange/tests/world.h
@@ -10,7 +10,8 @@
  *     print (world_violation (world));
  *   world_free (world);
  *
- * Faults: instances pause, restart and lose the store or single servers;
+ * Faults: instances pause, restart and lose the store or single servers, with
+ * silence or refused connections;
  * servers crash, fall silent, leave and come back empty; orders and appends
  * lose their responses and take effect late.
  */
--- a/packages/store/include/banyangap/store/follower.h
+++ b/packages/store/include/banyangap/store/follower.h
@@ -93,6 +93,12 @@
  */
 void bgap_follower_reload (struct bgap_follower *follower);
 
+/**
+ * bgap_follower_restart() - give up a read that waits and start a new one; a
+ * read that was sent during an outage of the store is not answered after it
+ */
+void bgap_follower_restart (struct bgap_follower *follower);
+
 /**
  * bgap_follower_hurry() - start the next read at once, if none is running
  */
--- a/packages/store/include/banyangap/store/membership.h
+++ b/packages/store/include/banyangap/store/membership.h
@@ -22,10 +22,12 @@
 /**
  * struct bgap_membership_ops - what the membership reports
  * @changed: the list or this member's place has changed
+ * @ended: a call has ended
  */
 struct bgap_membership_ops
 {
   void (*changed) (void *context);
+  void (*ended) (void *context, enum bgap_store_outcome outcome);
   void *context;
 };
 
--- a/packages/store/src/follower.c
+++ b/packages/store/src/follower.c
@@ -317,6 +317,16 @@
   _bgap_follower_arm (follower, 0);
 }
 
+void
+bgap_follower_restart (struct bgap_follower *follower)
+{
+  if (follower->state != FOLLOWING || !follower->busy)
+    return;
+  follower->busy = false;
+  follower->generation++;
+  _bgap_follower_arm (follower, 0);
+}
+
 void
 bgap_follower_hurry (struct bgap_follower *follower)
 {
--- a/packages/store/src/membership.c
+++ b/packages/store/src/membership.c
@@ -76,6 +76,7 @@
 {
   struct bgap_membership *m = user;
   m->joining = false;
+  m->desc.ops.ended (m->desc.ops.context, result->outcome);
   if (result->outcome != BGAP_STORE_OK || m->left)
     return;
   bool was_first = m->is_first;
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -86,17 +86,24 @@
     }
 }
 
+/* The timer is only ever moved forward in time, so that events that come
+   faster than it do not put it off.  */
 static void
 _bgap_edge_arm (struct bgap_edge *edge)
 {
-  int64_t wait_ms = bgap_router_next_tick_ms (&edge->router, bgap_now_ms ());
+  int64_t now_ms = bgap_now_ms ();
+  int64_t wait_ms = bgap_router_next_tick_ms (&edge->router, now_ms);
   int64_t most_ms = TIMER_MAX_MS;
   for (const struct bgap_edge_service *service = edge->services;
        service != NULL; service = service->hh.next)
     if (service->granter != NULL && bgap_granter_is_active (service->granter))
       most_ms = GRANTER_TICK_MS;
-  const struct timeval wait
-      = bgap_timeval (wait_ms < most_ms ? wait_ms : most_ms);
+  if (wait_ms > most_ms)
+    wait_ms = most_ms;
+  if (edge->timer_at_ms != 0 && edge->timer_at_ms <= now_ms + wait_ms)
+    return;
+  edge->timer_at_ms = now_ms + wait_ms;
+  const struct timeval wait = bgap_timeval (wait_ms);
   event_add (edge->timer, &wait);
 }
 
@@ -125,6 +132,9 @@
   if (!edge->store_trouble)
     return;
   edge->store_trouble = false;
+  /* What was asked during the trouble may never be answered.  */
+  bgap_follower_restart (edge->config);
+  bgap_follower_restart (edge->own);
   bgap_event (&event_store, "state=regained after_ms=%lld",
               (long long)(bgap_now_ms () - edge->store_trouble_ms));
 }
@@ -142,6 +152,16 @@
               message ? message : "");
 }
 
+static void
+_bgap_edge_on_join (void *context, enum bgap_store_outcome outcome)
+{
+  struct bgap_edge *edge = context;
+  if (outcome == BGAP_STORE_OK)
+    bgap_edge_contact (edge);
+  else
+    bgap_edge_trouble (edge, GROUP, outcome, "join");
+}
+
 static void
 _bgap_edge_on_members (void *context)
 {
@@ -230,6 +250,7 @@
   int64_t now_ms = bgap_now_ms ();
   (void)fd;
   (void)what;
+  edge->timer_at_ms = 0;
   bgap_router_tick (&edge->router, now_ms, bgap_wall_ms ());
   if (now_ms - edge->housekeeping_ms >= HOUSEKEEPING_MS)
     {
@@ -301,17 +322,19 @@
 static enum bgap_status
 _bgap_edge_open_store (struct bgap_edge *edge, struct bgap_error *err)
 {
-  enum bgap_status status = bgap_membership_setup (
-      &edge->membership,
-      &(struct bgap_membership_desc){
-          .base = edge->base,
-          .store = edge->desc.store,
-          .group = GROUP,
-          .member = edge->member,
-          .ttl_ms = MEMBER_TTL_MS,
-          .interval_ms = MEMBER_INTERVAL_MS,
-          .ops = { .changed = _bgap_edge_on_members, .context = edge } },
-      err);
+  enum bgap_status status
+      = bgap_membership_setup (&edge->membership,
+                               &(struct bgap_membership_desc){
+                                   .base = edge->base,
+                                   .store = edge->desc.store,
+                                   .group = GROUP,
+                                   .member = edge->member,
+                                   .ttl_ms = MEMBER_TTL_MS,
+                                   .interval_ms = MEMBER_INTERVAL_MS,
+                                   .ops = { .changed = _bgap_edge_on_members,
+                                            .ended = _bgap_edge_on_join,
+                                            .context = edge } },
+                               err);
   if (status == BGAP_OK)
     status = bgap_edge_follow_config (edge, err);
   if (status == BGAP_OK)
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -17,7 +17,7 @@
 
 /* The granter counts as lost if it is missing from the list of instances for
    so long; right after an outage of the store the list may be short.  */
-#define GRANTER_MISSING_MS 350
+#define GRANTER_MISSING_MS 100
 
 static struct bgap_event_kind event_assignment
     = { .name = "assignment", .burst = 400 };
--- a/programs/banyangapd/edge_private.h
+++ b/programs/banyangapd/edge_private.h
@@ -128,6 +128,7 @@
  * @member: name and address for other instances, "<name>@<address>"
  * @table: configuration in force, NULL if there is none yet
  * @servers: by handle in the router
+ * @timer_at_ms: when the timer fires, 0 if it is not set
  * @stopping_ms: when the order to stop came, 0 for never
  */
 struct bgap_edge
@@ -164,6 +165,7 @@
   int64_t servers_ms;
   int64_t housekeeping_ms;
   int64_t stopping_ms;
+  int64_t timer_at_ms;
 };
 
 /* edge.c */
