Even out the load of keys over several servers at once

Pieces are chosen within the room of the server that gets them, a hot key alone stays and its neighbours move; the load of requests outweighs the number of keys; requests wait 15 ms for the grant that follows a record. Requests in a server are bounded per instance, since what is known of the others' is old.

--- a/packages/keyrange/include/banyangap/keyrange/granter.h
+++ b/packages/keyrange/include/banyangap/keyrange/granter.h
@@ -55,7 +55,7 @@
  *   all instances; default 9500
  * @settle_ms: wait for servers to register before the first assignment;
  *   default 1500
- * @balance_ms: between moves that only even out the load; default 1000
+ * @balance_ms: between moves that only even out the load; default 400
  */
 struct bgap_granter_desc
 {
@@ -173,6 +173,22 @@
   bool active;
 };
 
+/**
+ * struct bgap_granter_balance - a move that evens out the load
+ * @busiest, @idlest: servers with the most and the least load for their share
+ * @busy_percent, @idle_percent: their load in percent of their share
+ * @first, @last: keys that leave @busiest
+ */
+struct bgap_granter_balance
+{
+  char busiest[BGAP_KEYRANGE_NAME_SIZE];
+  char idlest[BGAP_KEYRANGE_NAME_SIZE];
+  uint32_t busy_percent;
+  uint32_t idle_percent;
+  uint32_t first;
+  uint32_t last;
+};
+
 struct bgap_granter;
 
 /**
@@ -276,6 +292,24 @@
 const struct bgap_assignment *
 bgap_granter_assignment (const struct bgap_granter *granter);
 
+/**
+ * bgap_granter_holder() - range of a key if its holder can be sent requests
+ *
+ * A holder that was named only just now has not received its grant yet.
+ *
+ * Return: NULL if nobody holds the key, it is moving, or its grant is on its
+ * way.
+ */
+const struct bgap_key_range *
+bgap_granter_holder (const struct bgap_granter *granter, int64_t now_ms,
+                     uint32_t key);
+
+/**
+ * bgap_granter_last_balance() - the last move that evened out the load
+ */
+const struct bgap_granter_balance *
+bgap_granter_last_balance (const struct bgap_granter *granter);
+
 /**
  * bgap_granter_is_active() - whether this instance is the granter
  */
--- a/packages/keyrange/src/granter.c
+++ b/packages/keyrange/src/granter.c
@@ -10,10 +10,13 @@
 #define DEFAULT_CALL_TIMEOUT_MS 400
 #define DEFAULT_VIEW_MAX_MS 9500
 #define DEFAULT_SETTLE_MS 1500
-#define DEFAULT_BALANCE_MS 1000
+#define DEFAULT_BALANCE_MS 400
+
+/* Time for the grants that follow a record to reach the servers.  */
+#define GRANT_DELAY_MS 15
 
 /* The counts of requests are halved so often.  */
-#define AGE_MS 2000
+#define AGE_MS 1000
 
 /* A process that stood still for so long may have been replaced as the granter
    meanwhile, so it reads the store before it grants again. The others take it
@@ -138,12 +141,15 @@
   bool was_active = g->active;
   bool had_granter = g->known;
   bool was_released = g->known && g->current.released;
+  bool same_granter = g->known && g->current.life == assignment->life;
   if (bgap_assignment_copy (&g->current, assignment) != BGAP_OK)
     {
       /* Without the record nothing may be granted.  */
       g->active = false;
       return;
     }
+  g->moved = same_granter;
+  g->assigned_ms = now_ms;
   g->known = true;
   g->superseded = false;
   g->granter_lost = false;
@@ -226,6 +232,27 @@
   return &g->current;
 }
 
+const struct bgap_key_range *
+bgap_granter_holder (const struct bgap_granter *g, int64_t now_ms,
+                     uint32_t key)
+{
+  const struct bgap_key_range *range = bgap_assignment_find (&g->current, key);
+  if (range == NULL || range->server[0] == '\0' || range->moving)
+    return NULL;
+  /* The ranges that the newest record has changed carry its number. After a
+     takeover that is all of them, and the servers hold them already.  */
+  if (g->moved && range->fence == g->current.fence
+      && now_ms - g->assigned_ms < GRANT_DELAY_MS)
+    return NULL;
+  return range;
+}
+
+const struct bgap_granter_balance *
+bgap_granter_last_balance (const struct bgap_granter *g)
+{
+  return &g->balance;
+}
+
 bool
 bgap_granter_is_active (const struct bgap_granter *g)
 {
--- a/packages/keyrange/src/granter_balance.c
+++ b/packages/keyrange/src/granter_balance.c
@@ -1,26 +1,38 @@
+#include <math.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
 #include "granter_state.h"
 
-/* Load of a key without requests, in requests, so that without any the keys
-   are divided evenly. A request of the sample counts REQUEST_WEIGHT.  */
+/* Load of a key without requests, so that without any the keys are divided
+   evenly. The requests of the sample together count REQUESTS_WEIGHT times as
+   much as all keys.  */
 #define KEY_WEIGHT 1u
-#define REQUEST_WEIGHT 256u
+#define REQUESTS_WEIGHT 8u
 
 /* Requests in the sample before the load is evened out.  */
 #define SAMPLE_MIN 40u
 
 /* Keys move if the busiest server has this much more than its share, or if the
    idlest one has this much less; less gain is not worth the move.  */
-#define BUSY_PERCENT 135u
+#define BUSY_PERCENT 130u
 #define IDLE_PERCENT 50u
 
 /* A piece may exceed the room of the server that gets it by this much, so that
    ranges are not cut into slivers.  */
 #define FIT_PERCENT 125u
 
+/* A piece that moves has at least this part of what should move.  */
+#define FILL_PERCENT 60u
+
+/* An excess counts if it is above so many standard deviations of the number of
+   requests in the sample.  */
+#define NOISE_DEVIATIONS 1.5
+
+/* Pieces that are moved at a time to even out the load.  */
+#define MOVES_MAX 8
+
 /* Bounds of the speed of a server, in proportion to the mean.  */
 #define SPEED_MIN 0.4
 #define SPEED_MAX 2.0
@@ -46,7 +58,7 @@
 static uint64_t
 _bgap_balance_key_load (const struct bgap_granter *g, uint32_t key)
 {
-  return KEY_WEIGHT + (uint64_t)g->load[key] * REQUEST_WEIGHT;
+  return KEY_WEIGHT + (uint64_t)g->load[key] * g->request_weight;
 }
 
 static uint64_t
@@ -99,13 +111,16 @@
 
 /* The usable servers with their loads; the caller frees it.  */
 static struct room *
-_bgap_balance_rooms (const struct bgap_granter *g, int64_t now_ms,
+_bgap_balance_rooms (struct bgap_granter *g, int64_t now_ms,
                      const struct bgap_assignment *next, uint32_t *out)
 {
   uint32_t count = 0;
   double capacity = 0;
   uint64_t total = 0;
   double mean_ms = _bgap_balance_mean_latency (g);
+  g->request_weight = g->load_total > 0 ? (uint64_t)BGAP_KEY_COUNT
+                                              * REQUESTS_WEIGHT / g->load_total
+                                        : 0;
   struct room *rooms
       = calloc (g->target_count ? g->target_count : 1, sizeof *rooms);
   if (rooms == NULL)
@@ -203,72 +218,142 @@
   return placed;
 }
 
-/* The narrowest run of the server's keys that has at least @excess.  */
+/**
+ * struct search - the narrowest run of keys with a load within bounds
+ */
+struct search
+{
+  uint64_t least;
+  uint64_t most;
+  bool found;
+  struct bgap_key_interval best;
+};
+
+/* Looks at all runs of [first, last] that are as narrow as they can be. A key
+   whose own load is above the bound is in none: it stays, and what lies beside
+   it moves.  */
+static void
+_bgap_balance_search (const struct bgap_granter *g, uint32_t first,
+                      uint32_t last, struct search *search)
+{
+  uint64_t sum = 0;
+  uint32_t from = first;
+  for (uint32_t key = first; key <= last; key++)
+    {
+      sum += _bgap_balance_key_load (g, key);
+      while (from < key
+             && (sum > search->most
+                 || sum - _bgap_balance_key_load (g, from) >= search->least))
+        sum -= _bgap_balance_key_load (g, from++);
+      if (sum > search->most || sum < search->least
+          || (search->found
+              && key - from >= search->best.last - search->best.first))
+        continue;
+      search->best = (struct bgap_key_interval){ from, key };
+      search->found = true;
+    }
+}
+
+/* The narrowest run of the server's keys that has about @load, and less than
+   @room.  */
 static bool
 _bgap_balance_window (const struct bgap_granter *g,
                       const struct bgap_assignment *next, const char *server,
-                      uint64_t excess, struct bgap_key_interval *out)
+                      uint64_t load, uint64_t room,
+                      struct bgap_key_interval *out)
 {
-  bool found = false;
+  struct search search = {
+    .least = load * FILL_PERCENT / 100,
+    .most = room * FIT_PERCENT / 100,
+  };
   for (uint32_t i = 0; i < next->count; i++)
     {
       const struct bgap_key_range *range = &next->ranges[i];
-      if (range->moving || strcmp (range->server, server) != 0)
-        continue;
-      uint64_t sum = 0;
-      uint32_t from = range->first;
-      for (uint32_t key = range->first; key <= range->last; key++)
-        {
-          sum += _bgap_balance_key_load (g, key);
-          while (from < key
-                 && sum - _bgap_balance_key_load (g, from) >= excess)
-            sum -= _bgap_balance_key_load (g, from++);
-          if (sum < excess || (found && key - from >= out->last - out->first))
-            continue;
-          *out = (struct bgap_key_interval){ from, key };
-          found = true;
-        }
+      if (!range->moving && strcmp (range->server, server) == 0)
+        _bgap_balance_search (g, range->first, range->last, &search);
     }
-  return found;
+  *out = search.best;
+  return search.found;
 }
 
-bool
-bgap_balance_move (struct bgap_granter *g, int64_t now_ms,
-                   struct bgap_assignment *next, uint64_t fence)
+static struct room *
+_bgap_balance_busiest (struct room *rooms, uint32_t count)
+{
+  struct room *busiest = &rooms[0];
+  for (uint32_t i = 1; i < count; i++)
+    if (rooms[i].load * busiest->share > busiest->load * rooms[i].share)
+      busiest = &rooms[i];
+  return busiest;
+}
+
+/* Whether the difference is more than the chance of a small sample, and worth
+   a move.  */
+static bool
+_bgap_balance_is_uneven (const struct bgap_granter *g,
+                         const struct room *busiest, const struct room *idlest)
+{
+  if (idlest == busiest || busiest->load <= busiest->share
+      || idlest->load >= idlest->share)
+    return false;
+  if (idlest->load * 100 < idlest->share * IDLE_PERCENT)
+    return true;
+  if (g->load_total < SAMPLE_MIN || g->request_weight == 0)
+    return false;
+  double requests = (double)busiest->share / (double)g->request_weight;
+  double noise = NOISE_DEVIATIONS * sqrt (requests);
+  double excess
+      = (double)(busiest->load - busiest->share) / (double)g->request_weight;
+  return excess > noise && busiest->load * 100 > busiest->share * BUSY_PERCENT;
+}
+
+/* Marks keys of the busiest server as moving, and counts them as the idlest
+   one's. Returns whether there were any.  */
+static bool
+_bgap_balance_move_piece (struct bgap_granter *g, struct bgap_assignment *next,
+                          uint64_t fence, struct room *busiest,
+                          struct room *idlest)
 {
-  uint32_t count = 0;
-  struct room *busiest = NULL;
   struct bgap_key_interval window;
-  struct room *rooms = _bgap_balance_rooms (g, now_ms, next, &count);
-  if (rooms == NULL)
+  uint64_t excess = busiest->load - busiest->share;
+  uint64_t room = idlest->share - idlest->load;
+  if (!_bgap_balance_window (g, next, busiest->server,
+                             excess < room ? excess : room, room, &window))
     return false;
-  const struct room *idlest = _bgap_balance_most_room (rooms, count);
-  for (uint32_t i = 0; i < count; i++)
-    if (busiest == NULL
-        || rooms[i].load * busiest->share > busiest->load * rooms[i].share)
-      busiest = &rooms[i];
-  bool uneven = count > 1 && idlest != busiest
-                && busiest->load > busiest->share
-                && ((g->load_total >= SAMPLE_MIN
-                     && busiest->load * 100 > busiest->share * BUSY_PERCENT)
-                    || idlest->load * 100 < idlest->share * IDLE_PERCENT);
+  g->balance = (struct bgap_granter_balance){
+    .busy_percent = (uint32_t)(busiest->load * 100 / (busiest->share + 1)),
+    .idle_percent = (uint32_t)(idlest->load * 100 / (idlest->share + 1)),
+    .first = window.first,
+    .last = window.last,
+  };
+  snprintf (g->balance.busiest, sizeof g->balance.busiest, "%s",
+            busiest->server);
+  snprintf (g->balance.idlest, sizeof g->balance.idlest, "%s", idlest->server);
+  struct bgap_key_range range = *bgap_assignment_find (next, window.first);
+  range.moving = true;
+  range.fence = fence;
+  if (bgap_assignment_set (next, window.first, window.last, &range) != BGAP_OK)
+    return false;
+  uint64_t load = _bgap_balance_load (g, window.first, window.last);
+  busiest->load -= load;
+  idlest->load += load;
+  return true;
+}
+
+bool
+bgap_balance_even_out (struct bgap_granter *g, int64_t now_ms,
+                       struct bgap_assignment *next, uint64_t fence)
+{
+  uint32_t count = 0;
   bool moved = false;
-  if (uneven)
-    {
-      uint64_t excess = busiest->load - busiest->share;
-      uint64_t room = idlest->share - idlest->load;
-      uint64_t load = excess < room ? excess : room;
-      moved
-          = load > 0
-            && _bgap_balance_window (g, next, busiest->server, load, &window);
-    }
-  if (moved)
+  struct room *rooms = _bgap_balance_rooms (g, now_ms, next, &count);
+  for (int i = 0; rooms != NULL && count > 1 && i < MOVES_MAX; i++)
     {
-      struct bgap_key_range range = *bgap_assignment_find (next, window.first);
-      range.moving = true;
-      range.fence = fence;
-      moved = bgap_assignment_set (next, window.first, window.last, &range)
-              == BGAP_OK;
+      struct room *busiest = _bgap_balance_busiest (rooms, count);
+      struct room *idlest = _bgap_balance_most_room (rooms, count);
+      if (!_bgap_balance_is_uneven (g, busiest, idlest)
+          || !_bgap_balance_move_piece (g, next, fence, busiest, idlest))
+        break;
+      moved = true;
     }
   free (rooms);
   return moved;
--- a/packages/keyrange/src/granter_plan.c
+++ b/packages/keyrange/src/granter_plan.c
@@ -7,9 +7,6 @@
    after this time.  */
 #define PROPOSAL_TIMEOUT_MS 1500
 
-/* Pieces that are moved at a time to even out the load.  */
-#define MOVES_MAX 6
-
 /* Pause after a proposal that was refused, so that what stands in its way can
    be read first.  */
 #define PROPOSAL_RETRY_MS 30
@@ -210,11 +207,8 @@
       && _bgap_plan_is_calm (g))
     {
       g->balanced_ms = now_ms;
-      for (int i = 0;
-           i < MOVES_MAX
-           && bgap_balance_move (g, now_ms, &g->proposal, g->proposal.fence);
-           i++)
-        changed = true;
+      changed
+          = bgap_balance_even_out (g, now_ms, &g->proposal, g->proposal.fence);
     }
   /* A proposal without a response is settled by the next record, whatever it
      says.  */
--- a/packages/keyrange/src/granter_state.h
+++ b/packages/keyrange/src/granter_state.h
@@ -102,7 +102,11 @@
  * @ticked_ms: last tick
  * @resumed_ms: end of the last pause of this process that was long enough for
  *   another instance to take over
+ * @balance: last move that evened out the load
+ * @assigned_ms: when the newest record was read
+ * @moved: it changed holders, and not only the granter
  * @load: requests for each key, aged
+ * @request_weight: load of a request of the sample, see granter_balance.c
  */
 struct bgap_granter
 {
@@ -133,6 +137,9 @@
   int64_t resumed_ms;
   int64_t foreign_until_ms;
   int64_t balanced_ms;
+  struct bgap_granter_balance balance;
+  int64_t assigned_ms;
+  bool moved;
   int64_t aged_ms;
 
   struct bgap_hold *holds;
@@ -152,6 +159,7 @@
   uint32_t next_call;
   uint16_t *load;
   uint64_t load_total;
+  uint64_t request_weight;
   struct bgap_granter_counts counts;
 };
 
@@ -247,12 +255,12 @@
                          uint32_t last, uint64_t fence);
 
 /**
- * bgap_balance_move() - mark keys of the busiest server as moving
+ * bgap_balance_even_out() - mark keys of the busiest servers as moving
  *
  * Return: whether the load is uneven enough.
  */
-bool bgap_balance_move (struct bgap_granter *g, int64_t now_ms,
-                        struct bgap_assignment *next, uint64_t fence);
+bool bgap_balance_even_out (struct bgap_granter *g, int64_t now_ms,
+                            struct bgap_assignment *next, uint64_t fence);
 
 /**
  * bgap_balance_age() - halve the counts of requests
--- a/programs/banyangapd/edge_config.c
+++ b/programs/banyangapd/edge_config.c
@@ -15,9 +15,13 @@
 /* Attempts of a request at most; each route has its own below it.  */
 #define ATTEMPTS_MAX 16u
 
-/* Requests that wait in a server beyond its slots, by its number of slots. A
-   server that always has one waiting does not idle between two answers.  */
-#define QUEUE_PER_SLOTS 2u
+/* Requests that may wait in a server, as a multiple of its slots. What an
+   instance knows of the others' requests is old, so that a tight bound would
+   leave slots idle; servers take some times their slots before they refuse. */
+#define QUEUE_PER_SLOT 2u
+
+/* Slots of a server while none has registered.  */
+#define SLOTS_DEFAULT 4u
 
 /* The holder of a key that leaves gets requests for so long while its keys
    move; with the age of the view it stays below the platform's bound.  */
@@ -62,7 +66,7 @@
        server != NULL; server = server->hh.next)
     if (strcmp (server->entry.service, service) == 0)
       return server->entry.slots;
-  return QUEUE_PER_SLOTS;
+  return SLOTS_DEFAULT;
 }
 
 static void
@@ -72,7 +76,7 @@
 {
   struct bgap_error err = { 0 };
   uint32_t allowance
-      = _bgap_config_slots (edge, routed->name) / QUEUE_PER_SLOTS;
+      = _bgap_config_slots (edge, routed->name) * QUEUE_PER_SLOT;
   const struct bgap_service_desc desc = {
     .name = routed->name,
     .keyed = routed->keyed,
@@ -82,7 +86,7 @@
     .retry_burst = _bgap_config_retry_burst (edge),
     .charge_refusals = true,
     .shared_slots = true,
-    .queue_per_server = allowance > 0 ? allowance : 1,
+    .queue_per_server = allowance,
     .drain_grace_ms = DRAIN_GRACE_MS,
     .policy = &bgap_balancer_shared,
   };
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -22,6 +22,7 @@
 static struct bgap_event_kind event_assignment
     = { .name = "assignment", .burst = 400 };
 static struct bgap_event_kind event_bad_record = { .name = "record-skipped" };
+static struct bgap_event_kind event_balance = { .name = "balance" };
 static struct bgap_event_kind event_append = { .name = "append" };
 static struct bgap_event_kind event_order = { .name = "order" };
 
@@ -72,9 +73,9 @@
                   uint64_t *fence)
 {
   const struct bgap_key_range *range
-      = bgap_assignment_find (bgap_granter_assignment (service->granter), key);
+      = bgap_granter_holder (service->granter, bgap_now_ms (), key);
   *fence = 0;
-  if (range == NULL || range->server[0] == '\0' || range->moving)
+  if (range == NULL)
     return (struct bgap_server_id){ BGAP_INVALID_ID };
   *fence = range->fence;
   return bgap_router_find_server (&edge->router, service->id, range->server);
@@ -320,7 +321,17 @@
                        struct bgap_edge_service *service)
 {
   struct bgap_granter_action action;
+  const struct bgap_granter_balance *balance
+      = bgap_granter_last_balance (service->granter);
+  uint32_t first = balance->first;
   bgap_granter_tick (service->granter, bgap_now_ms ());
+  if (balance->first != first)
+    bgap_event (&event_balance,
+                "service=%s from=%s load_percent=%u idlest=%s "
+                "idlest_percent=%u keys=%u-%u",
+                service->name, balance->busiest, balance->busy_percent,
+                balance->idlest, balance->idle_percent, balance->first,
+                balance->last);
   while (bgap_granter_next_action (service->granter, &action))
     if (action.kind == BGAP_GRANTER_APPEND)
       _bgap_keys_append (edge, service, &action);
--- a/programs/banyangapd/edge_servers.c
+++ b/programs/banyangapd/edge_servers.c
@@ -13,6 +13,14 @@
 /* Connections that an instance opens to a server at least.  */
 #define CONNECTIONS_MIN 4u
 
+/* Requests that all instances together may have in a server, running and
+   waiting, per slot; they are not spread evenly over the instances. Servers
+   take five requests per slot.  */
+#define ALL_PER_SLOT 5u
+
+/* Requests that an instance may have in a server in any case.  */
+#define OWN_MIN 2u
+
 /* Refused connections after an attempt broke that show that the process has
    ended.  */
 #define CLOSED_MAX 2u
@@ -59,6 +67,18 @@
   return share > CONNECTIONS_MIN ? share : CONNECTIONS_MIN;
 }
 
+/* Requests that this instance has in a server at most. All instances together
+   must not overfill it, and none knows what the others have there.  */
+static uint32_t
+_bgap_servers_own_requests (const struct bgap_edge *edge,
+                            const struct bgap_server_entry *entry)
+{
+  uint32_t instances = bgap_membership_count (edge->membership);
+  uint32_t all = entry->slots * ALL_PER_SLOT;
+  uint32_t own = (all + instances - 1) / instances;
+  return own > OWN_MIN ? own : OWN_MIN;
+}
+
 static void
 _bgap_servers_set_router (struct bgap_edge *edge,
                           struct bgap_edge_service *service,
@@ -70,7 +90,7 @@
     .name = entry->id,
     .zone = entry->zone,
     .slots = entry->slots,
-    .connections = _bgap_servers_connections (edge, service),
+    .connections = _bgap_servers_own_requests (edge, entry),
     .entry_hosts_max = 1,
     .in_place = true,
     .cold_ms = entry->cold_ms,
