Read the store at one instance and pass it on to the others

Follower: a read that arrives while a record is appended is not answered by that record (seen as instances that lagged by one record for the whole wait); a second read 40 ms later finds it.

--- a/packages/keyrange/src/granter_balance.c
+++ b/packages/keyrange/src/granter_balance.c
@@ -17,7 +17,7 @@
 /* Keys move if the busiest server has this much more than its share, or if the
    idlest one has this much less; less gain is not worth the move.  */
 #define BUSY_PERCENT 130u
-#define IDLE_PERCENT 50u
+#define IDLE_PERCENT 20u
 
 /* A piece may exceed the room of the server that gets it by this much, so that
    ranges are not cut into slivers.  */
@@ -30,6 +30,14 @@
    requests in the sample.  */
 #define NOISE_DEVIATIONS 1.5
 
+/* Below this part of its slots a server is not too busy, however little the
+   others have to do.  */
+#define UTILIZATION_MIN 0.55
+
+/* Time of requests that the sample stands for: the counts are halved every
+   second.  */
+#define SAMPLE_MS 1500.0
+
 /* Pieces that are moved at a time to even out the load.  */
 #define MOVES_MAX 8
 
@@ -42,6 +50,7 @@
 
 /**
  * struct room - a server that can get keys
+ * @latency_ms, @slots: as the server's description says
  * @capacity: requests it can run a second, in proportion to the others
  * @load: of its keys
  * @share: of the whole load, by its capacity
@@ -51,6 +60,8 @@
   const char *server;
   int64_t born_ms;
   double capacity;
+  double latency_ms;
+  double slots;
   uint64_t load;
   uint64_t share;
 };
@@ -132,6 +143,8 @@
         continue;
       rooms[count++] = (struct room){ .server = target->desc.id,
                                       .born_ms = target->desc.born_ms,
+                                      .latency_ms = target->desc.latency_ms,
+                                      .slots = target->desc.slots,
                                       .capacity = _bgap_balance_capacity (
                                           &target->desc, mean_ms) };
       capacity += rooms[count - 1].capacity;
@@ -286,24 +299,40 @@
   return busiest;
 }
 
+/* Part of the time that the slots of a server are busy with the requests of the
+   sample; 1 if its speed is not known.  */
+static double
+_bgap_balance_utilization (const struct bgap_granter *g,
+                           const struct room *room)
+{
+  if (room->latency_ms <= 0 || g->request_weight == 0)
+    return 1;
+  double requests = (double)room->load / (double)g->request_weight;
+  double per_ms = requests / SAMPLE_MS;
+  return per_ms * room->latency_ms / room->slots;
+}
+
 /* Whether the difference is more than the chance of a small sample, and worth
    a move.  */
 static bool
 _bgap_balance_is_uneven (const struct bgap_granter *g,
-                         const struct room *busiest, const struct room *idlest)
+                         const struct room *busiest,
+                         const struct room *idlest)
 {
   if (idlest == busiest || busiest->load <= busiest->share
       || idlest->load >= idlest->share)
     return false;
   if (idlest->load * 100 < idlest->share * IDLE_PERCENT)
     return true;
-  if (g->load_total < SAMPLE_MIN || g->request_weight == 0)
+  if (g->load_total < SAMPLE_MIN || g->request_weight == 0
+      || _bgap_balance_utilization (g, busiest) < UTILIZATION_MIN)
     return false;
   double requests = (double)busiest->share / (double)g->request_weight;
   double noise = NOISE_DEVIATIONS * sqrt (requests);
-  double excess
-      = (double)(busiest->load - busiest->share) / (double)g->request_weight;
-  return excess > noise && busiest->load * 100 > busiest->share * BUSY_PERCENT;
+  double excess = (double)(busiest->load - busiest->share)
+                  / (double)g->request_weight;
+  return excess > noise
+         && busiest->load * 100 > busiest->share * BUSY_PERCENT;
 }
 
 /* Marks keys of the busiest server as moving, and counts them as the idlest
--- a/packages/store/include/banyangap/store/follower.h
+++ b/packages/store/include/banyangap/store/follower.h
@@ -12,6 +12,9 @@
  *   bgap_follower_shutdown (follower);
  *
  * Records of one key come in the order of their offsets, each at most once.
+ *
+ * A follower can be fed by another instance that reads the same topic. It then
+ * reads by itself only when the feed stops or has a gap.
  */
 
 #include <event2/event.h>
@@ -27,6 +30,7 @@
  * @contact: a call that was sent at @sent_ms succeeded, so that everything
  *   acknowledged before then was reported
  * @trouble: a call failed
+ * @page: a read by this follower has ended, with the records from @from on
  */
 struct bgap_follower_ops
 {
@@ -36,6 +40,8 @@
   void (*contact) (void *context, int64_t sent_ms);
   void (*trouble) (void *context, enum bgap_store_outcome outcome,
                    const char *message);
+  void (*page) (void *context, uint64_t from,
+                const struct bgap_store_record *records, size_t count);
   void *context;
 };
 
@@ -43,6 +49,7 @@
  * struct bgap_follower_desc - options
  * @base, @store, @topic: required; the strings and @store stay valid
  * @wait_ms: how long a read waits for a record
+ * @fed_timeout_ms: without a feed for so long the follower reads by itself
  * @pause_ms: time from the start of a read to the next one at least; bounds
  *   the number of calls on a busy topic
  */
@@ -53,6 +60,7 @@
   const char *topic;
   uint32_t wait_ms;
   uint32_t pause_ms;
+  uint32_t fed_timeout_ms;
   struct bgap_follower_ops ops;
 };
 
@@ -88,6 +96,32 @@
  */
 void bgap_follower_set_wait (struct bgap_follower *follower, uint32_t wait_ms);
 
+/**
+ * bgap_follower_set_fed() - whether another instance feeds it
+ */
+void bgap_follower_set_fed (struct bgap_follower *follower, bool fed);
+
+/**
+ * struct bgap_feed - what another instance has read
+ * @from: offset of the first record that it may hold
+ * @next: offset after it
+ * @sent_ms: when the read was sent, on this instance's clock
+ */
+struct bgap_feed
+{
+  uint64_t from;
+  uint64_t next;
+  int64_t sent_ms;
+  const struct bgap_store_record *records;
+  size_t count;
+};
+
+/**
+ * bgap_follower_feed() - report what another instance has read
+ */
+void bgap_follower_feed (struct bgap_follower *follower,
+                         const struct bgap_feed *feed);
+
 /**
  * bgap_follower_reload() - report the newest record of each key again
  */
--- a/packages/store/include/banyangap/store/membership.h
+++ b/packages/store/include/banyangap/store/membership.h
@@ -81,6 +81,17 @@
  */
 uint32_t bgap_membership_count (const struct bgap_membership *membership);
 
+/**
+ * bgap_membership_listed() - members in the list, 0 before it was read
+ */
+uint32_t bgap_membership_listed (const struct bgap_membership *membership);
+
+/**
+ * bgap_membership_at() - member of an index below bgap_membership_listed()
+ */
+const char *bgap_membership_at (const struct bgap_membership *membership,
+                                uint32_t index);
+
 /**
  * bgap_membership_has() - whether a member is in the list
  */
--- a/packages/store/src/follower.c
+++ b/packages/store/src/follower.c
@@ -17,6 +17,11 @@
    appended, so that such a topic is asked again after this time instead.  */
 #define EMPTY_PAUSE_MS 400
 
+/* The store does not answer a read that waits when the record is appended just
+   while the read arrives. So long after the start of a read that waits, another
+   one looks whether there is something.  */
+#define CHECK_MS 40
+
 enum follower_state
 {
   LOADING,
@@ -32,6 +37,8 @@
  *   have been appended after the items of a page and before its end were read
  * @just_loaded: no read has succeeded since the load
  * @next: offset to read from
+ * @check: timer of the read that looks behind a waiting one
+ * @fed: another instance feeds this one; @fed_ms is the last time
  * @generation: of the call whose result counts; earlier ones are ignored
  * @busy: that call is running
  */
@@ -39,6 +46,7 @@
 {
   struct bgap_follower_desc desc;
   struct event timer;
+  struct event check;
   enum follower_state state;
   char after[BGAP_STORE_KEY_SIZE];
   bool load_begun;
@@ -48,6 +56,8 @@
   uint64_t next;
   bool loaded;
   bool busy;
+  bool fed;
+  int64_t fed_ms;
   uint64_t generation;
   int64_t sent_ms;
   int64_t retry_ms;
@@ -62,6 +72,8 @@
   LIST_ENTRY (follower_call) next;
   struct bgap_follower *follower;
   uint64_t generation;
+  uint64_t from;
+  int64_t sent_ms;
 };
 
 static int64_t
@@ -168,12 +180,29 @@
   _bgap_follower_arm (f, 0);
 }
 
+/* Time until the next read after one that succeeded.  */
+static int64_t
+_bgap_follower_pause_ms (const struct bgap_follower *f,
+                         const struct bgap_store_page *page)
+{
+  int64_t now_ms = _bgap_follower_now_ms ();
+  if (f->fed && now_ms - f->fed_ms < f->desc.fed_timeout_ms)
+    return f->fed_ms + f->desc.fed_timeout_ms - now_ms;
+  if (page->end == 0)
+    return EMPTY_PAUSE_MS;
+  if (page->count == 0 || f->next >= page->end)
+    return f->sent_ms + f->desc.pause_ms - now_ms;
+  return 0;
+}
+
 static void
 _bgap_follower_on_read (void *user, const struct bgap_store_page *page)
 {
+  uint64_t from = ((struct follower_call *)user)->from;
   struct bgap_follower *f = _bgap_follower_end_call (user);
   if (f == NULL)
     return;
+  event_del (&f->check);
   if (page->outcome == BGAP_STORE_TRUNCATED && f->just_loaded
       && f->next < f->load_end)
     {
@@ -198,15 +227,72 @@
     f->next = page->records[page->count - 1].offset + 1;
   _bgap_follower_report (f, page);
   _bgap_follower_contact (f);
+  if (f->desc.ops.page != NULL)
+    f->desc.ops.page (f->desc.ops.context, from, page->records, page->count);
   /* A report can ask for all records again, or start the next read.  */
   if (f->state == LOADING || f->busy)
     return;
-  int64_t pause_ms = 0;
-  if (page->end == 0)
-    pause_ms = EMPTY_PAUSE_MS;
-  else if (page->count == 0 || f->next >= page->end)
-    pause_ms = f->sent_ms + f->desc.pause_ms - _bgap_follower_now_ms ();
-  _bgap_follower_arm (f, pause_ms);
+  _bgap_follower_arm (f, _bgap_follower_pause_ms (f, page));
+}
+
+/* The read behind a waiting one. If it finds something, the waiting one has
+   missed it and is given up.  */
+static void
+_bgap_follower_on_checked (void *user, const struct bgap_store_page *page)
+{
+  struct follower_call *call = user;
+  struct bgap_follower *f = call->follower;
+  bool missed = call->generation == f->generation && f->busy
+                && page->outcome == BGAP_STORE_OK && page->count > 0;
+  if (missed)
+    {
+      f->sent_ms = call->sent_ms;
+      call->generation = ++f->generation;
+      _bgap_follower_on_read (call, page);
+      return;
+    }
+  LIST_REMOVE (call, next);
+  free (call);
+}
+
+/* A call in progress, or NULL without memory.  */
+static struct follower_call *
+_bgap_follower_begin_call (struct bgap_follower *f)
+{
+  struct follower_call *call = malloc (sizeof *call);
+  if (call == NULL)
+    return NULL;
+  *call = (struct follower_call){
+    .follower = f,
+    .generation = f->generation,
+    .from = f->next,
+    .sent_ms = _bgap_follower_now_ms (),
+  };
+  LIST_INSERT_HEAD (&f->calls, call, next);
+  return call;
+}
+
+static void
+_bgap_follower_on_check (evutil_socket_t fd, short events, void *user)
+{
+  struct bgap_follower *f = user;
+  (void)fd;
+  (void)events;
+  if (!f->busy || f->state != FOLLOWING)
+    return;
+  struct follower_call *call = _bgap_follower_begin_call (f);
+  if (call == NULL)
+    return;
+  if (f->desc.store->read (
+          f->desc.store->context,
+          &(struct bgap_store_read){ .topic = f->desc.topic,
+                                     .from = f->next,
+                                     .done = _bgap_follower_on_checked,
+                                     .user = call })
+      == BGAP_OK)
+    return;
+  LIST_REMOVE (call, next);
+  free (call);
 }
 
 static void
@@ -218,15 +304,13 @@
   (void)events;
   if (f->busy)
     return;
-  struct follower_call *call = malloc (sizeof *call);
+  f->generation++;
+  struct follower_call *call = _bgap_follower_begin_call (f);
   if (call == NULL)
     {
       _bgap_follower_arm (f, RETRY_MAX_MS);
       return;
     }
-  call->follower = f;
-  call->generation = ++f->generation;
-  LIST_INSERT_HEAD (&f->calls, call, next);
   f->sent_ms = _bgap_follower_now_ms ();
   if (f->state == LOADING)
     {
@@ -250,7 +334,12 @@
                                    .user = call });
   f->busy = status == BGAP_OK;
   if (f->busy)
-    return;
+    {
+      const struct timeval check = { .tv_usec = CHECK_MS * 1000 };
+      if (f->state == FOLLOWING && f->next > 0 && f->desc.wait_ms > CHECK_MS)
+        event_add (&f->check, &check);
+      return;
+    }
   LIST_REMOVE (call, next);
   free (call);
   _bgap_follower_arm (f, RETRY_MAX_MS);
@@ -268,6 +357,7 @@
   f->retry_ms = RETRY_FIRST_MS;
   LIST_INIT (&f->calls);
   event_assign (&f->timer, desc->base, -1, 0, _bgap_follower_on_timer, f);
+  event_assign (&f->check, desc->base, -1, 0, _bgap_follower_on_check, f);
   _bgap_follower_arm (f, 0);
   *follower = f;
   return BGAP_OK;
@@ -279,6 +369,7 @@
   if (follower == NULL)
     return;
   event_del (&follower->timer);
+  event_del (&follower->check);
   struct follower_call *call = LIST_FIRST (&follower->calls);
   while (call != NULL)
     {
@@ -307,6 +398,51 @@
   follower->desc.wait_ms = wait_ms;
 }
 
+void
+bgap_follower_set_fed (struct bgap_follower *follower, bool fed)
+{
+  if (follower->fed && !fed)
+    bgap_follower_hurry (follower);
+  follower->fed = fed;
+}
+
+/* What is fed makes a read that waits needless.  */
+static void
+_bgap_follower_rest (struct bgap_follower *f)
+{
+  if (f->busy && f->state == FOLLOWING)
+    {
+      f->busy = false;
+      f->generation++;
+      event_del (&f->check);
+    }
+  if (!f->busy)
+    _bgap_follower_arm (f, f->desc.fed_timeout_ms);
+}
+
+void
+bgap_follower_feed (struct bgap_follower *f, const struct bgap_feed *feed)
+{
+  if (!f->fed || f->state != FOLLOWING)
+    return;
+  if (feed->from > f->next)
+    {
+      /* Something in between was not received.  */
+      bgap_follower_hurry (f);
+      return;
+    }
+  f->fed_ms = _bgap_follower_now_ms ();
+  _bgap_follower_rest (f);
+  uint64_t next = f->next;
+  if (feed->next > f->next)
+    f->next = feed->next;
+  for (size_t i = 0; i < feed->count; i++)
+    if (feed->records[i].offset >= next)
+      f->desc.ops.record (f->desc.ops.context, &feed->records[i]);
+  if (f->desc.ops.contact != NULL)
+    f->desc.ops.contact (f->desc.ops.context, feed->sent_ms);
+}
+
 void
 bgap_follower_reload (struct bgap_follower *follower)
 {
--- a/packages/store/src/membership.c
+++ b/packages/store/src/membership.c
@@ -162,6 +162,18 @@
   return membership->count > 0 ? (uint32_t)membership->count : 1;
 }
 
+uint32_t
+bgap_membership_listed (const struct bgap_membership *membership)
+{
+  return (uint32_t)membership->count;
+}
+
+const char *
+bgap_membership_at (const struct bgap_membership *membership, uint32_t index)
+{
+  return membership->names[index];
+}
+
 bool
 bgap_membership_has (const struct bgap_membership *membership,
                      const char *member)
--- a/packages/store/tests/test_follower.c
+++ b/packages/store/tests/test_follower.c
@@ -14,6 +14,7 @@
 
 struct answer
 {
+  bool never;
   enum bgap_store_outcome outcome;
   struct bgap_store_record records[4];
   size_t count;
@@ -63,6 +64,8 @@
       return;
     }
   const struct answer *answer = &fake->answers[fake->answered++];
+  if (answer->never)
+    return;
   const struct bgap_store_page page = {
     .outcome = answer->outcome,
     .records = answer->records,
@@ -117,8 +120,8 @@
   fake->loaded++;
 }
 
-static void
-follow (struct fake *fake)
+static struct bgap_follower *
+start (struct fake *fake, uint32_t wait_ms)
 {
   struct bgap_follower *follower;
   struct bgap_error err = { 0 };
@@ -131,16 +134,30 @@
                                              .base = fake->base,
                                              .store = &fake->ops,
                                              .topic = "t",
+                                        .wait_ms = wait_ms,
+                                        .fed_timeout_ms = 100,
                                              .ops = { .record = on_record,
                                                       .loaded = on_loaded,
                                                       .context = fake } },
                                          &err),
                     BGAP_OK);
+  return follower;
+}
+
+static void
+finish (struct fake *fake, struct bgap_follower *follower)
+{
   event_base_dispatch (fake->base);
   bgap_follower_shutdown (follower);
   event_base_free (fake->base);
 }
 
+static void
+follow (struct fake *fake)
+{
+  finish (fake, start (fake, 0));
+}
+
 /* Guards against a record that was appended between the items of a page and
    its end offset, and would never be read.  */
 static void
@@ -201,6 +218,71 @@
   assert_int_equal (fake.seen[1], 7);
 }
 
+/* Guards against a record that a read that waits does not return, because it
+   was appended just while the read arrived.  */
+static void
+test_finds_what_a_waiting_read_misses (void **state)
+{
+  (void)state;
+  struct fake fake = {
+    .answers = { { .records = { { .offset = 0, .key = "a" } },
+                   .count = 1,
+                   .end = 1 },
+                 { .never = true },
+                 { .records = { { .offset = 1, .key = "a" } },
+                   .count = 1,
+                   .end = 2 } },
+    .answer_count = 3,
+  };
+  finish (&fake, start (&fake, 5000));
+  assert_int_equal (fake.seen_count, 2);
+  assert_int_equal (fake.read_from[2], 2);
+}
+
+struct feeding
+{
+  struct fake *fake;
+  struct bgap_follower *follower;
+};
+
+static void
+on_feed (evutil_socket_t fd, short events, void *context)
+{
+  const struct feeding *feeding = context;
+  const struct bgap_store_record record = { .offset = 1, .key = "a" };
+  (void)fd;
+  (void)events;
+  bgap_follower_feed (feeding->follower,
+                      &(struct bgap_feed){ .from = 1,
+                                           .next = 4,
+                                           .records = &record,
+                                           .count = 1 });
+}
+
+/* Guards against reads by an instance that is fed, and against one that does
+   not read when the feed stops.  */
+static void
+test_a_feed_replaces_reads (void **state)
+{
+  (void)state;
+  struct fake fake = {
+    .answers = { { .records = { { .offset = 0, .key = "a" } },
+                   .count = 1,
+                   .end = 1 },
+                 { .never = true } },
+    .answer_count = 2,
+  };
+  struct bgap_follower *follower = start (&fake, 0);
+  struct feeding feeding = { &fake, follower };
+  const struct timeval soon = { .tv_usec = 20000 };
+  bgap_follower_set_fed (follower, true);
+  event_base_once (fake.base, -1, EV_TIMEOUT, on_feed, &feeding, &soon);
+  finish (&fake, follower);
+  assert_int_equal (fake.seen_count, 2);
+  assert_int_equal (fake.reads, 2);
+  assert_int_equal (fake.read_from[1], 4);
+}
+
 int
 main (void)
 {
@@ -208,6 +290,8 @@
     cmocka_unit_test (test_reads_on_from_the_last_item),
     cmocka_unit_test (test_history_is_gone_after_a_load),
     cmocka_unit_test (test_loads_again_when_truncated),
+    cmocka_unit_test (test_finds_what_a_waiting_read_misses),
+    cmocka_unit_test (test_a_feed_replaces_reads),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -170,6 +170,7 @@
               bgap_membership_count (edge->membership),
               bgap_membership_is_first (edge->membership));
   bgap_edge_update_candidates (edge);
+  bgap_edge_update_relay (edge);
   bgap_edge_apply_limits (edge);
   bgap_edge_run_actions (edge);
 }
@@ -257,6 +258,7 @@
       edge->housekeeping_ms = now_ms;
       _bgap_edge_reload (edge, false);
       bgap_event_log_flush ();
+      bgap_edge_revive_servers (edge, now_ms);
     }
   bgap_edge_update_candidates (edge);
   bgap_edge_report_keys (edge, now_ms);
@@ -355,8 +357,10 @@
   edge->settings = *desc->settings;
   edge->base = desc->base;
   edge->life = bgap_random_seed () | 1;
-  int size = snprintf (edge->member, sizeof edge->member, "%s@%s",
-                       edge->settings.name, edge->settings.peers_address);
+  edge->is_reader = true;
+  int size = snprintf (edge->member, sizeof edge->member, "%s@%s#%s",
+                       edge->settings.name, edge->settings.peers_address,
+                       edge->settings.zone);
   if (size >= (int)sizeof edge->member)
     {
       free (edge);
--- a/programs/banyangapd/edge_config.c
+++ b/programs/banyangapd/edge_config.c
@@ -196,6 +196,13 @@
   bgap_edge_contact (edge);
 }
 
+static void
+_bgap_config_on_page (void *context, uint64_t from,
+                      const struct bgap_store_record *records, size_t count)
+{
+  bgap_edge_relay_config (context, from, records, count);
+}
+
 static void
 _bgap_config_on_trouble (void *context, enum bgap_store_outcome outcome,
                          const char *message)
@@ -213,9 +220,11 @@
                                   .store = edge->desc.store,
                                   .topic = edge->desc.topics.operators,
                                   .wait_ms = CONFIG_WAIT_MS,
+          .fed_timeout_ms = BGAP_EDGE_FED_TIMEOUT_MS,
                                   .ops = { .record = _bgap_config_on_record,
                                            .contact = _bgap_config_on_contact,
                                            .trouble = _bgap_config_on_trouble,
+                   .page = _bgap_config_on_page,
                                            .context = edge } },
                               err);
 }
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -13,7 +13,7 @@
 /* A read of the system's own records waits so long; that of the granter less,
    because the age of its view bounds how long it may grant.  */
 #define OWN_WAIT_MS 8000
-#define GRANTER_WAIT_MS 1200
+#define GRANTER_WAIT_MS 3000
 
 /* The granter counts as lost if it is missing from the list of instances for
    so long; right after an outage of the store the list may be short.  */
@@ -380,6 +380,7 @@
   bgap_assignment_shutdown (&assignment);
   _bgap_keys_update_wait (edge);
   bgap_edge_update_candidates (edge);
+  bgap_edge_update_relay (edge);
 }
 
 static void
@@ -424,6 +425,7 @@
 _bgap_keys_on_contact (void *context, int64_t sent_ms)
 {
   struct bgap_edge *edge = context;
+  edge->own_ms = sent_ms;
   for (struct bgap_edge_service *service = edge->services; service != NULL;
        service = service->hh.next)
     if (service->granter != NULL)
@@ -432,6 +434,13 @@
   bgap_edge_run_actions (edge);
 }
 
+static void
+_bgap_keys_on_page (void *context, uint64_t from,
+                    const struct bgap_store_record *records, size_t count)
+{
+  bgap_edge_relay_own (context, from, records, count);
+}
+
 static void
 _bgap_keys_on_trouble (void *context, enum bgap_store_outcome outcome,
                        const char *message)
@@ -449,10 +458,13 @@
                                     .store = edge->desc.store,
                                     .topic = edge->desc.topics.own,
                                     .wait_ms = OWN_WAIT_MS,
+                                    .fed_timeout_ms
+                                    = BGAP_EDGE_FED_TIMEOUT_MS,
                                     .ops = { .record = _bgap_keys_on_record,
                                              .loaded = _bgap_keys_on_loaded,
                                              .contact = _bgap_keys_on_contact,
                                              .trouble = _bgap_keys_on_trouble,
+                                             .page = _bgap_keys_on_page,
                                              .context = edge } },
       err);
 }
--- a/programs/banyangapd/edge_peers.c
+++ b/programs/banyangapd/edge_peers.c
@@ -4,10 +4,6 @@
 #include "edge_private.h"
 #include "now.h"
 
-/* Kind of a message with the keys of recent requests: the length of the
-   service's name in a byte, the name, then keys of two bytes.  */
-#define MESSAGE_KEYS 1
-
 /* Time between two reports. The load of the keys is evened out about every
    second.  */
 #define REPORT_INTERVAL_MS 300
@@ -15,28 +11,40 @@
 static struct bgap_event_kind event_bad_message
     = { .name = "message-skipped" };
 
-static void
-_bgap_peers_on_message (void *context, const char *from, uint8_t kind,
-                        const void *bytes, size_t size)
+/* Keys of recent requests: the length of the service's name in a byte, the
+   name, then keys of two bytes.  */
+static bool
+_bgap_peers_on_keys (struct bgap_edge *edge, const unsigned char *data,
+                     size_t size)
 {
-  struct bgap_edge *edge = context;
-  const unsigned char *data = bytes;
   char name[BGAP_REGISTRY_NAME_SIZE] = "";
   size_t name_size = size > 0 ? data[0] : 0;
-  if (kind != MESSAGE_KEYS || size < 1 + name_size || name_size >= sizeof name
+  if (size < 1 + name_size || name_size >= sizeof name
       || (size - 1 - name_size) % 2 != 0)
-    {
-      bgap_event (&event_bad_message, "from=%.64s kind=%u bytes=%zu", from,
-                  kind, size);
-      return;
-    }
+    return false;
   memcpy (name, data + 1, name_size);
   const struct bgap_edge_service *service = bgap_edge_service (edge, name);
   if (service == NULL || service->granter == NULL)
-    return;
+    return true;
   for (size_t i = 1 + name_size; i < size; i += 2)
     bgap_granter_count_request (service->granter,
                                 (uint32_t)data[i] << 8 | data[i + 1]);
+  return true;
+}
+
+static void
+_bgap_peers_on_message (void *context, const char *from, uint8_t kind,
+                        const void *bytes, size_t size)
+{
+  struct bgap_edge *edge = context;
+  bool valid = false;
+  if (kind == BGAP_EDGE_MESSAGE_KEYS)
+    valid = _bgap_peers_on_keys (edge, bytes, size);
+  else if (kind == BGAP_EDGE_MESSAGE_RELAY)
+    valid = bgap_edge_on_relay (edge, bytes, size);
+  if (!valid)
+    bgap_event (&event_bad_message, "from=%.64s kind=%u bytes=%zu", from, kind,
+                size);
 }
 
 enum bgap_status
@@ -69,14 +77,14 @@
   sample->seen++;
 }
 
-/* A granter's name ends with the address at which it listens.  */
 static bool
 _bgap_peers_reach (struct bgap_edge *edge, const char *granter)
 {
   struct bgap_error err = { 0 };
-  const char *address = strchr (granter, '@');
-  return address != NULL
-         && bgap_peer_set (edge->peer, granter, address + 1, &err) == BGAP_OK;
+  struct bgap_edge_member member;
+  return bgap_edge_member_parse (granter, &member)
+         && bgap_peer_set (edge->peer, granter, member.address, &err)
+                == BGAP_OK;
 }
 
 static void
@@ -99,7 +107,8 @@
   sample->seen = 0;
   /* A report that is lost is followed by the next one.  */
   if (_bgap_peers_reach (edge, granter))
-    (void)bgap_peer_send (edge->peer, granter, MESSAGE_KEYS, bytes, size);
+    (void)bgap_peer_send (edge->peer, granter, BGAP_EDGE_MESSAGE_KEYS, bytes,
+                           size);
 }
 
 void
--- a/programs/banyangapd/edge_private.h
+++ b/programs/banyangapd/edge_private.h
@@ -9,6 +9,7 @@
  *   edge_servers.c   registrations -> servers of the router, their connections
  *   edge_keys.c      assignment of keys: records, grants, candidates
  *   edge_peers.c     counts of requests for keys -> granter
+ *   edge_relay.c     what a few instances read from the store -> others
  *   edge_request.c   callers' requests -> router
  *   edge_attempt.c   attempts: router -> servers, and their responses
  *   edge_report.c    metrics and dumps
@@ -48,6 +49,27 @@
   uint16_t keys[BGAP_EDGE_KEYS_MAX];
 };
 
+/* An instance that hears nothing from its reader for so long reads
+   the store itself. The reader is heard about every second.  */
+#define BGAP_EDGE_FED_TIMEOUT_MS 1300
+
+/* Kinds of messages between instances.  */
+#define BGAP_EDGE_MESSAGE_KEYS 1
+#define BGAP_EDGE_MESSAGE_RELAY 2
+
+/**
+ * struct bgap_edge_member - parts of a member's name,
+ * "<instance>@<address>#<zone>"
+ */
+struct bgap_edge_member
+{
+  char address[BGAP_INSTANCE_ADDRESS_SIZE];
+  char zone[BGAP_REGISTRY_NAME_SIZE];
+};
+
+/* Registrations of one read whose change is noted, for the relay.  */
+#define BGAP_EDGE_CHANGED_MAX 256
+
 /**
  * struct bgap_edge_service - a service in the router
  * @granter: engine that divides its keys, NULL for other services
@@ -72,7 +94,7 @@
  * @calls: attempts and orders that are running
  * @closed: connections refused in a row
  * @broken_ms: when an attempt broke, 0 for never
- * @lost_sequence: its registrations when it was taken for dead, or -1
+ * @lost_ms: when it was taken for dead, 0 if it is not
  */
 struct bgap_edge_server
 {
@@ -85,7 +107,7 @@
   uint32_t calls;
   uint32_t closed;
   int64_t broken_ms;
-  int64_t lost_sequence;
+  int64_t lost_ms;
   UT_hash_handle hh;
 };
 
@@ -125,7 +147,10 @@
 
 /**
  * struct bgap_edge - the instance
- * @member: name and address for other instances, "<name>@<address>"
+ * @member: name for other instances, see struct bgap_edge_member
+ * @is_reader: it reads the store for others
+ * @changed: ids of servers whose registration changed in the read that is
+ *   being reported
  * @table: configuration in force, NULL if there is none yet
  * @servers: by handle in the router
  * @timer_at_ms: when the timer fires, 0 if it is not set
@@ -161,7 +186,11 @@
   int64_t store_trouble_ms;
   int64_t granter_missing_ms;
   int64_t reported_ms;
+  bool is_reader;
+  uint32_t changed_count;
+  char changed[BGAP_EDGE_CHANGED_MAX][BGAP_REGISTRY_NAME_SIZE];
   int64_t config_ms;
+  int64_t own_ms;
   int64_t servers_ms;
   int64_t housekeeping_ms;
   int64_t stopping_ms;
@@ -221,6 +250,11 @@
  */
 void bgap_edge_adopt_servers (struct bgap_edge *edge);
 
+/**
+ * bgap_edge_revive_servers() - servers that were wrongly taken for dead
+ */
+void bgap_edge_revive_servers (struct bgap_edge *edge, int64_t now_ms);
+
 /**
  * bgap_edge_call_ended() - an attempt or order to the server has ended; the
  * server may be freed
@@ -279,6 +313,42 @@
  */
 void bgap_edge_report_keys (struct bgap_edge *edge, int64_t now_ms);
 
+/* edge_relay.c */
+
+/**
+ * bgap_edge_member_parse() - split a member's name; false if it is no such name
+ */
+bool bgap_edge_member_parse (const char *member, struct bgap_edge_member *out);
+
+/**
+ * bgap_edge_update_relay() - choose the readers again
+ */
+void bgap_edge_update_relay (struct bgap_edge *edge);
+
+/* Pass on what a read of each topic has brought.  */
+void bgap_edge_relay_config (struct bgap_edge *edge, uint64_t from,
+                             const struct bgap_store_record *records,
+                             size_t count);
+void bgap_edge_relay_servers (struct bgap_edge *edge, uint64_t from,
+                              const struct bgap_store_record *records,
+                              size_t count);
+void bgap_edge_relay_own (struct bgap_edge *edge, uint64_t from,
+                          const struct bgap_store_record *records,
+                          size_t count);
+
+/**
+ * bgap_edge_on_relay() - a message of its reader; false if malformed
+ */
+bool bgap_edge_on_relay (struct bgap_edge *edge, const void *bytes,
+                         size_t size);
+
+/**
+ * bgap_edge_server_changed() - a registration of the read that is being
+ * reported has changed more than its sequence
+ */
+bool bgap_edge_server_changed (const struct bgap_edge *edge,
+                               const struct bgap_store_record *record);
+
 /* edge_request.c */
 void bgap_edge_on_request (void *context, struct bgap_exchange_id id,
                            const struct bgap_frontend_request *request);
--- /dev/null
+++ b/programs/banyangapd/edge_relay.c
@@ -0,0 +1,292 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge_private.h"
+#include "now.h"
+
+/* Follower that a message is for, in its first byte after the kind.  */
+enum relay_topic
+{
+  RELAY_CONFIG,
+  RELAY_SERVERS,
+  RELAY_OWN,
+  RELAY_TOPICS
+};
+
+/* Bytes of the head of a message: topic, from, next, age of the read.  */
+#define HEAD_SIZE (1 + 8 + 8 + 4)
+
+/* Bytes of the head of a record: offset, size of the key, size of the value. */
+#define RECORD_HEAD_SIZE (8 + 1 + 4)
+
+/* Records of one message at most; a reader sends more messages.  */
+#define RECORDS_MAX 256
+
+/* Instances that one reader feeds. Each costs it a few small messages a
+   second.  */
+#define FED_PER_READER 32u
+
+static struct bgap_event_kind event_relay = { .name = "relay" };
+
+static void
+_bgap_relay_put (unsigned char *out, uint64_t value, int bytes)
+{
+  for (int i = 0; i < bytes; i++)
+    out[i] = (unsigned char)(value >> 8 * (bytes - 1 - i));
+}
+
+static uint64_t
+_bgap_relay_get (const unsigned char *in, int bytes)
+{
+  uint64_t value = 0;
+  for (int i = 0; i < bytes; i++)
+    value = value << 8 | in[i];
+  return value;
+}
+
+/* Roles.  */
+
+bool
+bgap_edge_member_parse (const char *member, struct bgap_edge_member *out)
+{
+  const char *at = strchr (member, '@');
+  const char *hash = at != NULL ? strchr (at, '#') : NULL;
+  if (hash == NULL || (size_t)(hash - at) > sizeof out->address
+      || strlen (hash) > sizeof out->zone)
+    return false;
+  snprintf (out->address, sizeof out->address, "%.*s", (int)(hash - at - 1),
+            at + 1);
+  snprintf (out->zone, sizeof out->zone, "%s", hash + 1);
+  return true;
+}
+
+/* The granter reads its own records itself, since the age of its view bounds
+   how long it may grant.  */
+static bool
+_bgap_relay_is_granter (const struct bgap_edge *edge)
+{
+  for (const struct bgap_edge_service *service = edge->services;
+       service != NULL; service = service->hh.next)
+    if (service->granter != NULL && bgap_granter_is_active (service->granter))
+      return true;
+  return false;
+}
+
+/* Place of an instance in the sorted list.  */
+static uint32_t
+_bgap_relay_index (const struct bgap_edge *edge, const char *name)
+{
+  uint32_t index = 0;
+  for (uint32_t i = 0; i < bgap_membership_listed (edge->membership); i++)
+    if (strcmp (bgap_membership_at (edge->membership, i), name) < 0)
+      index++;
+  return index;
+}
+
+static uint32_t
+_bgap_relay_readers (const struct bgap_edge *edge)
+{
+  return 1 + bgap_membership_listed (edge->membership) / FED_PER_READER;
+}
+
+void
+bgap_edge_update_relay (struct bgap_edge *edge)
+{
+  uint32_t index = _bgap_relay_index (edge, edge->member);
+  bool is_reader = !bgap_membership_has (edge->membership, edge->member)
+                   || index < _bgap_relay_readers (edge);
+  if (is_reader != edge->is_reader)
+    bgap_event (&event_relay, "is_reader=%d index=%u readers=%u instances=%u",
+                is_reader, index, _bgap_relay_readers (edge),
+                bgap_membership_listed (edge->membership));
+  edge->is_reader = is_reader;
+  bgap_follower_set_fed (edge->config, !is_reader);
+  bgap_follower_set_fed (edge->registrations, !is_reader);
+  bgap_follower_set_fed (edge->own,
+                         !is_reader && !_bgap_relay_is_granter (edge));
+}
+
+/* Sending.  */
+
+static void
+_bgap_relay_send (struct bgap_edge *edge, const struct bgap_buffer *bytes)
+{
+  struct bgap_error err = { 0 };
+  struct bgap_edge_member parsed;
+  uint32_t readers = _bgap_relay_readers (edge);
+  uint32_t own = _bgap_relay_index (edge, edge->member);
+  for (uint32_t i = 0; i < bgap_membership_listed (edge->membership); i++)
+    {
+      const char *member = bgap_membership_at (edge->membership, i);
+      uint32_t index = _bgap_relay_index (edge, member);
+      if (index < readers || index % readers != own
+          || !bgap_edge_member_parse (member, &parsed))
+        continue;
+      /* One that misses a message reads by itself.  */
+      if (bgap_peer_set (edge->peer, member, parsed.address, &err) == BGAP_OK)
+        (void)bgap_peer_send (edge->peer, member, BGAP_EDGE_MESSAGE_RELAY,
+                              bytes->data, bytes->size);
+    }
+}
+
+static enum bgap_status
+_bgap_relay_print (struct bgap_buffer *out, enum relay_topic topic,
+                   const struct bgap_feed *feed)
+{
+  unsigned char head[HEAD_SIZE];
+  int64_t age_ms = bgap_now_ms () - feed->sent_ms;
+  head[0] = (unsigned char)topic;
+  _bgap_relay_put (head + 1, feed->from, 8);
+  _bgap_relay_put (head + 9, feed->next, 8);
+  _bgap_relay_put (head + 17, (uint64_t)age_ms, 4);
+  enum bgap_status status = bgap_buffer_append (out, head, sizeof head);
+  for (size_t i = 0; i < feed->count && status == BGAP_OK; i++)
+    {
+      const struct bgap_store_record *record = &feed->records[i];
+      unsigned char bytes[RECORD_HEAD_SIZE];
+      _bgap_relay_put (bytes, record->offset, 8);
+      bytes[8] = (unsigned char)strlen (record->key);
+      _bgap_relay_put (bytes + 9, record->removed ? 0 : record->size, 4);
+      status = bgap_buffer_append (out, bytes, sizeof bytes);
+      if (status == BGAP_OK)
+        status = bgap_buffer_append (out, record->key, bytes[8]);
+      if (status == BGAP_OK && !record->removed)
+        status = bgap_buffer_append (out, record->value, record->size);
+    }
+  return status;
+}
+
+static void
+_bgap_relay_feed (struct bgap_edge *edge, enum relay_topic topic,
+                  const struct bgap_feed *feed)
+{
+  struct bgap_buffer bytes = { 0 };
+  if (_bgap_relay_print (&bytes, topic, feed) == BGAP_OK)
+    _bgap_relay_send (edge, &bytes);
+  bgap_buffer_shutdown (&bytes);
+}
+
+/* Tells the others that nothing has come in the other topics.  */
+static void
+_bgap_relay_beat (struct bgap_edge *edge, enum relay_topic topic,
+                  const struct bgap_follower *follower, int64_t seen_ms)
+{
+  uint64_t next = bgap_follower_end (follower);
+  _bgap_relay_feed (edge, topic,
+                    &(struct bgap_feed){
+                        .from = next, .next = next, .sent_ms = seen_ms });
+}
+
+void
+bgap_edge_relay_config (struct bgap_edge *edge, uint64_t from,
+                        const struct bgap_store_record *records, size_t count)
+{
+  if (!edge->is_reader)
+    return;
+  _bgap_relay_feed (
+      edge, RELAY_CONFIG,
+      &(struct bgap_feed){ .from = from,
+                           .next = bgap_follower_end (edge->config),
+                           .sent_ms = edge->config_ms,
+                           .records = records,
+                           .count = count });
+}
+
+void
+bgap_edge_relay_own (struct bgap_edge *edge, uint64_t from,
+                     const struct bgap_store_record *records, size_t count)
+{
+  if (!edge->is_reader)
+    return;
+  _bgap_relay_feed (edge, RELAY_OWN,
+                    &(struct bgap_feed){ .from = from,
+                                         .next = bgap_follower_end (edge->own),
+                                         .sent_ms = edge->own_ms,
+                                         .records = records,
+                                         .count = count });
+}
+
+/* Servers register about every second; only what has changed is passed on.  */
+void
+bgap_edge_relay_servers (struct bgap_edge *edge, uint64_t from,
+                         const struct bgap_store_record *records, size_t count)
+{
+  struct bgap_store_record changed[RECORDS_MAX];
+  size_t changed_count = 0;
+  if (!edge->is_reader)
+    return;
+  for (size_t i = 0; i < count && changed_count < RECORDS_MAX; i++)
+    if (records[i].removed || bgap_edge_server_changed (edge, &records[i]))
+      changed[changed_count++] = records[i];
+  edge->changed_count = 0;
+  /* Those that find no room are found by a gap in the offsets.  */
+  uint64_t next = changed_count < RECORDS_MAX
+                      ? bgap_follower_end (edge->registrations)
+                      : changed[RECORDS_MAX - 1].offset + 1;
+  _bgap_relay_feed (edge, RELAY_SERVERS,
+                    &(struct bgap_feed){ .from = from,
+                                         .next = next,
+                                         .sent_ms = edge->servers_ms,
+                                         .records = changed,
+                                         .count = changed_count });
+  _bgap_relay_beat (edge, RELAY_CONFIG, edge->config, edge->config_ms);
+  _bgap_relay_beat (edge, RELAY_OWN, edge->own, edge->own_ms);
+}
+
+/* Receiving.  */
+
+static bool
+_bgap_relay_parse (const unsigned char *bytes, size_t size,
+                   struct bgap_store_record *records, size_t *count)
+{
+  size_t at = 0;
+  *count = 0;
+  while (at < size)
+    {
+      if (*count == RECORDS_MAX || size - at < RECORD_HEAD_SIZE)
+        return false;
+      struct bgap_store_record *record = &records[(*count)++];
+      size_t key_size = bytes[at + 8];
+      uint64_t value_size = _bgap_relay_get (bytes + at + 9, 4);
+      if (size - at - RECORD_HEAD_SIZE < key_size + value_size)
+        return false;
+      record->offset = _bgap_relay_get (bytes + at, 8);
+      at += RECORD_HEAD_SIZE;
+      memcpy (record->key, bytes + at, key_size);
+      record->key[key_size] = '\0';
+      record->value = bytes + at + key_size;
+      record->size = value_size;
+      record->removed = value_size == 0;
+      at += key_size + value_size;
+    }
+  return true;
+}
+
+bool
+bgap_edge_on_relay (struct bgap_edge *edge, const void *bytes, size_t size)
+{
+  struct bgap_follower *const followers[RELAY_TOPICS] = {
+    [RELAY_CONFIG] = edge->config,
+    [RELAY_SERVERS] = edge->registrations,
+    [RELAY_OWN] = edge->own,
+  };
+  const unsigned char *data = bytes;
+  struct bgap_feed feed = { 0 };
+  if (size < HEAD_SIZE || data[0] >= RELAY_TOPICS)
+    return false;
+  struct bgap_store_record *records = calloc (RECORDS_MAX, sizeof *records);
+  bool valid = records != NULL
+               && _bgap_relay_parse (data + HEAD_SIZE, size - HEAD_SIZE,
+                                     records, &feed.count);
+  if (valid)
+    {
+      feed.from = _bgap_relay_get (data + 1, 8);
+      feed.next = _bgap_relay_get (data + 9, 8);
+      feed.sent_ms = bgap_now_ms () - (int64_t)_bgap_relay_get (data + 17, 4);
+      feed.records = records;
+      bgap_follower_feed (followers[data[0]], &feed);
+    }
+  free (records);
+  return valid;
+}
--- a/programs/banyangapd/edge_servers.c
+++ b/programs/banyangapd/edge_servers.c
@@ -25,6 +25,9 @@
    ended.  */
 #define CLOSED_MAX 2u
 
+/* A registration ends after three heartbeats of silence; one more is margin. */
+#define LAPSE_HEARTBEATS 4
+
 /* They count if they come so soon after it.  */
 #define CLOSED_WINDOW_MS 3000
 
@@ -143,7 +146,6 @@
     return;
   server->known = known;
   server->service = service;
-  server->lost_sequence = -1;
   snprintf (server->id, sizeof server->id, "%s", known->entry.id);
   if (!_bgap_servers_open (edge, server, &known->entry))
     {
@@ -242,9 +244,9 @@
   server->closed++;
   if (server->closed < CLOSED_MAX || server->broken_ms == 0
       || now_ms - server->broken_ms > CLOSED_WINDOW_MS
-      || server->lost_sequence >= 0)
+      || server->lost_ms != 0)
     return;
-  server->lost_sequence = server->known->entry.sequence;
+  server->lost_ms = now_ms;
   bgap_event (&event_server,
               "server=%s service=%s change=ended reason=\"no listener after a "
               "broken attempt\" refused=%u",
@@ -252,20 +254,25 @@
   bgap_router_server_lost (&edge->router, now_ms, server->router_id);
 }
 
-/* A server that was taken for dead and goes on registering is alive.  */
-static void
-_bgap_servers_revive (struct bgap_edge *edge, struct bgap_edge_server *server)
+/* A server that was taken for dead and is still registered after the time in
+   which a dead one's registration ends is alive.  */
+void
+bgap_edge_revive_servers (struct bgap_edge *edge, int64_t now_ms)
 {
-  const struct bgap_server_entry *entry = &server->known->entry;
-  if (server->lost_sequence < 0
-      || entry->sequence <= server->lost_sequence + 1)
-    return;
-  server->lost_sequence = -1;
-  server->closed = 0;
-  bgap_event (&event_server, "server=%s service=%s change=back", server->id,
-              server->service->name);
-  bgap_router_server_alive (&edge->router, bgap_now_ms (), server->router_id,
-                            (uint64_t)entry->born_ms);
+  int64_t lapse_ms = edge->settings.heartbeat_ms * LAPSE_HEARTBEATS;
+  for (struct bgap_edge_server *server = edge->servers; server != NULL;
+       server = server->hh.next)
+    {
+      if (server->lost_ms == 0 || server->known == NULL
+          || now_ms - server->lost_ms < lapse_ms)
+        continue;
+      server->lost_ms = 0;
+      server->closed = 0;
+      bgap_event (&event_server, "server=%s service=%s change=back",
+                  server->id, server->service->name);
+      bgap_router_server_alive (&edge->router, now_ms, server->router_id,
+                                (uint64_t)server->known->entry.born_ms);
+    }
 }
 
 /* The view.  */
@@ -283,6 +290,9 @@
               entry->id, entry->service, bgap_server_change_name (change),
               entry->zone, entry->slots, (long long)entry->born_ms,
               (long long)entry->sequence, entry->software);
+  if (edge->changed_count < BGAP_EDGE_CHANGED_MAX)
+    snprintf (edge->changed[edge->changed_count++], sizeof edge->changed[0],
+              "%s", entry->id);
   if (change == BGAP_SERVER_ADDED)
     _bgap_servers_add (edge, known);
   struct bgap_edge_server *server = known->user;
@@ -295,7 +305,7 @@
     }
   if (change == BGAP_SERVER_REBORN)
     {
-      server->lost_sequence = -1;
+      server->lost_ms = 0;
       server->closed = 0;
       server->broken_ms = 0;
       bgap_router_server_alive (&edge->router, now_ms, server->router_id,
@@ -308,6 +318,16 @@
                             BGAP_DRAIN_HOST_LIST, entry->draining);
 }
 
+bool
+bgap_edge_server_changed (const struct bgap_edge *edge,
+                          const struct bgap_store_record *record)
+{
+  for (uint32_t i = 0; i < edge->changed_count; i++)
+    if (strcmp (edge->changed[i], record->key) == 0)
+      return true;
+  return edge->changed_count == BGAP_EDGE_CHANGED_MAX;
+}
+
 /* Registrations.  */
 
 static void
@@ -337,7 +357,6 @@
   if (known == NULL || known->user == NULL)
     return;
   struct bgap_edge_server *server = known->user;
-  _bgap_servers_revive (edge, server);
   if (server->service->granter != NULL)
     bgap_edge_set_granter_server (edge, server->service, &known->entry);
 }
@@ -367,6 +386,13 @@
   bgap_edge_run_actions (edge);
 }
 
+static void
+_bgap_servers_on_page (void *context, uint64_t from,
+                       const struct bgap_store_record *records, size_t count)
+{
+  bgap_edge_relay_servers (context, from, records, count);
+}
+
 static void
 _bgap_servers_on_trouble (void *context, enum bgap_store_outcome outcome,
                           const char *message)
@@ -389,11 +415,13 @@
                                   .store = edge->desc.store,
                                   .topic = edge->desc.topics.servers,
                                   .pause_ms = REGISTRATIONS_PAUSE_MS,
+          .fed_timeout_ms = BGAP_EDGE_FED_TIMEOUT_MS,
                                   .ops = { .load = _bgap_servers_on_load,
                                            .record = _bgap_servers_on_record,
                                            .loaded = _bgap_servers_on_loaded,
                                            .contact = _bgap_servers_on_contact,
                                            .trouble = _bgap_servers_on_trouble,
+                   .page = _bgap_servers_on_page,
                                            .context = edge } },
                               err);
 }
