Orders over connections that stay open; hot keys move to faster servers

Grants to an overloaded server were lost after 400 ms, because each new connection takes a slot of the server: one connection for grants, some for releases, both kept open. Neighbouring ranges of a server are joined.

--- a/packages/keyrange/include/banyangap/keyrange/granter.h
+++ b/packages/keyrange/include/banyangap/keyrange/granter.h
@@ -55,7 +55,7 @@
  *   all instances; default 9500
  * @settle_ms: wait for servers to register before the first assignment;
  *   default 1500
- * @balance_ms: between moves that only even out the load; default 400
+ * @balance_ms: between moves that only even out the load; default 600
  */
 struct bgap_granter_desc
 {
--- a/packages/keyrange/src/granter.c
+++ b/packages/keyrange/src/granter.c
@@ -10,7 +10,7 @@
 #define DEFAULT_CALL_TIMEOUT_MS 400
 #define DEFAULT_VIEW_MAX_MS 9500
 #define DEFAULT_SETTLE_MS 1500
-#define DEFAULT_BALANCE_MS 400
+#define DEFAULT_BALANCE_MS 600
 
 /* Time for the grants that follow a record to reach the servers.  */
 #define GRANT_DELAY_MS 15
--- a/packages/keyrange/src/granter_balance.c
+++ b/packages/keyrange/src/granter_balance.c
@@ -41,6 +41,12 @@
 /* Pieces that are moved at a time to even out the load.  */
 #define MOVES_MAX 8
 
+/* A hot key moves to another server if that is faster by this much.  */
+#define FASTER_PERCENT 140.0
+
+/* Sizes of a piece that are tried, each a third of the one before.  */
+#define CHOICES 3
+
 /* Bounds of the speed of a server, in proportion to the mean.  */
 #define SPEED_MIN 0.4
 #define SPEED_MAX 2.0
@@ -180,6 +186,29 @@
   return best;
 }
 
+/* The server of a neighbouring range, if the whole load fits there: fewer
+   ranges have to be renewed then.  */
+static struct room *
+_bgap_balance_neighbour (const struct bgap_assignment *next,
+                         struct room *rooms, uint32_t count, uint32_t first,
+                         uint32_t last, uint64_t load)
+{
+  const uint32_t keys[] = { first - 1, last + 1 };
+  for (int i = 0; i < 2; i++)
+    {
+      const struct bgap_key_range *range
+          = keys[i] < BGAP_KEY_COUNT ? bgap_assignment_find (next, keys[i])
+                                     : NULL;
+      struct room *room
+          = range != NULL && !range->moving
+                ? _bgap_balance_find (rooms, count, range->server)
+                : NULL;
+      if (room != NULL && room->load + load <= room->share)
+        return room;
+    }
+  return NULL;
+}
+
 /* Last key of the piece of [first, last] that fits into @room.  */
 static uint32_t
 _bgap_balance_cut (const struct bgap_granter *g, uint32_t first, uint32_t last,
@@ -214,7 +243,11 @@
   while (placed)
     {
       uint64_t load = 0;
-      struct room *room = _bgap_balance_most_room (rooms, count);
+      struct room *room
+          = _bgap_balance_neighbour (next, rooms, count, first, last,
+                                     _bgap_balance_load (g, first, last));
+      if (room == NULL)
+        room = _bgap_balance_most_room (rooms, count);
       uint32_t end = _bgap_balance_cut (
           g, first, last, (int64_t)room->share - (int64_t)room->load, &load);
       struct bgap_key_range range
@@ -299,8 +332,8 @@
   return busiest;
 }
 
-/* Part of the time that the slots of a server are busy with the requests of the
-   sample; 1 if its speed is not known.  */
+/* Part of the time that the slots of a server are busy with the requests of
+   the sample; 1 if its speed is not known.  */
 static double
 _bgap_balance_utilization (const struct bgap_granter *g,
                            const struct room *room)
@@ -316,8 +349,7 @@
    a move.  */
 static bool
 _bgap_balance_is_uneven (const struct bgap_granter *g,
-                         const struct room *busiest,
-                         const struct room *idlest)
+                         const struct room *busiest, const struct room *idlest)
 {
   if (idlest == busiest || busiest->load <= busiest->share
       || idlest->load >= idlest->share)
@@ -329,10 +361,57 @@
     return false;
   double requests = (double)busiest->share / (double)g->request_weight;
   double noise = NOISE_DEVIATIONS * sqrt (requests);
-  double excess = (double)(busiest->load - busiest->share)
-                  / (double)g->request_weight;
-  return excess > noise
-         && busiest->load * 100 > busiest->share * BUSY_PERCENT;
+  double excess
+      = (double)(busiest->load - busiest->share) / (double)g->request_weight;
+  return excess > noise && busiest->load * 100 > busiest->share * BUSY_PERCENT;
+}
+
+/* The key of the server that has most requests, if it alone makes the server
+   busy and the other server would run its requests much faster.  */
+static bool
+_bgap_balance_hot_key (const struct bgap_granter *g,
+                       const struct bgap_assignment *next,
+                       const struct room *busiest, const struct room *idlest,
+                       struct bgap_key_interval *out)
+{
+  uint64_t most = 0;
+  if (idlest->capacity * 100 < busiest->capacity * FASTER_PERCENT)
+    return false;
+  for (uint32_t i = 0; i < next->count; i++)
+    {
+      const struct bgap_key_range *range = &next->ranges[i];
+      if (range->moving || strcmp (range->server, busiest->server) != 0)
+        continue;
+      for (uint32_t key = range->first; key <= range->last; key++)
+        {
+          uint64_t load = _bgap_balance_key_load (g, key);
+          if (load <= most)
+            continue;
+          most = load;
+          *out = (struct bgap_key_interval){ key, key };
+        }
+    }
+  return most > busiest->load / 2;
+}
+
+/* Keys of the busiest server that the idlest one is to get: as much as fits,
+   or else less.  */
+static bool
+_bgap_balance_choose (const struct bgap_granter *g,
+                      const struct bgap_assignment *next,
+                      const struct room *busiest, const struct room *idlest,
+                      struct bgap_key_interval *out)
+{
+  uint64_t excess = busiest->load - busiest->share;
+  uint64_t room = idlest->share - idlest->load;
+  uint64_t load = excess < room ? excess : room;
+  for (int i = 0; i < CHOICES; i++)
+    {
+      if (_bgap_balance_window (g, next, busiest->server, load, room, out))
+        return true;
+      load /= 3;
+    }
+  return _bgap_balance_hot_key (g, next, busiest, idlest, out);
 }
 
 /* Marks keys of the busiest server as moving, and counts them as the idlest
@@ -343,10 +422,7 @@
                           struct room *idlest)
 {
   struct bgap_key_interval window;
-  uint64_t excess = busiest->load - busiest->share;
-  uint64_t room = idlest->share - idlest->load;
-  if (!_bgap_balance_window (g, next, busiest->server,
-                             excess < room ? excess : room, room, &window))
+  if (!_bgap_balance_choose (g, next, busiest, idlest, &window))
     return false;
   g->balance = (struct bgap_granter_balance){
     .busy_percent = (uint32_t)(busiest->load * 100 / (busiest->share + 1)),
@@ -388,6 +464,29 @@
   return moved;
 }
 
+bool
+bgap_balance_join (struct bgap_assignment *next, uint64_t fence)
+{
+  bool joined = false;
+  for (uint32_t i = 1; i < next->count; i++)
+    {
+      const struct bgap_key_range left = next->ranges[i - 1];
+      const struct bgap_key_range right = next->ranges[i];
+      if (left.server[0] == '\0' || left.moving || right.moving
+          || left.born_ms != right.born_ms
+          || strcmp (left.server, right.server) != 0)
+        continue;
+      struct bgap_key_range value = left;
+      value.fence = fence;
+      if (bgap_assignment_set (next, left.first, right.last, &value)
+          != BGAP_OK)
+        break;
+      joined = true;
+      i = 0;
+    }
+  return joined;
+}
+
 void
 bgap_balance_age (struct bgap_granter *g)
 {
--- a/packages/keyrange/src/granter_plan.c
+++ b/packages/keyrange/src/granter_plan.c
@@ -7,6 +7,9 @@
    after this time.  */
 #define PROPOSAL_TIMEOUT_MS 1500
 
+/* Neighbouring ranges of a server are joined so often.  */
+#define JOIN_INTERVAL_MS 3000
+
 /* Pause after a proposal that was refused, so that what stands in its way can
    be read first.  */
 #define PROPOSAL_RETRY_MS 30
@@ -210,6 +213,12 @@
       changed
           = bgap_balance_even_out (g, now_ms, &g->proposal, g->proposal.fence);
     }
+  if (!changed && now_ms - g->joined_ms >= JOIN_INTERVAL_MS
+      && _bgap_plan_is_calm (g))
+    {
+      g->joined_ms = now_ms;
+      changed = bgap_balance_join (&g->proposal, g->proposal.fence);
+    }
   /* A proposal without a response is settled by the next record, whatever it
      says.  */
   if (!changed && !g->unresolved)
--- a/packages/keyrange/src/granter_state.h
+++ b/packages/keyrange/src/granter_state.h
@@ -137,6 +137,7 @@
   int64_t resumed_ms;
   int64_t foreign_until_ms;
   int64_t balanced_ms;
+  int64_t joined_ms;
   struct bgap_granter_balance balance;
   int64_t assigned_ms;
   bool moved;
@@ -262,6 +263,13 @@
 bool bgap_balance_even_out (struct bgap_granter *g, int64_t now_ms,
                             struct bgap_assignment *next, uint64_t fence);
 
+/**
+ * bgap_balance_join() - make one range of neighbours with the same holder
+ *
+ * Return: whether there were any.
+ */
+bool bgap_balance_join (struct bgap_assignment *next, uint64_t fence);
+
 /**
  * bgap_balance_age() - halve the counts of requests
  */
--- a/packages/store/src/follower.c
+++ b/packages/store/src/follower.c
@@ -18,8 +18,8 @@
 #define EMPTY_PAUSE_MS 400
 
 /* The store does not answer a read that waits when the record is appended just
-   while the read arrives. So long after the start of a read that waits, another
-   one looks whether there is something.  */
+   while the read arrives. So long after the start of a read that waits,
+   another one looks whether there is something.  */
 #define CHECK_MS 40
 
 enum follower_state
--- a/packages/store/tests/test_follower.c
+++ b/packages/store/tests/test_follower.c
@@ -134,8 +134,8 @@
                                              .base = fake->base,
                                              .store = &fake->ops,
                                              .topic = "t",
-                                        .wait_ms = wait_ms,
-                                        .fed_timeout_ms = 100,
+                                             .wait_ms = wait_ms,
+                                             .fed_timeout_ms = 100,
                                              .ops = { .record = on_record,
                                                       .loaded = on_loaded,
                                                       .context = fake } },
@@ -225,13 +225,10 @@
 {
   (void)state;
   struct fake fake = {
-    .answers = { { .records = { { .offset = 0, .key = "a" } },
-                   .count = 1,
-                   .end = 1 },
-                 { .never = true },
-                 { .records = { { .offset = 1, .key = "a" } },
-                   .count = 1,
-                   .end = 2 } },
+    .answers
+    = { { .records = { { .offset = 0, .key = "a" } }, .count = 1, .end = 1 },
+        { .never = true },
+        { .records = { { .offset = 1, .key = "a" } }, .count = 1, .end = 2 } },
     .answer_count = 3,
   };
   finish (&fake, start (&fake, 5000));
@@ -252,11 +249,10 @@
   const struct bgap_store_record record = { .offset = 1, .key = "a" };
   (void)fd;
   (void)events;
-  bgap_follower_feed (feeding->follower,
-                      &(struct bgap_feed){ .from = 1,
-                                           .next = 4,
-                                           .records = &record,
-                                           .count = 1 });
+  bgap_follower_feed (
+      feeding->follower,
+      &(struct bgap_feed){
+          .from = 1, .next = 4, .records = &record, .count = 1 });
 }
 
 /* Guards against reads by an instance that is fed, and against one that does
@@ -266,10 +262,9 @@
 {
   (void)state;
   struct fake fake = {
-    .answers = { { .records = { { .offset = 0, .key = "a" } },
-                   .count = 1,
-                   .end = 1 },
-                 { .never = true } },
+    .answers
+    = { { .records = { { .offset = 0, .key = "a" } }, .count = 1, .end = 1 },
+        { .never = true } },
     .answer_count = 2,
   };
   struct bgap_follower *follower = start (&fake, 0);
--- a/programs/banyangapd/edge_config.c
+++ b/programs/banyangapd/edge_config.c
@@ -19,6 +19,7 @@
    instance knows of the others' requests is old, so that a tight bound would
    leave slots idle; servers take some times their slots before they refuse. */
 #define QUEUE_PER_SLOT 2u
+#define KEYED_QUEUE_PER_SLOT 1u
 
 /* Slots of a server while none has registered.  */
 #define SLOTS_DEFAULT 4u
@@ -76,7 +77,8 @@
 {
   struct bgap_error err = { 0 };
   uint32_t allowance
-      = _bgap_config_slots (edge, routed->name) * QUEUE_PER_SLOT;
+      = _bgap_config_slots (edge, routed->name)
+        * (routed->keyed ? KEYED_QUEUE_PER_SLOT : QUEUE_PER_SLOT);
   const struct bgap_service_desc desc = {
     .name = routed->name,
     .keyed = routed->keyed,
@@ -220,11 +222,11 @@
                                   .store = edge->desc.store,
                                   .topic = edge->desc.topics.operators,
                                   .wait_ms = CONFIG_WAIT_MS,
-          .fed_timeout_ms = BGAP_EDGE_FED_TIMEOUT_MS,
+                                  .fed_timeout_ms = BGAP_EDGE_FED_TIMEOUT_MS,
                                   .ops = { .record = _bgap_config_on_record,
                                            .contact = _bgap_config_on_contact,
                                            .trouble = _bgap_config_on_trouble,
-                   .page = _bgap_config_on_page,
+                                           .page = _bgap_config_on_page,
                                            .context = edge } },
                               err);
 }
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -19,6 +19,10 @@
    so long; right after an outage of the store the list may be short.  */
 #define GRANTER_MISSING_MS 100
 
+/* A connection for releases is used at least so often; servers close idle ones
+   after about ten seconds.  */
+#define RELEASE_CONNECTION_USE_MS 4000
+
 static struct bgap_event_kind event_assignment
     = { .name = "assignment", .burst = 400 };
 static struct bgap_event_kind event_bad_record = { .name = "record-skipped" };
@@ -27,10 +31,14 @@
 static struct bgap_event_kind event_order = { .name = "order" };
 
 /**
- * struct order - a grant or release in progress
+ * struct bgap_edge_order - a grant or release in progress
+ * @next: order that waits behind this one
+ * @expires_ms: a waiting one is not sent any more from then on
  */
-struct order
+struct bgap_edge_order
 {
+  struct bgap_edge_order *next;
+  int64_t expires_ms;
   struct bgap_edge *edge;
   struct bgap_edge_service *service;
   struct bgap_edge_server *server;
@@ -83,8 +91,11 @@
 
 /* Orders.  */
 
+static void _bgap_order_send_waiting (struct bgap_edge_server *server);
+
 static void
-_bgap_order_end (struct order *order, enum bgap_granter_result result)
+_bgap_order_end (struct bgap_edge_order *order,
+                 enum bgap_granter_result result)
 {
   struct bgap_edge *edge = order->edge;
   struct bgap_edge_service *service = order->service;
@@ -104,9 +115,11 @@
   /* Whoever used a higher number has written a record.  */
   if (result == BGAP_GRANTER_FENCED)
     bgap_follower_hurry (edge->own);
-  bgap_edge_call_ended (edge, order->server);
+  struct bgap_edge_server *server = order->server;
   bgap_buffer_shutdown (&order->body);
   free (order);
+  _bgap_order_send_waiting (server);
+  bgap_edge_call_ended (edge, server);
   bgap_edge_run_actions (edge);
 }
 
@@ -114,7 +127,7 @@
 _bgap_order_judge (void *user, int status, const struct bgap_headers *headers,
                    enum bgap_refusal *refusal)
 {
-  struct order *order = user;
+  struct bgap_edge_order *order = user;
   struct bgap_wire_response response;
   *refusal = BGAP_REFUSAL_NONE;
   order->edge->desc.wire->read_response (headers, status, "", &response);
@@ -139,7 +152,7 @@
 static void
 _bgap_order_on_complete (void *user, struct bgap_backend_attempt_id id)
 {
-  struct order *order = user;
+  struct bgap_edge_order *order = user;
   enum bgap_granter_result result = BGAP_GRANTER_REJECTED;
   (void)id;
   if (order->status == 200)
@@ -181,46 +194,105 @@
   .failed = _bgap_order_on_failed,
 };
 
+/* A grant goes over the connections for releases now and then, so that one of
+   them is open when it is needed.  */
+static struct bgap_backend_server_id
+_bgap_order_pool (const struct bgap_edge_order *order)
+{
+  struct bgap_edge_server *server = order->server;
+  int64_t now_ms = bgap_now_ms ();
+  if (!order->is_release
+      && now_ms - server->released_ms < RELEASE_CONNECTION_USE_MS)
+    return server->grants;
+  server->released_ms = now_ms;
+  return server->releases;
+}
+
 static enum bgap_status
-_bgap_order_start (struct order *order,
-                   const struct bgap_granter_action *action)
+_bgap_order_send (struct bgap_edge_order *order)
 {
   const struct bgap_wire_ops *wire = order->edge->desc.wire;
   struct bgap_headers headers = { 0 };
   struct bgap_backend_attempt_id id;
+  int64_t left_ms = order->expires_ms - bgap_now_ms ();
+  if (left_ms <= 0)
+    return BGAP_ERR_TIMEOUT;
+  bgap_buffer_shutdown (&order->body);
   enum bgap_status status
       = order->is_release ? wire->print_release (&order->grant, &order->body)
                           : wire->print_grant (&order->grant, &order->body);
   if (status == BGAP_OK)
-    status = wire->write_request (&headers, action->timeout_ms,
-                                  order->server->id);
+    status = wire->write_request (&headers, left_ms, order->server->id);
   if (status == BGAP_OK)
     status = bgap_headers_add (&headers, "Content-Type", "application/json");
   if (status == BGAP_OK)
     status = bgap_backend_send (
-        order->edge->backend, order->server->orders,
-        &(struct bgap_backend_request){
-            .method = "POST",
-            .target
-            = order->is_release ? wire->release_path : wire->grant_path,
-            .headers = &headers,
-            .body = order->body.data,
-            .body_size = order->body.size,
-            .deadline_ms = (uint32_t)action->timeout_ms,
-            .ops = &order_ops,
-            .user = order },
+        order->edge->backend, _bgap_order_pool (order),
+        &(struct bgap_backend_request){ .method = "POST",
+                                        .target = order->is_release
+                                                      ? wire->release_path
+                                                      : wire->grant_path,
+                                        .headers = &headers,
+                                        .body = order->body.data,
+                                        .body_size = order->body.size,
+                                        .deadline_ms = (uint32_t)left_ms,
+                                        .ops = &order_ops,
+                                        .user = order },
         &id);
   bgap_headers_shutdown (&headers);
   return status;
 }
 
+static void
+_bgap_order_drop (struct bgap_edge_order *order)
+{
+  bgap_granter_on_reply (order->service->granter, bgap_now_ms (), order->call,
+                         BGAP_GRANTER_NOT_SENT, "");
+  order->server->calls--;
+  bgap_buffer_shutdown (&order->body);
+  free (order);
+}
+
+/* Sends what waits for a connection, until there is none.  */
+static void
+_bgap_order_send_waiting (struct bgap_edge_server *server)
+{
+  struct bgap_edge_order **at = &server->waiting;
+  while (*at != NULL)
+    {
+      struct bgap_edge_order *order = *at;
+      enum bgap_status status = _bgap_order_send (order);
+      if (status == BGAP_ERR_FULL)
+        {
+          at = &order->next;
+          continue;
+        }
+      *at = order->next;
+      if (status != BGAP_OK)
+        _bgap_order_drop (order);
+    }
+}
+
+void
+bgap_edge_drop_orders (struct bgap_edge_server *server)
+{
+  while (server->waiting != NULL)
+    {
+      struct bgap_edge_order *order = server->waiting;
+      server->waiting = order->next;
+      bgap_buffer_shutdown (&order->body);
+      free (order);
+    }
+}
+
 static void
 _bgap_keys_order (struct bgap_edge *edge, struct bgap_edge_service *service,
                   const struct bgap_granter_action *action)
 {
   struct bgap_edge_server *server
       = bgap_edge_server_named (edge, service, action->server);
-  struct order *order = server != NULL ? calloc (1, sizeof *order) : NULL;
+  struct bgap_edge_order *order
+      = server != NULL ? calloc (1, sizeof *order) : NULL;
   if (order == NULL)
     {
       bgap_granter_on_reply (service->granter, bgap_now_ms (), action->call,
@@ -233,6 +305,7 @@
   order->is_release = action->kind == BGAP_GRANTER_RELEASE;
   order->call = action->call;
   order->sent_ms = bgap_now_ms ();
+  order->expires_ms = order->sent_ms + action->timeout_ms;
   order->grant = (struct bgap_wire_grant){
     .first = action->first,
     .last = action->last,
@@ -242,14 +315,11 @@
   snprintf (order->grant.handover, sizeof order->grant.handover, "%s",
             action->handover);
   server->calls++;
-  if (_bgap_order_start (order, action) != BGAP_OK)
-    {
-      bgap_granter_on_reply (service->granter, bgap_now_ms (), action->call,
-                             BGAP_GRANTER_NOT_SENT, "");
-      bgap_buffer_shutdown (&order->body);
-      free (order);
-      bgap_edge_call_ended (edge, server);
-    }
+  struct bgap_edge_order **at = &server->waiting;
+  while (*at != NULL)
+    at = &(*at)->next;
+  *at = order;
+  _bgap_order_send_waiting (server);
 }
 
 /* Records.  */
@@ -458,8 +528,7 @@
                                     .store = edge->desc.store,
                                     .topic = edge->desc.topics.own,
                                     .wait_ms = OWN_WAIT_MS,
-                                    .fed_timeout_ms
-                                    = BGAP_EDGE_FED_TIMEOUT_MS,
+                                    .fed_timeout_ms = BGAP_EDGE_FED_TIMEOUT_MS,
                                     .ops = { .record = _bgap_keys_on_record,
                                              .loaded = _bgap_keys_on_loaded,
                                              .contact = _bgap_keys_on_contact,
--- a/programs/banyangapd/edge_peers.c
+++ b/programs/banyangapd/edge_peers.c
@@ -108,7 +108,7 @@
   /* A report that is lost is followed by the next one.  */
   if (_bgap_peers_reach (edge, granter))
     (void)bgap_peer_send (edge->peer, granter, BGAP_EDGE_MESSAGE_KEYS, bytes,
-                           size);
+                          size);
 }
 
 void
--- a/programs/banyangapd/edge_private.h
+++ b/programs/banyangapd/edge_private.h
@@ -30,10 +30,15 @@
 #include "edge.h"
 #include "edge_metrics.h"
 
-/* Connections to a server for grants and releases.  */
-#define BGAP_EDGE_ORDER_CONNECTIONS 8u
+/* Connections to a server for orders: one for grants, which must not wait
+   behind a release, and some for releases, which take as long as the running
+   requests. They are kept open, since opening one takes a slot of the server.
+   */
+#define BGAP_EDGE_GRANT_CONNECTIONS 1u
+#define BGAP_EDGE_RELEASE_CONNECTIONS 4u
 
 struct bgap_edge;
+struct bgap_edge_order;
 
 /* Keys of requests that are reported at a time at most.  */
 #define BGAP_EDGE_KEYS_MAX 1024
@@ -90,7 +95,9 @@
  * @known: its registration, NULL once it is gone
  * @id: its name, also when the registration is gone
  * @router_id: handle in the router
- * @requests, @orders: pools of connections
+ * @requests, @grants, @releases: pools of connections
+ * @waiting: orders that wait for a connection, oldest first
+ * @released_ms: last order on the connections for releases
  * @calls: attempts and orders that are running
  * @closed: connections refused in a row
  * @broken_ms: when an attempt broke, 0 for never
@@ -103,7 +110,10 @@
   struct bgap_edge_service *service;
   struct bgap_server_id router_id;
   struct bgap_backend_server_id requests;
-  struct bgap_backend_server_id orders;
+  struct bgap_backend_server_id grants;
+  struct bgap_backend_server_id releases;
+  struct bgap_edge_order *waiting;
+  int64_t released_ms;
   uint32_t calls;
   uint32_t closed;
   int64_t broken_ms;
@@ -276,6 +286,11 @@
                             struct bgap_edge_service *service);
 void bgap_edge_update_candidates (struct bgap_edge *edge);
 
+/**
+ * bgap_edge_drop_orders() - forget the orders that wait, without a report
+ */
+void bgap_edge_drop_orders (struct bgap_edge_server *server);
+
 /**
  * bgap_edge_set_granter_server() - tell the granter what a server says
  */
@@ -316,7 +331,8 @@
 /* edge_relay.c */
 
 /**
- * bgap_edge_member_parse() - split a member's name; false if it is no such name
+ * bgap_edge_member_parse() - split a member's name; false if it is no such
+ * name
  */
 bool bgap_edge_member_parse (const char *member, struct bgap_edge_member *out);
 
--- a/programs/banyangapd/edge_relay.c
+++ b/programs/banyangapd/edge_relay.c
@@ -17,7 +17,8 @@
 /* Bytes of the head of a message: topic, from, next, age of the read.  */
 #define HEAD_SIZE (1 + 8 + 8 + 4)
 
-/* Bytes of the head of a record: offset, size of the key, size of the value. */
+/* Bytes of the head of a record: offset, size of the key, size of the value.
+ */
 #define RECORD_HEAD_SIZE (8 + 1 + 4)
 
 /* Records of one message at most; a reader sends more messages.  */
@@ -173,9 +174,9 @@
                   const struct bgap_follower *follower, int64_t seen_ms)
 {
   uint64_t next = bgap_follower_end (follower);
-  _bgap_relay_feed (edge, topic,
-                    &(struct bgap_feed){
-                        .from = next, .next = next, .sent_ms = seen_ms });
+  _bgap_relay_feed (
+      edge, topic,
+      &(struct bgap_feed){ .from = next, .next = next, .sent_ms = seen_ms });
 }
 
 void
--- a/programs/banyangapd/edge_servers.c
+++ b/programs/banyangapd/edge_servers.c
@@ -21,11 +21,16 @@
 /* Requests that an instance may have in a server in any case.  */
 #define OWN_MIN 2u
 
+/* Connections of the instance that grants keys.  */
+#define ORDER_CONNECTIONS                                                     \
+  (BGAP_EDGE_GRANT_CONNECTIONS + BGAP_EDGE_RELEASE_CONNECTIONS)
+
 /* Refused connections after an attempt broke that show that the process has
    ended.  */
 #define CLOSED_MAX 2u
 
-/* A registration ends after three heartbeats of silence; one more is margin. */
+/* A registration ends after three heartbeats of silence; one more is margin.
+ */
 #define LAPSE_HEARTBEATS 4
 
 /* They count if they come so soon after it.  */
@@ -64,8 +69,8 @@
             : NULL;
   uint32_t instances = bgap_membership_count (edge->membership);
   uint32_t all = routed != NULL ? routed->connections_max : CONNECTIONS_MIN;
-  uint32_t share = all > BGAP_EDGE_ORDER_CONNECTIONS
-                       ? (all - BGAP_EDGE_ORDER_CONNECTIONS) / (instances + 1)
+  uint32_t share = all > ORDER_CONNECTIONS
+                       ? (all - ORDER_CONNECTIONS) / (instances + 1)
                        : 1;
   return share > CONNECTIONS_MIN ? share : CONNECTIONS_MIN;
 }
@@ -107,31 +112,38 @@
 
 /* Adding and removing.  */
 
+static void
+_bgap_servers_close (struct bgap_edge *edge, struct bgap_edge_server *server)
+{
+  bgap_backend_remove_server (edge->backend, server->requests);
+  bgap_backend_remove_server (edge->backend, server->grants);
+  bgap_backend_remove_server (edge->backend, server->releases);
+}
+
 static bool
 _bgap_servers_open (struct bgap_edge *edge, struct bgap_edge_server *server,
                     const struct bgap_server_entry *entry)
 {
   struct bgap_error err = { 0 };
-  uint32_t connections = _bgap_servers_connections (edge, server->service);
-  if (bgap_backend_add_server (edge->backend, entry->address, connections,
-                               &server->requests, &err)
-      != BGAP_OK)
-    {
-      bgap_event (&event_bad_server, "server=%s reason=\"%s\"", entry->id,
-                  err.message);
-      return false;
-    }
-  if (bgap_backend_add_server (edge->backend, entry->address,
-                               BGAP_EDGE_ORDER_CONNECTIONS, &server->orders,
-                               &err)
-      != BGAP_OK)
-    {
-      bgap_backend_remove_server (edge->backend, server->requests);
-      bgap_event (&event_bad_server, "server=%s reason=\"%s\"", entry->id,
-                  err.message);
-      return false;
-    }
-  return true;
+  const char *address = entry->address;
+  enum bgap_status status = bgap_backend_add_server (
+      edge->backend, address,
+      _bgap_servers_connections (edge, server->service), &server->requests,
+      &err);
+  if (status == BGAP_OK)
+    status = bgap_backend_add_server (edge->backend, address,
+                                      BGAP_EDGE_GRANT_CONNECTIONS,
+                                      &server->grants, &err);
+  if (status == BGAP_OK)
+    status = bgap_backend_add_server (edge->backend, address,
+                                      BGAP_EDGE_RELEASE_CONNECTIONS,
+                                      &server->releases, &err);
+  if (status == BGAP_OK)
+    return true;
+  _bgap_servers_close (edge, server);
+  bgap_event (&event_bad_server, "server=%s reason=\"%s\"", entry->id,
+              err.message);
+  return false;
 }
 
 static void
@@ -155,8 +167,7 @@
   _bgap_servers_set_router (edge, service, &known->entry, &server->router_id);
   if (server->router_id.id == BGAP_INVALID_ID)
     {
-      bgap_backend_remove_server (edge->backend, server->requests);
-      bgap_backend_remove_server (edge->backend, server->orders);
+      _bgap_servers_close (edge, server);
       free (server);
       return;
     }
@@ -180,8 +191,7 @@
 {
   if (server->router_id.id != BGAP_INVALID_ID)
     HASH_DEL (edge->servers, server);
-  bgap_backend_remove_server (edge->backend, server->requests);
-  bgap_backend_remove_server (edge->backend, server->orders);
+  _bgap_servers_close (edge, server);
   free (server);
 }
 
@@ -243,8 +253,7 @@
     }
   server->closed++;
   if (server->closed < CLOSED_MAX || server->broken_ms == 0
-      || now_ms - server->broken_ms > CLOSED_WINDOW_MS
-      || server->lost_ms != 0)
+      || now_ms - server->broken_ms > CLOSED_WINDOW_MS || server->lost_ms != 0)
     return;
   server->lost_ms = now_ms;
   bgap_event (&event_server,
@@ -415,13 +424,13 @@
                                   .store = edge->desc.store,
                                   .topic = edge->desc.topics.servers,
                                   .pause_ms = REGISTRATIONS_PAUSE_MS,
-          .fed_timeout_ms = BGAP_EDGE_FED_TIMEOUT_MS,
+                                  .fed_timeout_ms = BGAP_EDGE_FED_TIMEOUT_MS,
                                   .ops = { .load = _bgap_servers_on_load,
                                            .record = _bgap_servers_on_record,
                                            .loaded = _bgap_servers_on_loaded,
                                            .contact = _bgap_servers_on_contact,
                                            .trouble = _bgap_servers_on_trouble,
-                   .page = _bgap_servers_on_page,
+                                           .page = _bgap_servers_on_page,
                                            .context = edge } },
                               err);
 }
@@ -434,6 +443,7 @@
   HASH_ITER (hh, edge->servers, server, next)
   {
     HASH_DEL (edge->servers, server);
+    bgap_edge_drop_orders (server);
     free (server);
   }
   bgap_server_view_free (edge->view);
