Take over after a restart of all instances; find records that a feed leaves out

A gap in what is fed did not end a read that waited. And with a slow store the read behind a waiting one came too early; it now waits for three times the usual time of an answer.

Requests for a key are refused by the measured rate of their holder's queue. Log lines are written whole.

--- a/packages/base/src/event_log.c
+++ b/packages/base/src/event_log.c
@@ -1,6 +1,7 @@
 #include "banyangap/base/event_log.h"
 
 #include <fcntl.h>
+#include <limits.h>
 #include <stdarg.h>
 #include <stdbool.h>
 #include <stdio.h>
@@ -31,13 +32,27 @@
     (void)fcntl (STDOUT_FILENO, F_SETFL, flags | O_NONBLOCK);
 }
 
+/* Bytes of whole lines that a pipe takes at once or not at all, so that a line
+   is not cut when the process ends.  */
+static size_t
+_bgap_event_block (const char *bytes, size_t size)
+{
+  if (size <= PIPE_BUF)
+    return size;
+  size_t block = PIPE_BUF;
+  while (block > 0 && bytes[block - 1] != '\n')
+    block--;
+  return block > 0 ? block : PIPE_BUF;
+}
+
 void
 bgap_event_log_flush (void)
 {
   size_t done = 0;
   while (done < kept_size)
     {
-      ssize_t size = write (STDOUT_FILENO, kept + done, kept_size - done);
+      size_t block = _bgap_event_block (kept + done, kept_size - done);
+      ssize_t size = write (STDOUT_FILENO, kept + done, block);
       if (size <= 0)
         break;
       done += (size_t)size;
--- a/packages/keyrange/src/granter_balance.c
+++ b/packages/keyrange/src/granter_balance.c
@@ -14,10 +14,9 @@
 /* Requests in the sample before the load is evened out.  */
 #define SAMPLE_MIN 40u
 
-/* Keys move if the busiest server has this much more than its share, or if the
-   idlest one has this much less; less gain is not worth the move.  */
+/* Keys move if the busiest server has this much more than its share, or if a
+   server has none; less gain is not worth the move.  */
 #define BUSY_PERCENT 130u
-#define IDLE_PERCENT 20u
 
 /* A piece may exceed the room of the server that gets it by this much, so that
    ranges are not cut into slivers.  */
@@ -354,7 +353,7 @@
   if (idlest == busiest || busiest->load <= busiest->share
       || idlest->load >= idlest->share)
     return false;
-  if (idlest->load * 100 < idlest->share * IDLE_PERCENT)
+  if (idlest->load == 0)
     return true;
   if (g->load_total < SAMPLE_MIN || g->request_weight == 0
       || _bgap_balance_utilization (g, busiest) < UTILIZATION_MIN)
--- a/packages/keyrange/src/granter_plan.c
+++ b/packages/keyrange/src/granter_plan.c
@@ -261,8 +261,13 @@
   bool settled = g->known
                  || (g->first_server_ms != 0
                      && now_ms - g->first_server_ms >= g->desc.settle_ms);
-  bool is_vacant
-      = !g->known || g->current.released || g->granter_lost || g->superseded;
-  if (g->loaded && g->candidate && settled && is_vacant && !g->releasing_role)
+  /* The granter of the record may be an earlier process of this instance.
+     Nobody else can know that it is gone.  */
+  bool was_own = g->known && !g->active && g->current.life != g->desc.life
+                 && strcmp (g->current.granter, g->instance) == 0;
+  bool is_vacant = !g->known || g->current.released || g->granter_lost
+                   || g->superseded || was_own;
+  if (g->loaded && (g->candidate || was_own) && settled && is_vacant
+      && !g->releasing_role)
     _bgap_plan_take_over (g, now_ms);
 }
--- /dev/null
+++ b/packages/keyrange/tests/test_granter.c
@@ -0,0 +1,250 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "banyangap/keyrange/granter.h"
+
+#define LIFE 7
+
+static struct bgap_granter *
+granter_new (void)
+{
+  struct bgap_granter *granter = NULL;
+  struct bgap_error err = { 0 };
+  assert_int_equal (
+      bgap_granter_setup (
+          &granter,
+          &(struct bgap_granter_desc){ .instance = "n0", .life = LIFE }, &err),
+      BGAP_OK);
+  return granter;
+}
+
+static void
+add_server (struct bgap_granter *granter, int64_t now_ms, const char *id,
+            double latency_ms)
+{
+  struct bgap_granter_server server
+      = { .born_ms = 5, .sequence = 1, .slots = 4, .latency_ms = latency_ms };
+  snprintf (server.id, sizeof server.id, "%s", id);
+  bgap_granter_set_server (granter, now_ms, &server);
+}
+
+static struct bgap_assignment
+assignment_of (const char *instance, uint64_t life, uint64_t fence)
+{
+  struct bgap_assignment assignment;
+  assert_int_equal (bgap_assignment_setup (&assignment), BGAP_OK);
+  snprintf (assignment.granter, sizeof assignment.granter, "%s", instance);
+  assignment.life = life;
+  assignment.fence = fence;
+  return assignment;
+}
+
+static void
+set_holder (struct bgap_assignment *assignment, uint32_t first, uint32_t last,
+            const char *server)
+{
+  struct bgap_key_range range = { .born_ms = 5, .fence = assignment->fence };
+  snprintf (range.server, sizeof range.server, "%s", server);
+  assert_int_equal (bgap_assignment_set (assignment, first, last, &range),
+                    BGAP_OK);
+}
+
+/* Takes the actions; the proposal, if there is one, in @proposal.  */
+static bool
+drain (struct bgap_granter *granter, struct bgap_assignment *proposal,
+       uint32_t *grants)
+{
+  struct bgap_granter_action action;
+  bool proposed = false;
+  *grants = 0;
+  while (bgap_granter_next_action (granter, &action))
+    {
+      *grants += action.kind == BGAP_GRANTER_GRANT;
+      if (action.kind != BGAP_GRANTER_APPEND)
+        continue;
+      proposed = true;
+      assert_int_equal (
+          bgap_assignment_decode (proposal, action.bytes, action.size, NULL),
+          BGAP_OK);
+    }
+  return proposed;
+}
+
+/* Guards against keys that nobody grants after all instances were restarted:
+   the granter of the record is alive under its name, but as a new process.  */
+static void
+test_restarted_granter_takes_over (void **state)
+{
+  struct bgap_granter *granter = granter_new ();
+  struct bgap_assignment old = assignment_of ("n0", LIFE + 1, 3);
+  struct bgap_assignment proposal = { 0 };
+  uint32_t grants;
+  (void)state;
+  set_holder (&old, 0, BGAP_KEY_COUNT - 1, "s0");
+  add_server (granter, 100, "s0", 0);
+  bgap_granter_on_assignment (granter, 100, &old);
+  bgap_granter_on_loaded (granter, 100);
+  bgap_granter_set_candidate (granter, 100, false, false);
+  bgap_granter_tick (granter, 200);
+  assert_true (drain (granter, &proposal, &grants));
+  assert_int_equal (proposal.life, LIFE);
+  assert_int_equal (proposal.fence, 4);
+  assert_string_equal (proposal.ranges[0].server, "s0");
+  bgap_granter_on_assignment (granter, 210, &proposal);
+  bgap_granter_on_view (granter, 210, 205);
+  bgap_granter_tick (granter, 210);
+  drain (granter, &proposal, &grants);
+  assert_int_equal (grants, 1);
+  bgap_assignment_shutdown (&old);
+  bgap_assignment_shutdown (&proposal);
+  bgap_granter_shutdown (granter);
+}
+
+/* An active granter with the keys divided between two servers.  */
+static struct bgap_granter *
+active_granter (double latency_0, double latency_1)
+{
+  struct bgap_granter *granter = granter_new ();
+  struct bgap_assignment own = assignment_of ("n0", LIFE, 3);
+  set_holder (&own, 0, 32767, "s0");
+  set_holder (&own, 32768, BGAP_KEY_COUNT - 1, "s1");
+  add_server (granter, 100, "s0", latency_0);
+  add_server (granter, 100, "s1", latency_1);
+  bgap_granter_on_loaded (granter, 100);
+  bgap_granter_on_assignment (granter, 100, &own);
+  bgap_granter_on_view (granter, 100, 95);
+  bgap_granter_tick (granter, 110);
+  bgap_assignment_shutdown (&own);
+  return granter;
+}
+
+static void
+count_requests (struct bgap_granter *granter, uint32_t first, uint32_t last,
+                uint32_t each)
+{
+  for (uint32_t key = first; key <= last; key++)
+    for (uint32_t i = 0; i < each; i++)
+      bgap_granter_count_request (granter, key);
+}
+
+/* Load of many hot keys on one server. Guards against hot neighbours that stay
+   together on a busy server.  */
+static void
+test_hot_keys_are_spread (void **state)
+{
+  struct bgap_granter *granter = active_granter (200, 200);
+  struct bgap_assignment proposal = { 0 };
+  uint32_t grants;
+  uint32_t moving = 0;
+  (void)state;
+  drain (granter, &proposal, &grants);
+  count_requests (granter, 1000, 1199, 1);
+  bgap_granter_tick (granter, 900);
+  assert_true (drain (granter, &proposal, &grants));
+  for (uint32_t i = 0; i < proposal.count; i++)
+    if (proposal.ranges[i].moving)
+      moving += proposal.ranges[i].last - proposal.ranges[i].first + 1;
+  assert_true (moving >= 50);
+  assert_true (moving < 200);
+  bgap_assignment_shutdown (&proposal);
+  bgap_granter_shutdown (granter);
+}
+
+/* Load of a single key above what a server can run. Guards against a key that
+   is moved to and fro between equal servers, which only disturbs it.  */
+static void
+test_single_hot_key_stays (void **state)
+{
+  struct bgap_granter *granter = active_granter (200, 200);
+  struct bgap_assignment proposal = { 0 };
+  uint32_t grants;
+  (void)state;
+  drain (granter, &proposal, &grants);
+  count_requests (granter, 1000, 1000, 200);
+  bgap_granter_tick (granter, 900);
+  if (drain (granter, &proposal, &grants))
+    assert_false (bgap_assignment_find (&proposal, 1000)->moving);
+  bgap_assignment_shutdown (&proposal);
+  bgap_granter_shutdown (granter);
+}
+
+/* The same with a server that is twice as fast. Guards against a hot key that
+   stays on a slow server.  */
+static void
+test_single_hot_key_moves_to_a_faster_server (void **state)
+{
+  struct bgap_granter *granter = active_granter (400, 200);
+  struct bgap_assignment proposal = { 0 };
+  uint32_t grants;
+  (void)state;
+  drain (granter, &proposal, &grants);
+  count_requests (granter, 1000, 1000, 200);
+  bgap_granter_tick (granter, 900);
+  assert_true (drain (granter, &proposal, &grants));
+  assert_true (bgap_assignment_find (&proposal, 1000)->moving);
+  bgap_assignment_shutdown (&proposal);
+  bgap_granter_shutdown (granter);
+}
+
+/* Guards against moves for a load that the servers carry easily.  */
+static void
+test_idle_servers_keep_their_keys (void **state)
+{
+  struct bgap_granter *granter = active_granter (5, 5);
+  struct bgap_assignment proposal = { 0 };
+  uint32_t grants;
+  (void)state;
+  drain (granter, &proposal, &grants);
+  count_requests (granter, 1000, 1199, 1);
+  bgap_granter_tick (granter, 900);
+  assert_false (drain (granter, &proposal, &grants));
+  bgap_assignment_shutdown (&proposal);
+  bgap_granter_shutdown (granter);
+}
+
+/* Guards against an assignment that is not the one that was written.  */
+static void
+test_assignment_text (void **state)
+{
+  struct bgap_assignment written = assignment_of ("n0", 0xabcdef, 9);
+  struct bgap_assignment read = { 0 };
+  struct bgap_buffer text = { 0 };
+  struct bgap_error err = { 0 };
+  (void)state;
+  set_holder (&written, 10, 20, "s0");
+  set_holder (&written, 15, 30, "s1");
+  assert_int_equal (bgap_assignment_encode (&written, &text), BGAP_OK);
+  assert_int_equal (bgap_assignment_decode (&read, text.data, text.size, &err),
+                    BGAP_OK);
+  assert_int_equal (read.count, 4);
+  assert_int_equal (read.life, 0xabcdef);
+  assert_string_equal (bgap_assignment_find (&read, 14)->server, "s0");
+  assert_string_equal (bgap_assignment_find (&read, 15)->server, "s1");
+  assert_string_equal (bgap_assignment_find (&read, 31)->server, "");
+  text.data[text.size - 3] = '9';
+  bgap_assignment_decode (&read, text.data, text.size - 5, &err);
+  assert_int_equal (err.status, BGAP_ERR_PROTOCOL);
+  bgap_buffer_shutdown (&text);
+  bgap_assignment_shutdown (&written);
+  bgap_assignment_shutdown (&read);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_assignment_text),
+    cmocka_unit_test (test_restarted_granter_takes_over),
+    cmocka_unit_test (test_hot_keys_are_spread),
+    cmocka_unit_test (test_single_hot_key_stays),
+    cmocka_unit_test (test_single_hot_key_moves_to_a_faster_server),
+    cmocka_unit_test (test_idle_servers_keep_their_keys),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/packages/routing/src/router_attempt.c
+++ b/packages/routing/src/router_attempt.c
@@ -179,7 +179,8 @@
     _bgap_router_eject (now_ms, service, &server->server);
   if (kind != BGAP_RESULT_COMPLETE)
     return;
-  service->completed++;
+  service->rate.completed++;
+  server->rate.completed++;
   bgap_server_on_latency (&server->server, (int64_t)took_ms,
                           request->uncontended);
   if (service->samples == 0)
--- a/packages/routing/src/router_queue.c
+++ b/packages/routing/src/router_queue.c
@@ -116,7 +116,8 @@
                             int64_t now_ms)
 {
   int64_t left_ms = request->deadline_at_ms - now_ms;
-  double queue_ms = service->rate > 0 ? service->waiting / service->rate : 0;
+  double queue_ms
+      = service->rate.per_ms > 0 ? service->waiting / service->rate.per_ms : 0;
   int64_t wait_ms = (int64_t)(queue_ms + service->service_ms);
   if (wait_ms < RETRY_AFTER_MIN_MS)
     wait_ms = RETRY_AFTER_MIN_MS;
@@ -189,26 +190,26 @@
 }
 
 void
-bgap_router_update_rate (struct bgap_router_service *service, int64_t now_ms)
+bgap_router_update_rate (struct bgap_router_rate *rate, uint32_t waiting,
+                         int64_t now_ms)
 {
-  bool waiting = service->waiting > 0;
-  int64_t passed_ms = now_ms - service->rate_from_ms;
-  service->backlog = service->backlog && waiting;
+  int64_t passed_ms = now_ms - rate->from_ms;
+  rate->backlog = rate->backlog && waiting > 0;
   if (passed_ms < RATE_WINDOW_MS)
     return;
-  if (service->backlog)
+  if (rate->backlog)
     {
-      double rate = (double)service->completed / (double)passed_ms;
-      service->rate
-          = service->rate > 0
-                ? service->rate + RATE_SMOOTHING * (rate - service->rate)
-                : rate;
+      double per_ms = (double)rate->completed / (double)passed_ms;
+      rate->per_ms
+          = rate->per_ms > 0
+                ? rate->per_ms + RATE_SMOOTHING * (per_ms - rate->per_ms)
+                : per_ms;
     }
-  else if (!waiting)
-    service->rate = 0;
-  service->completed = 0;
-  service->rate_from_ms = now_ms;
-  service->backlog = waiting;
+  else if (waiting == 0)
+    rate->per_ms = 0;
+  rate->completed = 0;
+  rate->from_ms = now_ms;
+  rate->backlog = waiting > 0;
 }
 
 bool
@@ -246,8 +247,13 @@
   /* The slots are shared with other instances: the measured rate is better
      than the sum of the limits.  */
   double wait_ms = service->service_ms * ahead / capacity;
-  if (service->rate > 0 && !service->desc.keyed)
-    wait_ms = ahead / service->rate;
+  const struct bgap_router_server *holder
+      = service->desc.keyed ? bgap_router_server (state, request->holder)
+                            : NULL;
+  const struct bgap_router_rate *rate
+      = holder != NULL ? &holder->rate : &service->rate;
+  if (rate->per_ms > 0)
+    wait_ms = ahead / rate->per_ms;
   double left_ms = (double)(request->deadline_at_ms - now_ms);
   if (wait_ms + service->service_ms <= left_ms)
     return false;
--- a/packages/routing/src/router_state.h
+++ b/packages/routing/src/router_state.h
@@ -111,10 +111,26 @@
   uint32_t server;
 };
 
+/**
+ * struct bgap_router_rate - how fast a queue drains
+ * @per_ms: requests completed per millisecond while others waited, 0 if not
+ *   known
+ * @completed: since @from_ms
+ * @backlog: requests have waited since @from_ms without a break
+ */
+struct bgap_router_rate
+{
+  double per_ms;
+  uint32_t completed;
+  int64_t from_ms;
+  bool backlog;
+};
+
 /**
  * struct bgap_router_server - a server with its queue
  * @server: first, so that a pointer to it can be converted
  * @lane: waiting requests for keys that it holds
+ * @rate: at which they are served
  * @peers: in-flight attempts per peer
  */
 struct bgap_router_server
@@ -122,6 +138,7 @@
   struct bgap_server server;
   uint32_t id;
   struct bgap_heap lane;
+  struct bgap_router_rate rate;
   uint16_t *peers;
   UT_hash_handle hh;
 };
@@ -133,9 +150,7 @@
  * @waiting: requests QUEUED, RESOLVING or BACKOFF
  * @once_waiting: requests ONCE
  * @service_ms: smoothed time of an attempt
- * @rate: completed per millisecond while requests waited, 0 if not known
- * @completed: since @rate_from_ms
- * @backlog: requests have waited since @rate_from_ms without a break
+ * @rate: at which waiting requests are served
  */
 struct bgap_router_service
 {
@@ -152,10 +167,7 @@
   uint32_t once_waiting;
   double service_ms;
   uint32_t samples;
-  double rate;
-  uint32_t completed;
-  int64_t rate_from_ms;
-  bool backlog;
+  struct bgap_router_rate rate;
   struct bgap_once once;
   bool pumping;
 };
@@ -263,9 +275,10 @@
                         struct bgap_router_request *request);
 
 /**
- * bgap_router_update_rate() - measure the rate at which the queue drains
+ * bgap_router_update_rate() - measure the rate at which a queue drains
+ * @waiting: requests that wait in it now
  */
-void bgap_router_update_rate (struct bgap_router_service *service,
+void bgap_router_update_rate (struct bgap_router_rate *rate, uint32_t waiting,
                               int64_t now_ms);
 
 /**
--- a/packages/routing/src/router_tick.c
+++ b/packages/routing/src/router_tick.c
@@ -41,11 +41,12 @@
           bgap_once_tick (&service->once, now_ms, wall_ms);
           bgap_router_drain_once (state, now_ms, service);
         }
-      bgap_router_update_rate (service, now_ms);
+      bgap_router_update_rate (&service->rate, service->waiting, now_ms);
       for (uint32_t i = 0; i < service->server_count; i++)
         {
           struct bgap_router_server *server
               = (struct bgap_router_server *)service->servers[i];
+          bgap_router_update_rate (&server->rate, server->lane.count, now_ms);
           if (!bgap_server_ejected (&server->server, now_ms))
             server->server.ejected_until_ms = 0;
           if (server->lane.count > 0)
--- a/packages/store/src/follower.c
+++ b/packages/store/src/follower.c
@@ -18,9 +18,14 @@
 #define EMPTY_PAUSE_MS 400
 
 /* The store does not answer a read that waits when the record is appended just
-   while the read arrives. So long after the start of a read that waits,
-   another one looks whether there is something.  */
+   while it takes the read in. Another read looks whether there is something,
+   so long after the start of the one that waits and after CHECK_LATENCIES
+   times the store's usual time for an answer.  */
 #define CHECK_MS 40
+#define CHECK_LATENCIES 3
+
+/* Weight of a new answer in the store's usual time.  */
+#define LATENCY_WEIGHT 0.5
 
 enum follower_state
 {
@@ -39,6 +44,7 @@
  * @next: offset to read from
  * @check: timer of the read that looks behind a waiting one
  * @fed: another instance feeds this one; @fed_ms is the last time
+ * @latency_ms: smoothed time of answers that did not wait for a record
  * @generation: of the call whose result counts; earlier ones are ignored
  * @busy: that call is running
  */
@@ -58,6 +64,7 @@
   bool busy;
   bool fed;
   int64_t fed_ms;
+  double latency_ms;
   uint64_t generation;
   int64_t sent_ms;
   int64_t retry_ms;
@@ -109,6 +116,13 @@
   return f;
 }
 
+static void
+_bgap_follower_on_latency (struct bgap_follower *f, int64_t sent_ms)
+{
+  double took_ms = (double)(_bgap_follower_now_ms () - sent_ms);
+  f->latency_ms += LATENCY_WEIGHT * (took_ms - f->latency_ms);
+}
+
 static void
 _bgap_follower_contact (struct bgap_follower *f)
 {
@@ -150,6 +164,7 @@
       _bgap_follower_failed (f, page);
       return;
     }
+  _bgap_follower_on_latency (f, f->sent_ms);
   if (!f->load_begun)
     {
       f->load_begun = true;
@@ -242,6 +257,7 @@
 {
   struct follower_call *call = user;
   struct bgap_follower *f = call->follower;
+  _bgap_follower_on_latency (f, call->sent_ms);
   bool missed = call->generation == f->generation && f->busy
                 && page->outcome == BGAP_STORE_OK && page->count > 0;
   if (missed)
@@ -335,7 +351,11 @@
   f->busy = status == BGAP_OK;
   if (f->busy)
     {
-      const struct timeval check = { .tv_usec = CHECK_MS * 1000 };
+      int64_t check_ms = CHECK_MS + (int64_t)(CHECK_LATENCIES * f->latency_ms);
+      const struct timeval check = {
+        .tv_sec = check_ms / 1000,
+        .tv_usec = check_ms % 1000 * 1000,
+      };
       if (f->state == FOLLOWING && f->next > 0 && f->desc.wait_ms > CHECK_MS)
         event_add (&f->check, &check);
       return;
@@ -428,6 +448,7 @@
   if (feed->from > f->next)
     {
       /* Something in between was not received.  */
+      bgap_follower_restart (f);
       bgap_follower_hurry (f);
       return;
     }
--- a/packages/store/tests/test_follower.c
+++ b/packages/store/tests/test_follower.c
@@ -278,6 +278,39 @@
   assert_int_equal (fake.read_from[1], 4);
 }
 
+static void
+on_gap (evutil_socket_t fd, short events, void *context)
+{
+  const struct feeding *feeding = context;
+  (void)fd;
+  (void)events;
+  bgap_follower_feed (feeding->follower,
+                      &(struct bgap_feed){ .from = 2, .next = 2 });
+}
+
+/* Guards against a record that was not fed and is not looked for, because an
+   earlier read still waits.  */
+static void
+test_a_gap_in_the_feed_is_read (void **state)
+{
+  (void)state;
+  struct fake fake = {
+    .answers
+    = { { .records = { { .offset = 0, .key = "a" } }, .count = 1, .end = 1 },
+        { .never = true },
+        { .records = { { .offset = 1, .key = "a" } }, .count = 1, .end = 2 } },
+    .answer_count = 3,
+  };
+  struct bgap_follower *follower = start (&fake, 30);
+  struct feeding feeding = { &fake, follower };
+  const struct timeval soon = { .tv_usec = 20000 };
+  bgap_follower_set_fed (follower, true);
+  event_base_once (fake.base, -1, EV_TIMEOUT, on_gap, &feeding, &soon);
+  finish (&fake, follower);
+  assert_int_equal (fake.seen_count, 2);
+  assert_int_equal (fake.read_from[1], 1);
+}
+
 int
 main (void)
 {
@@ -287,6 +320,7 @@
     cmocka_unit_test (test_loads_again_when_truncated),
     cmocka_unit_test (test_finds_what_a_waiting_read_misses),
     cmocka_unit_test (test_a_feed_replaces_reads),
+    cmocka_unit_test (test_a_gap_in_the_feed_is_read),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -210,7 +210,9 @@
   if (since_ms < STOP_ACCEPT_MS)
     return;
   bgap_frontend_stop (edge->frontend);
-  if (open > 0 && since_ms < edge->settings.grace_ms - STOP_MARGIN_MS)
+  /* Responses that have been written may still be on their way.  */
+  if (!edge->frontend_stopped
+      && since_ms < edge->settings.grace_ms - STOP_MARGIN_MS)
     return;
   bgap_event (&event_stop, "state=ended open=%u after_ms=%lld", open,
               (long long)since_ms);
@@ -267,6 +269,13 @@
   bgap_edge_run_actions (edge);
 }
 
+static void
+_bgap_edge_on_stopped (void *context)
+{
+  struct bgap_edge *edge = context;
+  edge->frontend_stopped = true;
+}
+
 /* Setup.  */
 
 static enum bgap_status
@@ -316,6 +325,7 @@
                                    .any_path = true,
                                    .ops = { .request = bgap_edge_on_request,
                                             .cancel = bgap_edge_on_cancel,
+                                            .stopped = _bgap_edge_on_stopped,
                                             .context = edge } },
                                err);
   return status;
--- a/programs/banyangapd/edge_private.h
+++ b/programs/banyangapd/edge_private.h
@@ -163,6 +163,7 @@
  *   being reported
  * @table: configuration in force, NULL if there is none yet
  * @servers: by handle in the router
+ * @frontend_stopped: no caller's connection is open any more
  * @timer_at_ms: when the timer fires, 0 if it is not set
  * @stopping_ms: when the order to stop came, 0 for never
  */
@@ -205,6 +206,7 @@
   int64_t housekeeping_ms;
   int64_t stopping_ms;
   int64_t timer_at_ms;
+  bool frontend_stopped;
 };
 
 /* edge.c */
