--- /dev/null
+++ b/packages/registry/tests/test_server_view.c
@@ -0,0 +1,167 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "banyangap/registry/server_view.h"
+
+struct seen
+{
+  enum bgap_server_change last;
+  int count;
+};
+
+static void
+on_changed (void *context, struct bgap_known_server *server,
+            enum bgap_server_change change)
+{
+  struct seen *seen = context;
+  (void)server;
+  seen->last = change;
+  seen->count++;
+}
+
+static struct bgap_server_view *
+view_new (struct seen *seen)
+{
+  *seen = (struct seen){ 0 };
+  struct bgap_server_view *view
+      = bgap_server_view_new (&(struct bgap_server_view_ops){
+          .changed = on_changed, .context = seen });
+  assert_non_null (view);
+  return view;
+}
+
+static struct bgap_server_entry
+entry (int64_t born_ms, int64_t sequence)
+{
+  return (struct bgap_server_entry){
+    .id = "i-1",
+    .service = "reads",
+    .address = "10.0.0.1:80",
+    .zone = "z1",
+    .slots = 4,
+    .born_ms = born_ms,
+    .sequence = sequence,
+  };
+}
+
+static void
+put (struct bgap_server_view *view, int64_t now_ms,
+     struct bgap_server_entry value)
+{
+  bgap_server_view_put (view, now_ms, &value);
+}
+
+/* Guards against reports for registrations that only count on, and against an
+   old registration that overrides a newer one.  */
+static void
+test_only_changes_are_reported (void **state)
+{
+  (void)state;
+  struct seen seen;
+  struct bgap_server_view *view = view_new (&seen);
+  put (view, 0, entry (100, 1));
+  assert_int_equal (seen.last, BGAP_SERVER_ADDED);
+  put (view, 900, entry (100, 2));
+  assert_int_equal (seen.count, 1);
+  struct bgap_server_entry draining = entry (100, 3);
+  draining.draining = true;
+  put (view, 1800, draining);
+  assert_int_equal (seen.last, BGAP_SERVER_DRAINING);
+  put (view, 1900, entry (100, 2));
+  assert_true (bgap_server_view_find (view, "i-1")->entry.draining);
+  put (view, 2000, entry (200, 1));
+  assert_int_equal (seen.last, BGAP_SERVER_CHANGED);
+  assert_int_equal (seen.count, 4);
+  put (view, 2100, entry (100, 9));
+  assert_int_equal (bgap_server_view_find (view, "i-1")->entry.born_ms, 200);
+  bgap_server_view_free (view);
+}
+
+/* Guards against requests to a server whose registration is gone.  */
+static void
+test_removed_registration_is_gone_at_once (void **state)
+{
+  (void)state;
+  struct seen seen;
+  struct bgap_server_view *view = view_new (&seen);
+  put (view, 0, entry (100, 1));
+  bgap_server_view_remove (view, 1000, "i-1");
+  assert_int_equal (seen.last, BGAP_SERVER_GONE);
+  assert_null (bgap_server_view_find (view, "i-1"));
+  bgap_server_view_free (view);
+}
+
+/* Guards against servers that are dropped because the store was away, and
+   against those that stay for ever although they are not back.  */
+static void
+test_registration_lapses_with_the_store (void **state)
+{
+  (void)state;
+  struct seen seen;
+  struct bgap_server_view *view = view_new (&seen);
+  put (view, 0, entry (100, 1));
+  bgap_server_view_trouble (view, 5000);
+  bgap_server_view_remove (view, 5600, "i-1");
+  assert_non_null (bgap_server_view_find (view, "i-1"));
+  put (view, 7000, entry (100, 2));
+  bgap_server_view_tick (view, 9000);
+  assert_non_null (bgap_server_view_find (view, "i-1"));
+  bgap_server_view_trouble (view, 10000);
+  bgap_server_view_remove (view, 10600, "i-1");
+  bgap_server_view_tick (view, 12500);
+  assert_non_null (bgap_server_view_find (view, "i-1"));
+  bgap_server_view_tick (view, 13000);
+  assert_null (bgap_server_view_find (view, "i-1"));
+  bgap_server_view_free (view);
+}
+
+/* Guards against an address that is taken over while the old connections are
+   still used.  */
+static void
+test_other_address_is_another_server (void **state)
+{
+  (void)state;
+  struct seen seen;
+  struct bgap_server_view *view = view_new (&seen);
+  put (view, 0, entry (100, 1));
+  struct bgap_server_entry moved = entry (200, 1);
+  snprintf (moved.address, sizeof moved.address, "10.0.0.2:80");
+  put (view, 100, moved);
+  assert_int_equal (seen.count, 3);
+  assert_int_equal (seen.last, BGAP_SERVER_ADDED);
+  bgap_server_view_free (view);
+}
+
+/* Guards against servers that stay in the view although a complete load does
+   not have them.  */
+static void
+test_load_removes_what_is_missing (void **state)
+{
+  (void)state;
+  struct seen seen;
+  struct bgap_server_view *view = view_new (&seen);
+  put (view, 0, entry (100, 1));
+  bgap_server_view_begin_load (view);
+  bgap_server_view_end_load (view, 50);
+  assert_int_equal (seen.last, BGAP_SERVER_GONE);
+  bgap_server_view_free (view);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_only_changes_are_reported),
+    cmocka_unit_test (test_removed_registration_is_gone_at_once),
+    cmocka_unit_test (test_registration_lapses_with_the_store),
+    cmocka_unit_test (test_other_address_is_another_server),
+    cmocka_unit_test (test_load_removes_what_is_missing),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/packages/routing/src/router_attempt.c
+++ b/packages/routing/src/router_attempt.c
@@ -57,6 +57,7 @@
       = bgap_router_service (state, request->service);
   bool limited = service->desc.policy->limited;
   uint32_t counted = request->attempts;
+  bool refused = !charged;
   charged = charged || service->desc.charge_refusals;
   if (limited)
     {
@@ -76,7 +77,7 @@
     }
   state->counts.retries++;
   uint32_t shift = request->attempts - 1;
-  if ((shift == 0 || (limited && !charged)) && !service->desc.keyed)
+  if ((shift == 0 || (limited && refused)) && !service->desc.keyed)
     {
       bgap_router_route (state, now_ms, request);
       return;
--- /dev/null
+++ b/packages/routing/tests/test_shared.c
@@ -0,0 +1,218 @@
+#include "fixture.h"
+
+#include "banyangap/routing/balancer.h"
+
+static const struct bgap_service_desc shared = {
+  .name = "s",
+  .shared_slots = true,
+  .queue_per_server = 2,
+  .charge_refusals = true,
+  .retry_burst = 3,
+  .policy = &bgap_balancer_shared,
+};
+
+static void
+add_server (struct fixture *f, const char *name, const char *zone)
+{
+  struct bgap_server_id id;
+  struct bgap_error err = { 0 };
+  assert_int_equal (
+      bgap_router_set_server (&f->router, f->now_ms, f->service,
+                              &(struct bgap_server_desc){ .name = name,
+                                                          .zone = zone,
+                                                          .slots = 2,
+                                                          .connections = 10,
+                                                          .entry_hosts_max = 1,
+                                                          .in_place = true },
+                              &id, &err),
+      BGAP_OK);
+}
+
+static uint32_t
+dispatches (struct fixture *f)
+{
+  struct bgap_router_action action;
+  uint32_t count = 0;
+  while (bgap_router_next_action (&f->router, &action))
+    count += action.kind == BGAP_ROUTER_ACTION_DISPATCH;
+  return count;
+}
+
+/* A server whose slots other instances fill. Guards against an instance that
+   overfills it, and against one that never tries it again.  */
+static void
+test_load_of_others_counts (void **state)
+{
+  (void)state;
+  struct fixture f;
+  fixture_setup (&f, &shared);
+  add_server (&f, "a", "z1");
+  struct bgap_server_id a
+      = bgap_router_find_server (&f.router, f.service, "a");
+  bgap_router_server_load (
+      &f.router, f.now_ms, a,
+      &(struct bgap_server_load){ .in_flight = 2, .queued = 2, .slots = 2 });
+  fixture_request (&f, NULL);
+  assert_int_equal (dispatches (&f), 0);
+  fixture_wait (&f, 700);
+  assert_int_equal (dispatches (&f), 1);
+  fixture_shutdown (&f);
+}
+
+/* Guards against more than slots and queue in a server of this instance
+   alone.  */
+static void
+test_queue_of_the_server_is_bounded (void **state)
+{
+  (void)state;
+  struct fixture f;
+  fixture_setup (&f, &shared);
+  add_server (&f, "a", "z1");
+  for (int i = 0; i < 8; i++)
+    fixture_request (&f, NULL);
+  assert_int_equal (dispatches (&f), 4);
+  fixture_shutdown (&f);
+}
+
+/* Guards against further attempts after refusals that take nothing from the
+   budget which all instances share.  */
+static void
+test_refusals_take_from_the_budget (void **state)
+{
+  (void)state;
+  struct fixture f;
+  struct bgap_service_desc desc = shared;
+  desc.retry_percent = 1;
+  desc.attempts_max = 10;
+  fixture_setup (&f, &desc);
+  for (int i = 0; i < 8; i++)
+    {
+      const char name[] = { (char)('a' + i), '\0' };
+      add_server (&f, name, "z1");
+    }
+  struct bgap_request_id request = fixture_request (&f, NULL);
+  for (int i = 0; i < 4; i++)
+    {
+      struct bgap_router_action d
+          = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+      fixture_result (&f, d.attempt, BGAP_RESULT_SHED);
+    }
+  fixture_expect_finish (&f, request, BGAP_OUTCOME_NOT_RUN, 429);
+  fixture_shutdown (&f);
+}
+
+/* Guards against a request that is sent to more servers than its route
+   allows.  */
+static void
+test_attempts_of_a_request (void **state)
+{
+  (void)state;
+  struct fixture f;
+  fixture_setup (&f, &shared);
+  add_server (&f, "a", "z1");
+  add_server (&f, "b", "z1");
+  add_server (&f, "c", "z1");
+  fixture_request (&f, &(struct bgap_request_desc){ .idempotent = true,
+                                                    .attempts_max = 2 });
+  struct bgap_router_action d
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+  assert_true (bgap_router_can_retry (&f.router, f.now_ms, d.attempt));
+  fixture_result (&f, d.attempt, BGAP_RESULT_FAILED);
+  d = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+  assert_false (bgap_router_can_retry (&f.router, f.now_ms, d.attempt));
+  fixture_shutdown (&f);
+}
+
+/* Guards against a second run of a request that may run only once.  */
+static void
+test_error_of_a_request_that_runs_once (void **state)
+{
+  (void)state;
+  struct fixture f;
+  fixture_setup (&f, &shared);
+  add_server (&f, "a", "z1");
+  add_server (&f, "b", "z1");
+  fixture_request (&f, &(struct bgap_request_desc){ .idempotent = false });
+  struct bgap_router_action d
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+  assert_false (bgap_router_can_retry (&f.router, f.now_ms, d.attempt));
+  fixture_shutdown (&f);
+}
+
+/* A burst above the capacity. Guards against requests that can no longer meet
+   their objective and are served before those that can.  */
+static void
+test_late_requests_wait_behind (void **state)
+{
+  (void)state;
+  struct fixture f;
+  struct bgap_service_desc desc = shared;
+  desc.queue_per_server = 0;
+  fixture_setup (&f, &desc);
+  add_server (&f, "a", "z1");
+  const struct bgap_request_desc late
+      = { .idempotent = true, .objective_ms = 50, .deadline_ms = 2000 };
+  const struct bgap_request_desc fresh
+      = { .idempotent = true, .objective_ms = 5000, .deadline_ms = 9000 };
+  fixture_request (&f, &fresh);
+  struct bgap_router_action first
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+  fixture_request (&f, &fresh);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+  fixture_request (&f, &late);
+  struct bgap_request_id wanted = fixture_request (&f, &fresh);
+  fixture_wait (&f, 100);
+  fixture_result (&f, first.attempt, BGAP_RESULT_COMPLETE);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_FINISH);
+  struct bgap_router_action d
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+  assert_int_equal (d.request.id, wanted.id);
+  fixture_shutdown (&f);
+}
+
+/* Guards against a caller that comes back after it has given up, or at the
+   same moment as all others.  */
+static void
+test_retry_after_can_be_used (void **state)
+{
+  (void)state;
+  struct fixture f;
+  struct bgap_router_action action;
+  struct bgap_service_desc desc = shared;
+  desc.queue_limit = 1;
+  int64_t least = INT64_MAX;
+  int64_t most = 0;
+  fixture_setup (&f, &desc);
+  add_server (&f, "a", "z1");
+  for (int i = 0; i < 60; i++)
+    fixture_request (&f, &(struct bgap_request_desc){ .idempotent = true,
+                                                      .deadline_ms = 900 });
+  while (bgap_router_next_action (&f.router, &action))
+    {
+      if (action.kind != BGAP_ROUTER_ACTION_FINISH)
+        continue;
+      assert_true (action.retry_after_ms >= 1);
+      assert_true (action.retry_after_ms <= 300);
+      if (action.retry_after_ms < least)
+        least = action.retry_after_ms;
+      if (action.retry_after_ms > most)
+        most = action.retry_after_ms;
+    }
+  assert_true (most > least);
+  fixture_shutdown (&f);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_load_of_others_counts),
+    cmocka_unit_test (test_queue_of_the_server_is_bounded),
+    cmocka_unit_test (test_refusals_take_from_the_budget),
+    cmocka_unit_test (test_attempts_of_a_request),
+    cmocka_unit_test (test_error_of_a_request_that_runs_once),
+    cmocka_unit_test (test_late_requests_wait_behind),
+    cmocka_unit_test (test_retry_after_can_be_used),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- /dev/null
+++ b/programs/banyangapd/edge_orders.c
@@ -0,0 +1,266 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "edge_private.h"
+#include "now.h"
+
+/* A connection for releases is used at least so often; servers close idle ones
+   after about ten seconds.  */
+#define RELEASE_CONNECTION_USE_MS 4000
+
+static struct bgap_event_kind event_order = { .name = "order" };
+
+/**
+ * struct bgap_edge_order - a grant or release in progress
+ * @next: order that waits behind this one
+ * @expires_ms: a waiting one is not sent any more from then on
+ */
+struct bgap_edge_order
+{
+  struct bgap_edge_order *next;
+  int64_t expires_ms;
+  struct bgap_edge *edge;
+  struct bgap_edge_service *service;
+  struct bgap_edge_server *server;
+  struct bgap_wire_grant grant;
+  bool is_release;
+  uint32_t call;
+  int64_t sent_ms;
+  int status;
+  char responder[BGAP_REGISTRY_NAME_SIZE];
+  char handover[BGAP_HANDOVER_SIZE];
+  struct bgap_buffer body;
+  bool not_run;
+};
+
+static void _bgap_order_send_waiting (struct bgap_edge_server *server);
+
+static void
+_bgap_order_end (struct bgap_edge_order *order,
+                 enum bgap_granter_result result)
+{
+  struct bgap_edge *edge = order->edge;
+  struct bgap_edge_service *service = order->service;
+  int64_t now_ms = bgap_now_ms ();
+  if (result != BGAP_GRANTER_DONE || order->is_release)
+    bgap_event (&event_order,
+                "order=%s service=%s server=%s keys=%u-%u fence=%llu "
+                "hold_ms=%lld took_ms=%lld status=%d result=\"%s\"",
+                order->is_release ? "release" : "grant", service->name,
+                order->server->id, order->grant.first, order->grant.last,
+                (unsigned long long)order->grant.fence,
+                (long long)order->grant.hold_ms,
+                (long long)(now_ms - order->sent_ms), order->status,
+                bgap_granter_result_name (result));
+  bgap_granter_on_reply (service->granter, now_ms, order->call, result,
+                         order->handover);
+  /* Whoever used a higher number has written a record.  */
+  if (result == BGAP_GRANTER_FENCED)
+    bgap_follower_hurry (edge->own);
+  struct bgap_edge_server *server = order->server;
+  bgap_buffer_shutdown (&order->body);
+  free (order);
+  _bgap_order_send_waiting (server);
+  bgap_edge_call_ended (edge, server);
+  bgap_edge_run_actions (edge);
+}
+
+static enum bgap_head_verdict
+_bgap_order_judge (void *user, int status, const struct bgap_headers *headers,
+                   enum bgap_refusal *refusal)
+{
+  struct bgap_edge_order *order = user;
+  struct bgap_wire_response response;
+  *refusal = BGAP_REFUSAL_NONE;
+  order->edge->desc.wire->read_response (headers, status, "", &response);
+  order->status = status;
+  order->not_run = response.not_run;
+  snprintf (order->responder, sizeof order->responder, "%s", response.server);
+  snprintf (order->handover, sizeof order->handover, "%s",
+            order->edge->desc.wire->read_handover (headers));
+  return BGAP_HEAD_ANSWER;
+}
+
+static void
+_bgap_order_on_head (void *user, struct bgap_backend_attempt_id id, int status,
+                     const struct bgap_headers *headers)
+{
+  (void)user;
+  (void)id;
+  (void)status;
+  (void)headers;
+}
+
+static void
+_bgap_order_on_complete (void *user, struct bgap_backend_attempt_id id)
+{
+  struct bgap_edge_order *order = user;
+  enum bgap_granter_result result = BGAP_GRANTER_REJECTED;
+  (void)id;
+  if (order->status == 200)
+    result = BGAP_GRANTER_DONE;
+  else if (order->status == 409)
+    result = BGAP_GRANTER_FENCED;
+  else if (order->status == 421)
+    result = BGAP_GRANTER_REPLACED;
+  else if (order->status >= 500 && !order->not_run)
+    result = BGAP_GRANTER_LOST;
+  _bgap_order_end (order, result);
+}
+
+static void
+_bgap_order_on_refused (void *user, struct bgap_backend_attempt_id id,
+                        enum bgap_refusal refusal)
+{
+  (void)id;
+  (void)refusal;
+  _bgap_order_end (user, BGAP_GRANTER_REJECTED);
+}
+
+static void
+_bgap_order_on_failed (void *user, struct bgap_backend_attempt_id id,
+                       const struct bgap_backend_failure *failure)
+{
+  enum bgap_granter_result result = BGAP_GRANTER_LOST;
+  (void)id;
+  if (!failure->sent)
+    result = failure->refused ? BGAP_GRANTER_CLOSED : BGAP_GRANTER_NOT_SENT;
+  _bgap_order_end (user, result);
+}
+
+static const struct bgap_backend_ops order_ops = {
+  .judge = _bgap_order_judge,
+  .head = _bgap_order_on_head,
+  .complete = _bgap_order_on_complete,
+  .refused = _bgap_order_on_refused,
+  .failed = _bgap_order_on_failed,
+};
+
+/* A grant goes over the connections for releases now and then, so that one of
+   them is open when it is needed.  */
+static struct bgap_backend_server_id
+_bgap_order_pool (const struct bgap_edge_order *order)
+{
+  struct bgap_edge_server *server = order->server;
+  int64_t now_ms = bgap_now_ms ();
+  if (!order->is_release
+      && now_ms - server->released_ms < RELEASE_CONNECTION_USE_MS)
+    return server->grants;
+  server->released_ms = now_ms;
+  return server->releases;
+}
+
+static enum bgap_status
+_bgap_order_send (struct bgap_edge_order *order)
+{
+  const struct bgap_wire_ops *wire = order->edge->desc.wire;
+  struct bgap_headers headers = { 0 };
+  struct bgap_backend_attempt_id id;
+  int64_t left_ms = order->expires_ms - bgap_now_ms ();
+  if (left_ms <= 0)
+    return BGAP_ERR_TIMEOUT;
+  bgap_buffer_shutdown (&order->body);
+  enum bgap_status status
+      = order->is_release ? wire->print_release (&order->grant, &order->body)
+                          : wire->print_grant (&order->grant, &order->body);
+  if (status == BGAP_OK)
+    status = wire->write_request (&headers, left_ms, order->server->id);
+  if (status == BGAP_OK)
+    status = bgap_headers_add (&headers, "Content-Type", "application/json");
+  if (status == BGAP_OK)
+    status = bgap_backend_send (
+        order->edge->backend, _bgap_order_pool (order),
+        &(struct bgap_backend_request){ .method = "POST",
+                                        .target = order->is_release
+                                                      ? wire->release_path
+                                                      : wire->grant_path,
+                                        .headers = &headers,
+                                        .body = order->body.data,
+                                        .body_size = order->body.size,
+                                        .deadline_ms = (uint32_t)left_ms,
+                                        .ops = &order_ops,
+                                        .user = order },
+        &id);
+  bgap_headers_shutdown (&headers);
+  return status;
+}
+
+static void
+_bgap_order_drop (struct bgap_edge_order *order)
+{
+  bgap_granter_on_reply (order->service->granter, bgap_now_ms (), order->call,
+                         BGAP_GRANTER_NOT_SENT, "");
+  order->server->calls--;
+  bgap_buffer_shutdown (&order->body);
+  free (order);
+}
+
+/* Sends what waits for a connection, until there is none.  */
+static void
+_bgap_order_send_waiting (struct bgap_edge_server *server)
+{
+  struct bgap_edge_order **at = &server->waiting;
+  while (*at != NULL)
+    {
+      struct bgap_edge_order *order = *at;
+      enum bgap_status status = _bgap_order_send (order);
+      if (status == BGAP_ERR_FULL)
+        {
+          at = &order->next;
+          continue;
+        }
+      *at = order->next;
+      if (status != BGAP_OK)
+        _bgap_order_drop (order);
+    }
+}
+
+void
+bgap_edge_drop_orders (struct bgap_edge_server *server)
+{
+  while (server->waiting != NULL)
+    {
+      struct bgap_edge_order *order = server->waiting;
+      server->waiting = order->next;
+      bgap_buffer_shutdown (&order->body);
+      free (order);
+    }
+}
+
+void
+bgap_edge_order (struct bgap_edge *edge, struct bgap_edge_service *service,
+                 const struct bgap_granter_action *action)
+{
+  struct bgap_edge_server *server
+      = bgap_edge_server_named (edge, service, action->server);
+  struct bgap_edge_order *order
+      = server != NULL ? calloc (1, sizeof *order) : NULL;
+  if (order == NULL)
+    {
+      bgap_granter_on_reply (service->granter, bgap_now_ms (), action->call,
+                             BGAP_GRANTER_NOT_SENT, "");
+      return;
+    }
+  order->edge = edge;
+  order->service = service;
+  order->server = server;
+  order->is_release = action->kind == BGAP_GRANTER_RELEASE;
+  order->call = action->call;
+  order->sent_ms = bgap_now_ms ();
+  order->expires_ms = order->sent_ms + action->timeout_ms;
+  order->grant = (struct bgap_wire_grant){
+    .first = action->first,
+    .last = action->last,
+    .fence = action->fence,
+    .hold_ms = action->hold_ms,
+  };
+  snprintf (order->grant.handover, sizeof order->grant.handover, "%s",
+            action->handover);
+  server->calls++;
+  struct bgap_edge_order **at = &server->waiting;
+  while (*at != NULL)
+    at = &(*at)->next;
+  *at = order;
+  _bgap_order_send_waiting (server);
+}
--- a/programs/banyangapd/edge_private.h
+++ b/programs/banyangapd/edge_private.h
@@ -8,6 +8,7 @@
  *   edge_config.c    configuration -> services of the router
  *   edge_servers.c   registrations -> servers of the router, their connections
  *   edge_keys.c      assignment of keys: records, grants, candidates
+ *   edge_orders.c    grants and releases -> servers
  *   edge_peers.c     counts of requests for keys -> granter
  *   edge_relay.c     what a few instances read from the store -> others
  *   edge_request.c   callers' requests -> router
@@ -288,10 +289,6 @@
                             struct bgap_edge_service *service);
 void bgap_edge_update_candidates (struct bgap_edge *edge);
 
-/**
- * bgap_edge_drop_orders() - forget the orders that wait, without a report
- */
-void bgap_edge_drop_orders (struct bgap_edge_server *server);
 
 /**
  * bgap_edge_set_granter_server() - tell the granter what a server says
@@ -314,6 +311,21 @@
 void bgap_edge_share_news (struct bgap_edge *edge,
                            const struct bgap_router_action *action);
 
+/* edge_orders.c */
+
+/**
+ * bgap_edge_order() - send a grant or a release; its end is reported to the
+ * service's granter
+ */
+void bgap_edge_order (struct bgap_edge *edge,
+                      struct bgap_edge_service *service,
+                      const struct bgap_granter_action *action);
+
+/**
+ * bgap_edge_drop_orders() - forget the orders that wait, without a report
+ */
+void bgap_edge_drop_orders (struct bgap_edge_server *server);
+
 /* edge_peers.c */
 enum bgap_status bgap_edge_open_peers (struct bgap_edge *edge,
                                        struct bgap_error *err);
