Treat registrations as lapsed only if they disappear with an outage

Only what disappears during trouble or within 0.6 s after it is waited for now. Ruled out: a late reader (the others had the removal after 80 ms).

Small ranges are brought together when there are more than three a server.

--- a/packages/keyrange/src/granter_balance.c
+++ b/packages/keyrange/src/granter_balance.c
@@ -50,6 +50,12 @@
 #define SPEED_MIN 0.4
 #define SPEED_MAX 2.0
 
+/* Each range is renewed by a call of its own, so that more ranges than this per
+   server are brought together again, the least busy ones first and a few at a
+   time.  */
+#define RANGES_PER_SERVER 3u
+#define DEFRAGMENT_MAX 12u
+
 /* Smallest piece that is cut off a range, in keys.  */
 #define PIECE_KEYS_MIN 1u
 
@@ -486,6 +492,63 @@
   return joined;
 }
 
+/**
+ * struct fragment - a range that a neighbour's server could take
+ */
+struct fragment
+{
+  uint32_t first;
+  uint32_t last;
+  uint64_t load;
+};
+
+static int
+_bgap_balance_by_load (const void *left, const void *right)
+{
+  const struct fragment *a = left;
+  const struct fragment *b = right;
+  return (a->load > b->load) - (a->load < b->load);
+}
+
+bool
+bgap_balance_defragment (struct bgap_granter *g, int64_t now_ms,
+                         struct bgap_assignment *next, uint64_t fence)
+{
+  uint32_t count = 0;
+  bool moved = false;
+  struct room *rooms = _bgap_balance_rooms (g, now_ms, next, &count);
+  struct fragment *fragments = calloc (next->count, sizeof *fragments);
+  uint32_t found = 0;
+  if (next->count <= count * RANGES_PER_SERVER)
+    count = 0;
+  for (uint32_t i = 0; count > 0 && fragments != NULL && i < next->count; i++)
+    {
+      const struct bgap_key_range *range = &next->ranges[i];
+      uint64_t load = _bgap_balance_load (g, range->first, range->last);
+      if (_bgap_balance_neighbour (next, rooms, count, range->first,
+                                   range->last, load)
+          != NULL)
+        fragments[found++]
+            = (struct fragment){ range->first, range->last, load };
+    }
+  if (found > 0)
+    qsort (fragments, found, sizeof *fragments, _bgap_balance_by_load);
+  for (uint32_t i = 0; i < found && i < DEFRAGMENT_MAX; i++)
+    {
+      struct bgap_key_range range
+          = *bgap_assignment_find (next, fragments[i].first);
+      range.moving = true;
+      range.fence = fence;
+      moved = bgap_assignment_set (next, fragments[i].first,
+                                   fragments[i].last, &range)
+                  == BGAP_OK
+              || moved;
+    }
+  free (fragments);
+  free (rooms);
+  return moved;
+}
+
 void
 bgap_balance_age (struct bgap_granter *g)
 {
--- a/packages/keyrange/src/granter_plan.c
+++ b/packages/keyrange/src/granter_plan.c
@@ -7,8 +7,9 @@
    after this time.  */
 #define PROPOSAL_TIMEOUT_MS 1500
 
-/* Neighbouring ranges of a server are joined so often.  */
-#define JOIN_INTERVAL_MS 3000
+/* Neighbouring ranges of a server are joined, and small ones brought together,
+   so often.  */
+#define JOIN_INTERVAL_MS 1500
 
 /* Pause after a proposal that was refused, so that what stands in its way can
    be read first.  */
@@ -218,6 +219,9 @@
     {
       g->joined_ms = now_ms;
       changed = bgap_balance_join (&g->proposal, g->proposal.fence);
+      if (!changed)
+        changed = bgap_balance_defragment (g, now_ms, &g->proposal,
+                                           g->proposal.fence);
     }
   /* A proposal without a response is settled by the next record, whatever it
      says.  */
--- a/packages/keyrange/src/granter_state.h
+++ b/packages/keyrange/src/granter_state.h
@@ -270,6 +270,15 @@
  */
 bool bgap_balance_join (struct bgap_assignment *next, uint64_t fence);
 
+/**
+ * bgap_balance_defragment() - mark small ranges as moving that belong to the
+ * server of a neighbouring range better
+ *
+ * Return: whether there were any.
+ */
+bool bgap_balance_defragment (struct bgap_granter *g, int64_t now_ms,
+                              struct bgap_assignment *next, uint64_t fence);
+
 /**
  * bgap_balance_age() - halve the counts of requests
  */
--- a/packages/registry/include/banyangap/registry/server_view.h
+++ b/packages/registry/include/banyangap/registry/server_view.h
@@ -12,8 +12,8 @@
  *
  * A registration can disappear although its server lives, when the store that
  * holds it had an outage; it is back about two seconds after the store. Hence
- * a registration that disappears soon after trouble with the store counts as
- * gone only if it stays away for BGAP_SERVER_VIEW_LINGER_MS.
+ * one that disappears during trouble with the store, or just after it, counts
+ * as gone only if it is not back BGAP_SERVER_VIEW_LINGER_MS after the store.
  */
 
 #include <stdbool.h>
@@ -22,12 +22,13 @@
 
 #include "banyangap/registry/route_table.h"
 
-/* How long a registration may be away after trouble with the store. Servers
-   that live are back about two seconds after the store.  */
+/* How long after the end of trouble with the store a registration may be away.
+   Servers that live are back about two seconds after the store.  */
 #define BGAP_SERVER_VIEW_LINGER_MS 2300
 
-/* Trouble with the store counts for so long after it was last seen.  */
-#define BGAP_SERVER_VIEW_TROUBLE_MS 2500
+/* What has lapsed in an outage is seen with the first reads after it. Later
+   removals are those of servers that leave.  */
+#define BGAP_SERVER_VIEW_RETURN_MS 600
 
 /**
  * struct bgap_server_entry - a registration
@@ -139,6 +140,12 @@
  */
 void bgap_server_view_trouble (struct bgap_server_view *view, int64_t now_ms);
 
+/**
+ * bgap_server_view_contact() - a call to the store succeeded; before what it
+ * has brought is put or removed
+ */
+void bgap_server_view_contact (struct bgap_server_view *view, int64_t now_ms);
+
 /**
  * bgap_server_view_tick() - remove what has been missing for too long
  */
--- a/packages/registry/src/server_view.c
+++ b/packages/registry/src/server_view.c
@@ -7,8 +7,9 @@
 {
   struct bgap_server_view_ops ops;
   struct bgap_known_server *servers;
-  int64_t trouble_at_ms;
+  bool in_trouble;
   bool had_trouble;
+  int64_t returned_ms;
 };
 
 const char *
@@ -129,8 +130,9 @@
   if (server == NULL || server->missing_since_ms != 0)
     return;
   bool troubled
-      = view->had_trouble
-        && now_ms - view->trouble_at_ms < BGAP_SERVER_VIEW_TROUBLE_MS;
+      = view->in_trouble
+        || (view->had_trouble
+            && now_ms - view->returned_ms < BGAP_SERVER_VIEW_RETURN_MS);
   if (server->entry.draining || !troubled)
     _bgap_view_drop (view, server);
   else
@@ -160,8 +162,17 @@
 void
 bgap_server_view_trouble (struct bgap_server_view *view, int64_t now_ms)
 {
+  (void)now_ms;
+  view->in_trouble = true;
   view->had_trouble = true;
-  view->trouble_at_ms = now_ms;
+}
+
+void
+bgap_server_view_contact (struct bgap_server_view *view, int64_t now_ms)
+{
+  if (view->in_trouble)
+    view->returned_ms = now_ms;
+  view->in_trouble = false;
 }
 
 void
@@ -169,14 +180,13 @@
 {
   struct bgap_known_server *server;
   struct bgap_known_server *next;
+  /* While the store is away nothing can come back.  */
+  if (view->in_trouble)
+    return;
   HASH_ITER (hh, view->servers, server, next)
   {
-    /* While the store is away nothing can come back.  */
-    if (server->missing_since_ms != 0
-        && server->missing_since_ms < view->trouble_at_ms)
-      server->missing_since_ms = view->trouble_at_ms;
     if (server->missing_since_ms != 0
-        && now_ms - server->missing_since_ms >= BGAP_SERVER_VIEW_LINGER_MS)
+        && now_ms - view->returned_ms >= BGAP_SERVER_VIEW_LINGER_MS)
       _bgap_view_drop (view, server);
   }
 }
--- a/packages/registry/tests/test_server_view.c
+++ b/packages/registry/tests/test_server_view.c
@@ -107,12 +107,14 @@
   struct bgap_server_view *view = view_new (&seen);
   put (view, 0, entry (100, 1));
   bgap_server_view_trouble (view, 5000);
+  bgap_server_view_contact (view, 5500);
   bgap_server_view_remove (view, 5600, "i-1");
   assert_non_null (bgap_server_view_find (view, "i-1"));
   put (view, 7000, entry (100, 2));
   bgap_server_view_tick (view, 9000);
   assert_non_null (bgap_server_view_find (view, "i-1"));
   bgap_server_view_trouble (view, 10000);
+  bgap_server_view_contact (view, 10500);
   bgap_server_view_remove (view, 10600, "i-1");
   bgap_server_view_tick (view, 12500);
   assert_non_null (bgap_server_view_find (view, "i-1"));
@@ -121,6 +123,24 @@
   bgap_server_view_free (view);
 }
 
+/* A server that leaves a second after this instance has the store again.
+   Guards against requests to it for as long as one whose registration lapsed
+   with the store is waited for.  */
+static void
+test_server_that_leaves_after_an_outage (void **state)
+{
+  (void)state;
+  struct seen seen;
+  struct bgap_server_view *view = view_new (&seen);
+  put (view, 0, entry (100, 1));
+  bgap_server_view_trouble (view, 5000);
+  bgap_server_view_contact (view, 5500);
+  bgap_server_view_contact (view, 6500);
+  bgap_server_view_remove (view, 6600, "i-1");
+  assert_null (bgap_server_view_find (view, "i-1"));
+  bgap_server_view_free (view);
+}
+
 /* Guards against an address that is taken over while the old connections are
    still used.  */
 static void
@@ -160,6 +180,7 @@
     cmocka_unit_test (test_only_changes_are_reported),
     cmocka_unit_test (test_removed_registration_is_gone_at_once),
     cmocka_unit_test (test_registration_lapses_with_the_store),
+    cmocka_unit_test (test_server_that_leaves_after_an_outage),
     cmocka_unit_test (test_other_address_is_another_server),
     cmocka_unit_test (test_load_removes_what_is_missing),
   };
--- a/programs/banyangapd/edge_peers.c
+++ b/programs/banyangapd/edge_peers.c
@@ -6,7 +6,7 @@
 
 /* Time between two reports. The load of the keys is evened out about every
    second.  */
-#define REPORT_INTERVAL_MS 300
+#define REPORT_INTERVAL_MS 400
 
 static struct bgap_event_kind event_bad_message
     = { .name = "message-skipped" };
--- a/programs/banyangapd/edge_servers.c
+++ b/programs/banyangapd/edge_servers.c
@@ -346,6 +346,7 @@
   struct bgap_error err = { 0 };
   struct bgap_server_entry entry;
   int64_t now_ms = bgap_now_ms ();
+  bgap_server_view_contact (edge->view, now_ms);
   if (record->removed)
     {
       bgap_server_view_remove (edge->view, now_ms, record->key);
@@ -390,6 +391,7 @@
 {
   struct bgap_edge *edge = context;
   edge->servers_ms = sent_ms;
+  bgap_server_view_contact (edge->view, bgap_now_ms ());
   bgap_server_view_tick (edge->view, bgap_now_ms ());
   bgap_edge_contact (edge);
   bgap_edge_run_actions (edge);
