Do not read the granter's own records back

An append under a condition that was acknowledged is where the condition said, so the granter reports it to itself and passes it on at once.

--- a/packages/gateway/tests/test_backend_judge.c
+++ b/packages/gateway/tests/test_backend_judge.c
@@ -61,12 +61,11 @@
   struct backend_outcome o = { .fixture = f };
   ops.judge = _judge;
   assert_int_equal (
-      bgap_backend_send (f->backend, f->id,
-                         &(struct bgap_backend_request){ .method = "GET",
-                                                         .target = path,
-                                                         .ops = &ops,
-                                                         .user = &o },
-                         &o.id),
+      bgap_backend_send (
+          f->backend, f->id,
+          &(struct bgap_backend_request){
+              .method = "GET", .target = path, .ops = &ops, .user = &o },
+          &o.id),
       BGAP_OK);
   while (!o.ended)
     event_base_loop (f->base, EVLOOP_ONCE);
--- a/packages/keyrange/src/granter_balance.c
+++ b/packages/keyrange/src/granter_balance.c
@@ -50,10 +50,10 @@
 #define SPEED_MIN 0.4
 #define SPEED_MAX 2.0
 
-/* Each range is renewed by a call of its own, so that more ranges than this per
-   server are brought together again, the least busy ones first and a few at a
-   time.  */
-#define RANGES_PER_SERVER 3u
+/* Each range is renewed by a call of its own, so that more ranges than this
+   per server are brought together again, the least busy ones first and a few
+   at a time.  */
+#define RANGES_PER_SERVER 4u
 #define DEFRAGMENT_MAX 12u
 
 /* Smallest piece that is cut off a range, in keys.  */
@@ -539,8 +539,8 @@
           = *bgap_assignment_find (next, fragments[i].first);
       range.moving = true;
       range.fence = fence;
-      moved = bgap_assignment_set (next, fragments[i].first,
-                                   fragments[i].last, &range)
+      moved = bgap_assignment_set (next, fragments[i].first, fragments[i].last,
+                                   &range)
                   == BGAP_OK
               || moved;
     }
--- a/packages/keyrange/src/granter_plan.c
+++ b/packages/keyrange/src/granter_plan.c
@@ -7,6 +7,9 @@
    after this time.  */
 #define PROPOSAL_TIMEOUT_MS 1500
 
+/* How long keys that were released wait for others.  */
+#define GATHER_MS 40
+
 /* Neighbouring ranges of a server are joined, and small ones brought together,
    so often.  */
 #define JOIN_INTERVAL_MS 1500
@@ -131,6 +134,26 @@
     *changed = true;
 }
 
+/* Keys that are free wait a moment for others that are being released, so that
+   one record gives them all away.  */
+static bool
+_bgap_plan_waits_for_others (const struct bgap_granter *g, int64_t now_ms,
+                             const struct bgap_key_range *range)
+{
+  bool others = false;
+  bool fresh = false;
+  for (uint32_t i = 0; i < g->release_count; i++)
+    {
+      const struct bgap_release_call *release = &g->releases[i];
+      others = others || release->call != 0;
+      if (release->done && release->first == range->first
+          && release->fence == range->fence
+          && now_ms - release->done_ms < GATHER_MS)
+        fresh = true;
+    }
+  return others && fresh;
+}
+
 /* What has to change for a range of the current assignment.  */
 static void
 _bgap_plan_range (struct bgap_granter *g, int64_t now_ms,
@@ -155,6 +178,9 @@
       return;
     }
   bool is_lost = target != NULL && (target->dead || target->lost > 0);
+  if (range->moving && is_free
+      && _bgap_plan_waits_for_others (g, now_ms, range))
+    return;
   if (!has_holder || (is_free && (range->moving || is_lost || is_leaving)))
     {
       if (bgap_balance_place (g, now_ms, &g->proposal, range->first,
--- a/packages/registry/tests/test_route_table.c
+++ b/packages/registry/tests/test_route_table.c
@@ -13,9 +13,8 @@
 add (struct bgap_route_table *table, const char *host, const char *prefix)
 {
   struct bgap_route *route = bgap_route_table_add (
-      table, &(struct bgap_route_desc){ .host = host,
-                                        .prefix = prefix,
-                                        .name = prefix });
+      table, &(struct bgap_route_desc){
+                 .host = host, .prefix = prefix, .name = prefix });
   assert_non_null (route);
   assert_true (bgap_route_add_target (route, prefix, 1));
   return route;
@@ -50,8 +49,8 @@
   };
   for (size_t i = 0; i < sizeof cases / sizeof *cases; i++)
     {
-      const struct bgap_route *route = bgap_route_table_find (
-          table, cases[i].host, cases[i].target);
+      const struct bgap_route *route
+          = bgap_route_table_find (table, cases[i].host, cases[i].target);
       if (cases[i].prefix == NULL)
         assert_null (route);
       else
@@ -67,8 +66,8 @@
   (void)state;
   struct bgap_route_table *table = bgap_route_table_new ();
   struct bgap_route *route = bgap_route_table_add (
-      table, &(struct bgap_route_desc){
-                 .host = "a", .prefix = "/", .name = "r" });
+      table,
+      &(struct bgap_route_desc){ .host = "a", .prefix = "/", .name = "r" });
   bgap_route_add_target (route, "big", 90);
   bgap_route_add_target (route, "small", 10);
   assert_true (bgap_route_table_seal (table));
--- a/packages/registry/tests/test_server_view.c
+++ b/packages/registry/tests/test_server_view.c
@@ -29,9 +29,8 @@
 view_new (struct seen *seen)
 {
   *seen = (struct seen){ 0 };
-  struct bgap_server_view *view
-      = bgap_server_view_new (&(struct bgap_server_view_ops){
-          .changed = on_changed, .context = seen });
+  struct bgap_server_view *view = bgap_server_view_new (&(
+      struct bgap_server_view_ops){ .changed = on_changed, .context = seen });
   assert_non_null (view);
   return view;
 }
--- a/packages/store/include/banyangap/store/follower.h
+++ b/packages/store/include/banyangap/store/follower.h
@@ -92,9 +92,20 @@
 uint64_t bgap_follower_end (const struct bgap_follower *follower);
 
 /**
- * bgap_follower_set_wait() - change how long reads wait, from the next on
+ * bgap_follower_set_pace() - change how reads wait, from the next on
+ * @wait_ms, @pause_ms: as in struct bgap_follower_desc
  */
-void bgap_follower_set_wait (struct bgap_follower *follower, uint32_t wait_ms);
+void bgap_follower_set_pace (struct bgap_follower *follower, uint32_t wait_ms,
+                             uint32_t pause_ms);
+
+/**
+ * bgap_follower_appended() - report a record that this instance has appended
+ *
+ * Ignored unless the record follows directly on what was read, which is so if
+ * it was appended under that condition.
+ */
+void bgap_follower_appended (struct bgap_follower *follower,
+                             const struct bgap_store_record *record);
 
 /**
  * bgap_follower_set_fed() - whether another instance feeds it
--- a/packages/store/src/follower.c
+++ b/packages/store/src/follower.c
@@ -413,9 +413,36 @@
 }
 
 void
-bgap_follower_set_wait (struct bgap_follower *follower, uint32_t wait_ms)
+bgap_follower_set_pace (struct bgap_follower *follower, uint32_t wait_ms,
+                        uint32_t pause_ms)
 {
+  if (follower->desc.wait_ms == wait_ms)
+    return;
   follower->desc.wait_ms = wait_ms;
+  follower->desc.pause_ms = pause_ms;
+  bgap_follower_restart (follower);
+}
+
+void
+bgap_follower_appended (struct bgap_follower *f,
+                        const struct bgap_store_record *record)
+{
+  if (f->state != FOLLOWING || record->offset != f->next)
+    return;
+  /* A read that is running does not know of it. The next one comes when it was
+     due, however often records are appended.  */
+  if (f->busy)
+    {
+      f->busy = false;
+      f->generation++;
+      event_del (&f->check);
+      _bgap_follower_arm (f, f->sent_ms + f->desc.pause_ms
+                                 - _bgap_follower_now_ms ());
+    }
+  f->next++;
+  f->desc.ops.record (f->desc.ops.context, record);
+  if (f->desc.ops.page != NULL)
+    f->desc.ops.page (f->desc.ops.context, record->offset, record, 1);
 }
 
 void
--- a/packages/store/tests/test_follower.c
+++ b/packages/store/tests/test_follower.c
@@ -110,7 +110,8 @@
 on_record (void *context, const struct bgap_store_record *record)
 {
   struct fake *fake = context;
-  fake->seen[fake->seen_count++] = record->offset;
+  if (fake->seen_count < sizeof fake->seen / sizeof *fake->seen)
+    fake->seen[fake->seen_count++] = record->offset;
 }
 
 static void
@@ -311,6 +312,64 @@
   assert_int_equal (fake.read_from[1], 1);
 }
 
+/**
+ * struct appending - appends a record every 10 ms
+ */
+struct appending
+{
+  struct fake *fake;
+  struct bgap_follower *follower;
+  uint64_t offset;
+  struct event *timer;
+};
+
+static void
+on_append (evutil_socket_t fd, short events, void *context)
+{
+  struct appending *appending = context;
+  const struct bgap_store_record record
+      = { .offset = appending->offset, .key = "a" };
+  (void)fd;
+  (void)events;
+  bgap_follower_appended (appending->follower, &record);
+  if (++appending->offset == 40)
+    event_base_loopbreak (appending->fake->base);
+}
+
+/* Guards against reads that are put off for as long as this instance appends
+   records, and against its own records that are reported twice or not.  */
+static void
+test_own_records_do_not_put_reads_off (void **state)
+{
+  (void)state;
+  struct fake fake = {
+    .answers
+    = { { .records = { { .offset = 0, .key = "a" } }, .count = 1, .end = 1 },
+        { .end = 1 },
+        { .end = 1 },
+        { .end = 1 },
+        { .end = 1 },
+        { .never = true } },
+    .answer_count = 6,
+  };
+  struct bgap_follower *follower = start (&fake, 0);
+  struct appending appending
+      = { .fake = &fake, .follower = follower, .offset = 1 };
+  const struct timeval interval = { .tv_usec = 10000 };
+  bgap_follower_set_pace (follower, 1, 50);
+  appending.timer
+      = event_new (fake.base, -1, EV_PERSIST, on_append, &appending);
+  event_add (appending.timer, &interval);
+  event_base_dispatch (fake.base);
+  event_free (appending.timer);
+  assert_true (fake.reads >= 4);
+  assert_true (fake.seen_count >= 10);
+  for (size_t i = 0; i < fake.seen_count && i < 16; i++)
+    assert_int_equal (fake.seen[i], i);
+  bgap_follower_shutdown (follower);
+  event_base_free (fake.base);
+}
+
 int
 main (void)
 {
@@ -321,6 +380,7 @@
     cmocka_unit_test (test_finds_what_a_waiting_read_misses),
     cmocka_unit_test (test_a_feed_replaces_reads),
     cmocka_unit_test (test_a_gap_in_the_feed_is_read),
+    cmocka_unit_test (test_own_records_do_not_put_reads_off),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -264,6 +264,7 @@
     }
   bgap_edge_update_candidates (edge);
   bgap_edge_report_keys (edge, now_ms);
+  bgap_edge_relay_beat (edge, now_ms);
   if (edge->stopping_ms != 0)
     _bgap_edge_check_stop (edge, now_ms);
   bgap_edge_run_actions (edge);
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -10,10 +10,11 @@
 #define KEYS_PREFIX "keys/"
 #define NEWS_PREFIX "news/"
 
-/* A read of the system's own records waits so long; that of the granter less,
-   because the age of its view bounds how long it may grant.  */
+/* A read of the system's own records waits so long. The granter knows what it
+   has written itself and only looks now and then whether another instance has
+   taken over, well within the time for which its view may be old.  */
 #define OWN_WAIT_MS 8000
-#define GRANTER_WAIT_MS 3000
+#define GRANTER_PAUSE_MS 1500
 
 /* The granter counts as lost if it is missing from the list of instances for
    so long; right after an outage of the store the list may be short.  */
@@ -71,6 +72,8 @@
   struct bgap_edge *edge;
   struct bgap_edge_service *service;
   int64_t sent_ms;
+  struct bgap_store_record record;
+  struct bgap_buffer value;
 };
 
 static void
@@ -91,36 +94,61 @@
               (long long)(now_ms - append->sent_ms));
   bgap_granter_on_append (append->service->granter, now_ms, ended);
   if (result->outcome == BGAP_STORE_CONFLICT)
-    bgap_follower_hurry (edge->own);
+    bgap_follower_restart (edge->own);
+  /* An acknowledged record is where its condition said, so that it need not be
+     read.  */
+  append->record.offset = result->offset;
+  if (result->outcome == BGAP_STORE_OK)
+    {
+      bgap_granter_on_view (append->service->granter, now_ms, append->sent_ms);
+      bgap_follower_appended (edge->own, &append->record);
+    }
+  bgap_buffer_shutdown (&append->value);
   free (append);
   bgap_edge_run_actions (edge);
 }
 
+static enum bgap_status
+_bgap_keys_send_append (struct append *append,
+                        const struct bgap_granter_action *action)
+{
+  struct bgap_edge *edge = append->edge;
+  struct bgap_store_record *record = &append->record;
+  enum bgap_status status
+      = bgap_buffer_append (&append->value, action->bytes, action->size);
+  snprintf (record->key, sizeof record->key, KEYS_PREFIX "%s",
+            append->service->name);
+  record->value = append->value.data;
+  record->size = append->value.size;
+  if (status != BGAP_OK)
+    return status;
+  return edge->desc.store->append (
+      edge->desc.store->context,
+      &(struct bgap_store_append){ .topic = edge->desc.topics.own,
+                                   .key = record->key,
+                                   .value = record->value,
+                                   .size = record->size,
+                                   .conditional = true,
+                                   .at = bgap_follower_end (edge->own),
+                                   .done = _bgap_keys_on_appended,
+                                   .user = append });
+}
+
 static void
 _bgap_keys_append (struct bgap_edge *edge, struct bgap_edge_service *service,
                    const struct bgap_granter_action *action)
 {
-  char key[sizeof KEYS_PREFIX + BGAP_REGISTRY_NAME_SIZE];
-  struct append *append = malloc (sizeof *append);
-  enum bgap_status status = BGAP_ERR_NO_MEMORY;
-  snprintf (key, sizeof key, KEYS_PREFIX "%s", service->name);
+  struct append *append = calloc (1, sizeof *append);
   if (append != NULL)
     {
-      *append = (struct append){ edge, service, bgap_now_ms () };
-      status = edge->desc.store->append (
-          edge->desc.store->context,
-          &(struct bgap_store_append){ .topic = edge->desc.topics.own,
-                                       .key = key,
-                                       .value = action->bytes,
-                                       .size = action->size,
-                                       .conditional = true,
-                                       .at = bgap_follower_end (edge->own),
-                                       .done = _bgap_keys_on_appended,
-                                       .user = append });
+      append->edge = edge;
+      append->service = service;
+      append->sent_ms = bgap_now_ms ();
+      if (_bgap_keys_send_append (append, action) == BGAP_OK)
+        return;
+      bgap_buffer_shutdown (&append->value);
+      free (append);
     }
-  if (status == BGAP_OK)
-    return;
-  free (append);
   bgap_granter_on_append (service->granter, bgap_now_ms (),
                           BGAP_GRANTER_NOT_APPENDED);
 }
@@ -149,14 +177,17 @@
 }
 
 static void
-_bgap_keys_update_wait (struct bgap_edge *edge)
+_bgap_keys_update_pace (struct bgap_edge *edge)
 {
-  uint32_t wait_ms = OWN_WAIT_MS;
+  bool is_granter = false;
   for (const struct bgap_edge_service *service = edge->services;
        service != NULL; service = service->hh.next)
     if (service->granter != NULL && bgap_granter_is_active (service->granter))
-      wait_ms = GRANTER_WAIT_MS;
-  bgap_follower_set_wait (edge->own, wait_ms);
+      is_granter = true;
+  if (is_granter)
+    bgap_follower_set_pace (edge->own, 0, GRANTER_PAUSE_MS);
+  else
+    bgap_follower_set_pace (edge->own, OWN_WAIT_MS, 0);
 }
 
 static void
@@ -187,7 +218,7 @@
               assignment.count, assignment.released,
               bgap_granter_is_active (service->granter), was_active);
   bgap_assignment_shutdown (&assignment);
-  _bgap_keys_update_wait (edge);
+  _bgap_keys_update_pace (edge);
   bgap_edge_update_candidates (edge);
   bgap_edge_update_relay (edge);
 }
--- a/programs/banyangapd/edge_private.h
+++ b/programs/banyangapd/edge_private.h
@@ -198,6 +198,7 @@
   int64_t store_trouble_ms;
   int64_t granter_missing_ms;
   int64_t reported_ms;
+  int64_t beat_ms;
   bool is_reader;
   uint32_t changed_count;
   char changed[BGAP_EDGE_CHANGED_MAX][BGAP_REGISTRY_NAME_SIZE];
@@ -289,7 +290,6 @@
                             struct bgap_edge_service *service);
 void bgap_edge_update_candidates (struct bgap_edge *edge);
 
-
 /**
  * bgap_edge_set_granter_server() - tell the granter what a server says
  */
@@ -366,6 +366,12 @@
                           const struct bgap_store_record *records,
                           size_t count);
 
+/**
+ * bgap_edge_relay_beat() - tell the others that no record has come, if it is
+ * time
+ */
+void bgap_edge_relay_beat (struct bgap_edge *edge, int64_t now_ms);
+
 /**
  * bgap_edge_on_relay() - a message of its reader; false if malformed
  */
--- a/programs/banyangapd/edge_relay.c
+++ b/programs/banyangapd/edge_relay.c
@@ -24,6 +24,9 @@
 /* Records of one message at most; a reader sends more messages.  */
 #define RECORDS_MAX 256
 
+/* Time between messages of the granter that say that nothing has come.  */
+#define BEAT_INTERVAL_MS 1000
+
 /* Instances that one reader feeds. Each costs it a few small messages a
    second.  */
 #define FED_PER_READER 32u
@@ -62,8 +65,8 @@
   return true;
 }
 
-/* The granter reads its own records itself, since the age of its view bounds
-   how long it may grant.  */
+/* The granter reads the system's own records itself, since the age of its view
+   bounds how long it may grant, and passes them on to all others.  */
 static bool
 _bgap_relay_is_granter (const struct bgap_edge *edge)
 {
@@ -104,14 +107,14 @@
   edge->is_reader = is_reader;
   bgap_follower_set_fed (edge->config, !is_reader);
   bgap_follower_set_fed (edge->registrations, !is_reader);
-  bgap_follower_set_fed (edge->own,
-                         !is_reader && !_bgap_relay_is_granter (edge));
+  bgap_follower_set_fed (edge->own, !_bgap_relay_is_granter (edge));
 }
 
 /* Sending.  */
 
 static void
-_bgap_relay_send (struct bgap_edge *edge, const struct bgap_buffer *bytes)
+_bgap_relay_send (struct bgap_edge *edge, const struct bgap_buffer *bytes,
+                  bool to_all)
 {
   struct bgap_error err = { 0 };
   struct bgap_edge_member parsed;
@@ -121,7 +124,8 @@
     {
       const char *member = bgap_membership_at (edge->membership, i);
       uint32_t index = _bgap_relay_index (edge, member);
-      if (index < readers || index % readers != own
+      bool is_fed = index >= readers && index % readers == own;
+      if (index == own || !(to_all || is_fed)
           || !bgap_edge_member_parse (member, &parsed))
         continue;
       /* One that misses a message reads by itself.  */
@@ -164,7 +168,7 @@
 {
   struct bgap_buffer bytes = { 0 };
   if (_bgap_relay_print (&bytes, topic, feed) == BGAP_OK)
-    _bgap_relay_send (edge, &bytes);
+    _bgap_relay_send (edge, &bytes, topic == RELAY_OWN);
   bgap_buffer_shutdown (&bytes);
 }
 
@@ -198,8 +202,9 @@
 bgap_edge_relay_own (struct bgap_edge *edge, uint64_t from,
                      const struct bgap_store_record *records, size_t count)
 {
-  if (!edge->is_reader)
+  if (!_bgap_relay_is_granter (edge))
     return;
+  edge->beat_ms = bgap_now_ms ();
   _bgap_relay_feed (edge, RELAY_OWN,
                     &(struct bgap_feed){ .from = from,
                                          .next = bgap_follower_end (edge->own),
@@ -232,6 +237,15 @@
                                          .records = changed,
                                          .count = changed_count });
   _bgap_relay_beat (edge, RELAY_CONFIG, edge->config, edge->config_ms);
+}
+
+void
+bgap_edge_relay_beat (struct bgap_edge *edge, int64_t now_ms)
+{
+  if (now_ms - edge->beat_ms < BEAT_INTERVAL_MS
+      || !_bgap_relay_is_granter (edge))
+    return;
+  edge->beat_ms = now_ms;
   _bgap_relay_beat (edge, RELAY_OWN, edge->own, edge->own_ms);
 }
 
