--- a/packages/gateway/tests/test_backend_judge.c
+++ b/packages/gateway/tests/test_backend_judge.c
@@ -13,8 +13,8 @@
 /* Answers "/<n>" with the responses of case n.  */
 static const char *const answers[] = {
   /* A response of an earlier request, then the right one.  */
-  "HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 5\r\n\r\nwrong"
-  "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 5\r\n\r\nright",
+  ("HTTP/1.1 200 OK\r\nId: old\r\nContent-Length: 5\r\n\r\nwrong"
+   "HTTP/1.1 200 OK\r\nId: own\r\nContent-Length: 5\r\n\r\nright"),
   /* An error that is to be asked for again.  */
   "HTTP/1.1 500 Oops\r\nId: own\r\nContent-Length: 3\r\n\r\nbad",
   /* Not acceptable.  */
--- /dev/null
+++ b/tests/process/platform_standin.py
@@ -0,0 +1,498 @@
+"""Stand-ins for the users' platform, and instances that run on it.
+
+    with Platform() as platform:
+        platform.add_servers("reads", 2)
+        platform.configure([route("/r/", "reads")], [service("reads")])
+        platform.start_instances(3)
+        answer = platform.request(0, "GET", "/r/1")
+
+The store and the servers speak the platform's published protocol as far as the
+program uses it. Each server notes what it ran and when it held which keys, so
+that tests can check the promises from its side.
+"""
+
+import base64
+import http.client
+import http.server
+import itertools
+import json
+import os
+import signal
+import socketserver
+import struct
+import subprocess
+import tempfile
+import threading
+import time
+import urllib.parse
+
+from deployment import BIN, free_port
+
+HOST = "service.example"
+HEARTBEAT_S = 0.3
+HOSTS = itertools.count(16 + os.getpid() % 200)
+
+
+def route(prefix, target, kind="idempotent", timeout_s=2.0, attempts=3):
+    action = {"timeoutS": timeout_s, "maxAttempts": attempts}
+    if isinstance(target, str):
+        action["service"] = target
+    else:
+        action["trafficSplit"] = [
+            {"service": name, "weight": weight} for name, weight in target]
+    return {"name": "route" + prefix, "kind": kind, "targetLatencyS": 0.5, "priority": 1,
+            "match": {"pathPrefix": prefix}, "action": action}
+
+
+def service(name, keyed=False):
+    cluster = {"name": name, "healthPath": "/health", "maxConnections": 100,
+               "protocol": "h1", "tls": False}
+    if keyed:
+        cluster.update(sharded=True, warmS=1.0, grants="rpc")
+    return cluster
+
+
+class QuietHandler(http.server.BaseHTTPRequestHandler):
+    protocol_version = "HTTP/1.1"
+
+    def log_message(self, format, *args):
+        pass
+
+    def reply(self, status, body=b"", headers=()):
+        self.send_response(status)
+        for name, value in headers:
+            self.send_header(name, value)
+        self.send_header("Content-Length", str(len(body)))
+        self.end_headers()
+        self.wfile.write(body)
+
+    def reply_json(self, status, value):
+        self.reply(status, json.dumps(value).encode(), [("Content-Type", "application/json")])
+
+    def body(self):
+        return self.rfile.read(int(self.headers.get("Content-Length", 0)))
+
+
+class Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
+    daemon_threads = True
+    request_queue_size = 64
+
+    def handle_error(self, request, client_address):
+        pass
+
+
+class Store:
+    """Topics whose records have offsets; a keyed topic keeps the newest of each key."""
+
+    def __init__(self):
+        self.changed = threading.Condition()
+        self.topics = {}
+        self.members = {}
+        self.generation = 0
+        self.fault = None  # None, "silent" or "busy"
+        self.fault_until = 0
+        store = self
+
+        class Handler(QuietHandler):
+            def do_GET(self):
+                store.handle(self)
+
+            def do_POST(self):
+                store.handle(self)
+
+        self.http = Server(("127.0.0.1", free_port()), Handler)
+        self.address = "127.0.0.1:%d" % self.http.server_port
+        threading.Thread(target=self.http.serve_forever, daemon=True).start()
+
+    def stop(self):
+        self.http.shutdown()
+        self.http.server_close()
+
+    def fail(self, fault, for_s):
+        self.fault_until = time.time() + for_s
+        self.fault = fault
+
+    def append(self, topic, key, value, at=None):
+        with self.changed:
+            records = self.topics.setdefault(topic, [])
+            if at is not None and at != len(records):
+                return None
+            records.append((key, value))
+            self.changed.notify_all()
+            return len(records) - 1
+
+    def newest(self, topic):
+        items = {}
+        for offset, (key, value) in enumerate(self.topics.get(topic, [])):
+            items[key] = (offset, value)
+        return {key: item for key, item in items.items() if item[1]}
+
+    def handle(self, handler):
+        url = urllib.parse.urlsplit(handler.path)
+        query = dict(urllib.parse.parse_qsl(url.query))
+        body = handler.body() if handler.command == "POST" else b""
+        if self.fault is not None and time.time() < self.fault_until:
+            if self.fault == "busy":
+                handler.reply(503)
+                return
+            time.sleep(max(0, self.fault_until - time.time()))
+            handler.close_connection = True
+            return
+        getattr(self, "on_" + url.path[1:].replace("-", "_"))(handler, query, body)
+
+    def on_log_append(self, handler, query, body):
+        size = struct.unpack(">I", body[:4])[0]
+        record = body[4:4 + size]
+        key = record[1:1 + record[0]].decode()
+        at = int(query["at"]) if "at" in query else None
+        offset = self.append(query["topic"], key, record[1 + record[0]:], at)
+        end = len(self.topics.get(query["topic"], []))
+        if offset is None:
+            handler.reply_json(412, {"endOffset": end})
+        else:
+            handler.reply_json(200, {"offset": offset, "endOffset": end})
+
+    def on_log_read(self, handler, query, body):
+        start = int(query["from"])
+        until = time.time() + int(query.get("waitMs", 0)) / 1000
+        with self.changed:
+            while (len(self.topics.get(query["topic"], [])) <= start
+                   and time.time() < until and self.fault is None):
+                self.changed.wait(max(0.001, min(0.2, until - time.time())))
+            records = self.topics.get(query["topic"], [])
+            answer = struct.pack(">QQ", len(records), 0)
+            for key, value in records[start:]:
+                content = bytes([len(key)]) + key.encode() + value
+                answer += struct.pack(">I", len(content)) + content
+        handler.reply(200, answer)
+
+    def on_log_newest(self, handler, query, body):
+        with self.changed:
+            items = [{"key": key, "offset": offset, "value": base64.b64encode(value).decode()}
+                     for key, (offset, value) in self.newest(query["topic"]).items()]
+            end = len(self.topics.get(query["topic"], []))
+        handler.reply_json(200, {"items": items, "hasMore": False, "endOffset": end})
+
+    def live_members(self):
+        now = time.time()
+        live = sorted(name for name, until in self.members.items() if until > now)
+        if live != getattr(self, "last_live", None):
+            self.last_live = live
+            self.generation += 1
+        return live
+
+    def parts(self, name=None):
+        live = self.live_members()
+        rows = [["banyangap.members.0", number, live[number % len(live)], 0]
+                for number in range(24)] if live else []
+        return [row for row in rows if name is None or row[2] == name]
+
+    def on_log_join(self, handler, query, body):
+        call = json.loads(body)
+        with self.changed:
+            self.members[call["memberId"]] = time.time() + call["ttlS_time"]
+            parts = [[row[0], row[1], 0] for row in self.parts(call["memberId"])]
+        handler.reply_json(200, {"generation": self.generation, "parts": parts})
+
+    def on_log_leave(self, handler, query, body):
+        with self.changed:
+            self.members.pop(json.loads(body)["memberId"], None)
+        handler.reply_json(200, {})
+
+    def on_log_owners(self, handler, query, body):
+        with self.changed:
+            handler.reply_json(200, {"parts": self.parts()})
+
+
+class Backend:
+    """A server that registers itself, runs requests and holds granted keys."""
+
+    def __init__(self, store, name, service_name, zone, keyed):
+        self.store = store
+        self.name = name
+        self.service = service_name
+        self.zone = zone
+        self.keyed = keyed
+        self.lock = threading.Lock()
+        self.work_s = 0.01
+        self.ran = []      # (time, request id, key)
+        self.held = []     # [first, last, from, until, fence]
+        self.fences = {}
+        self.state = "ready"
+        self.alive = True
+        self.sequence = 0
+        self.born = int(time.time() * 1000)
+        backend = self
+
+        class Handler(QuietHandler):
+            def do_GET(self):
+                backend.handle(self)
+
+            def do_POST(self):
+                backend.handle(self)
+
+        self.http = Server(("127.0.0.1", free_port()), Handler)
+        self.address = "127.0.0.1:%d" % self.http.server_port
+        threading.Thread(target=self.http.serve_forever, daemon=True).start()
+        threading.Thread(target=self.beat, daemon=True).start()
+
+    def beat(self):
+        while self.alive:
+            self.sequence += 1
+            self.register()
+            time.sleep(HEARTBEAT_S)
+
+    def register(self):
+        self.store.append("keyed.servers", self.name, json.dumps({
+            "service": self.service, "address": self.address, "zone": self.zone,
+            "version": "v1", "maxConcurrency": 4, "state": self.state, "warmupS_time": 0,
+            "sequence": self.sequence, "born": self.born}).encode())
+
+    def drain(self):
+        self.state = "draining"
+        self.register()
+
+    def kill(self):
+        """Ends without a word; its registration lapses."""
+        self.alive = False
+        with self.lock:
+            now = time.time()
+            for hold in self.held:
+                hold[3] = min(hold[3], now)
+        self.http.shutdown()
+        self.http.server_close()
+        threading.Timer(3 * HEARTBEAT_S,
+                        lambda: self.store.append("keyed.servers", self.name, b"")).start()
+
+    def stop(self):
+        if self.alive:
+            self.alive = False
+            self.http.shutdown()
+            self.http.server_close()
+
+    def holds(self, key):
+        now = time.time()
+        return any(first <= key <= last and until > now
+                   for first, last, _, until, _ in self.held)
+
+    def handle(self, handler):
+        if not self.alive:
+            handler.close_connection = True
+            return
+        body = handler.body()
+        expected = handler.headers.get("Expected-Instance")
+        if expected is not None and expected != self.name:
+            handler.reply(421, headers=[("Instance-Id", self.name)])
+        elif handler.path == "/grant":
+            self.on_grant(handler, json.loads(body))
+        elif handler.path == "/release":
+            self.on_release(handler, json.loads(body))
+        else:
+            self.on_request(handler, body)
+
+    def fenced(self, call):
+        return any(fence > call["fence"] and first <= call["to"] and last >= call["from"]
+                   for (first, last), fence in self.fences.items())
+
+    def end_holds(self, call, now):
+        rest = []
+        for first, last, start, until, fence in self.held:
+            if last < call["from"] or first > call["to"] or until <= now:
+                rest.append([first, last, start, until, fence])
+                continue
+            rest.append([max(first, call["from"]), min(last, call["to"]), start, now, fence])
+            if first < call["from"]:
+                rest.append([first, call["from"] - 1, start, until, fence])
+            if last > call["to"]:
+                rest.append([call["to"] + 1, last, start, until, fence])
+        self.held = rest
+
+    def on_grant(self, handler, call):
+        with self.lock:
+            if self.fenced(call):
+                handler.reply(409)
+                return
+            now = time.time()
+            self.fences[(call["from"], call["to"])] = call["fence"]
+            self.end_holds(call, now)
+            self.held.append([call["from"], call["to"], now, now + call["holdS"], call["fence"]])
+        handler.reply(200)
+
+    def on_release(self, handler, call):
+        with self.lock:
+            self.fences[(call["from"], call["to"])] = call["fence"]
+            self.end_holds(call, time.time())
+        handler.reply(200, headers=[("Handover", "h-%s" % self.name)])
+
+    def on_request(self, handler, body):
+        key = handler.headers.get("Shard-Key")
+        request_id = handler.headers["Attempt-Id"]
+        with self.lock:
+            if self.keyed and not self.holds(int(key)):
+                handler.reply(421, headers=[("Not-Executed", "1"),
+                                            ("Instance-Id", self.name)])
+                return
+            self.ran.append((time.time(), request_id, key))
+        time.sleep(self.work_s)
+        handler.reply(200, b"%s:%s" % (self.name.encode(), body),
+                      [("Attempt-Id", request_id), ("Backend-Signature", "s-" + self.name),
+                       ("Backend-Load", "1,0,4")])
+
+
+SETTINGS = """grants: "rpc"
+self:
+  node: "{name}"
+  ip: "{ip}"
+  zone: "{zone}"
+  limits:
+    memoryMb: 260
+network:
+  listen:
+    http: "{ip}:{http}"
+    readiness: "{ip}:{ready}"
+  portRange:
+    - {peer}
+    - {peer}
+platform:
+  heartbeatS: {heartbeat}
+  platform:
+    address: "{store}"
+terms:
+  bounds:
+    drainS: 2
+    graceS: 6
+    maxHoldS: 10
+    retryBudgetRatio: 0.2
+    retrySlack: 56
+    budgetWindowS: 10
+"""
+
+
+class Instance:
+    def __init__(self, folder, name, zone, store):
+        self.name = name
+        self.ip = "127.0.%d.%d" % (1 + os.getpid() % 250, next(HOSTS) % 250 + 1)
+        self.http = free_port()
+        self.ready = free_port()
+        self.settings = os.path.join(folder, name + ".yaml")
+        self.log_path = os.path.join(folder, name + ".log")
+        with open(self.settings, "w") as file:
+            file.write(SETTINGS.format(name=name, ip=self.ip, zone=zone, http=self.http,
+                                       ready=self.ready, peer=free_port(), store=store.address,
+                                       heartbeat=HEARTBEAT_S))
+        self.process = None
+
+    def start(self):
+        with open(self.log_path, "ab") as log:
+            self.process = subprocess.Popen(
+                [os.path.join(BIN, "banyangapd"), "--platform", "--settings", self.settings],
+                stdout=log, stderr=log)
+
+    def log(self):
+        with open(self.log_path) as file:
+            return file.read()
+
+    def is_ready(self):
+        connection = http.client.HTTPConnection(self.ip, self.ready, timeout=2)
+        try:
+            connection.request("GET", "/ready")
+            return connection.getresponse().status == 200
+        except OSError:
+            return False
+        finally:
+            connection.close()
+
+    def metrics(self):
+        connection = http.client.HTTPConnection(self.ip, 9464, timeout=2)
+        connection.request("GET", "/metrics")
+        text = connection.getresponse().read().decode()
+        connection.close()
+        return text
+
+
+class Answer:
+    def __init__(self, status, headers, body):
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+
+class Platform:
+    def __init__(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.store = Store()
+        self.backends = {}
+        self.instances = []
+        self.version = 0
+        self.ids = itertools.count(1)
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *error):
+        for instance in self.instances:
+            if instance.process.poll() is None:
+                instance.process.kill()
+            instance.process.wait()
+        for backend in self.backends.values():
+            backend.stop()
+        self.store.stop()
+        self.folder.cleanup()
+
+    def add_servers(self, name, count, keyed=False):
+        for number in range(count):
+            server = "%s-%d" % (name, len(self.backends))
+            zone = "z%d" % (number % 2 + 1)
+            self.backends[server] = Backend(self.store, server, name, zone, keyed)
+
+    def configure(self, rules, clusters):
+        self.version += 1
+        self.store.append("keyed.op", "config", json.dumps({
+            "version": self.version,
+            "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 100000,
+                       "headerTimeoutS": 3, "idleTimeoutS": 15},
+            "listeners": [{"host": HOST, "rules": rules}], "clusters": clusters}).encode())
+
+    def start_instances(self, count):
+        for number in range(count):
+            instance = Instance(self.folder.name, "edge-%d" % len(self.instances),
+                                "z%d" % (number % 2 + 1), self.store)
+            self.instances.append(instance)
+            instance.start()
+        self.wait(lambda: all(instance.is_ready() for instance in self.instances), 15, "ready")
+
+    def wait(self, condition, for_s, what):
+        until = time.time() + for_s
+        while not condition():
+            if time.time() > until:
+                raise AssertionError("not within %g s: %s" % (for_s, what))
+            time.sleep(0.02)
+
+    def request(self, number, method, path, key=None, body=None, timeout=5, host=HOST):
+        instance = self.instances[number]
+        connection = http.client.HTTPConnection(instance.ip, instance.http, timeout=timeout)
+        headers = {"Host": host, "Attempt-Id": "r-%d" % next(self.ids),
+                   "Deadline-Ms": "2000"}
+        if key is not None:
+            headers["Shard-Key"] = str(key)
+        try:
+            connection.request(method, path, body=body, headers=headers)
+            response = connection.getresponse()
+            return Answer(response.status, response.headers, response.read())
+        finally:
+            connection.close()
+
+    def holders(self, key):
+        return [name for name, backend in self.backends.items()
+                if backend.alive and backend.holds(key)]
+
+    def two_holders(self):
+        """Keys that two servers held at the same time, as (server, server, key)."""
+        holds = [(name, *hold) for name, backend in self.backends.items()
+                 for hold in backend.held]
+        return [(a[0], b[0], max(a[1], b[1])) for a, b in itertools.combinations(holds, 2)
+                if a[0] != b[0] and max(a[1], b[1]) <= min(a[2], b[2])
+                and max(a[3], b[3]) < min(a[4], b[4])]
+
+    def terminate(self, number):
+        self.instances[number].process.send_signal(signal.SIGTERM)
--- /dev/null
+++ b/tests/process/test_platform.py
@@ -0,0 +1,160 @@
+"""Instances on the users' platform: routes, keys, outages of the store, stops."""
+
+import concurrent.futures
+import itertools
+import subprocess
+import time
+import unittest
+
+from deployment import BIN
+from platform_standin import Platform, route, service
+
+
+class PlatformTest(unittest.TestCase):
+
+    def test_requests_reach_their_service(self):
+        """Guards against a request that goes to another service or comes back changed."""
+        with Platform() as platform:
+            platform.add_servers("reads", 2)
+            platform.add_servers("writes", 1)
+            platform.configure([route("/r/", "reads"), route("/w/", "writes", "non_idempotent")],
+                               [service("reads"), service("writes")])
+            platform.start_instances(2)
+            answer = platform.request(0, "GET", "/r/1")
+            self.assertEqual(answer.status, 200)
+            self.assertTrue(answer.headers["Backend-Signature"].startswith("s-reads"))
+            answer = platform.request(1, "POST", "/w/1", body=b"x" * 5000)
+            self.assertEqual(answer.body, b"writes-2:" + b"x" * 5000)
+            self.assertEqual(platform.request(0, "GET", "/other/").status, 404)
+            self.assertEqual(platform.request(0, "GET", "/r/1", host="x").status, 404)
+            self.assertEqual(platform.request(0, "POST", "/w/1", body=b"x" * 200000).status, 413)
+            self.assertIn("bgap_request_seconds_count", platform.instances[0].metrics())
+
+    def test_new_configuration_and_bad_input(self):
+        """Guards against a change that comes late, and against input that is not skipped."""
+        with Platform() as platform:
+            platform.add_servers("reads", 2)
+            platform.configure([route("/r/", "reads")], [service("reads")])
+            platform.start_instances(3)
+            platform.store.append("keyed.op", "config", b"{\"version\": 9")
+            platform.store.append("keyed.servers", "foreign", b"\x80\x81")
+            platform.configure([route("/r/", "reads"), route("/new/", "reads")],
+                               [service("reads")])
+            platform.wait(lambda: all(platform.request(number, "GET", "/new/1").status == 200
+                                      for number in range(3)), 2, "new route")
+            self.assertEqual(platform.request(0, "GET", "/r/1").status, 200)
+            for line in ("event=config-skipped", "event=server-skipped server=foreign"):
+                platform.wait(lambda: any(line in instance.log()
+                                          for instance in platform.instances), 3, line)
+
+    def test_keys_have_one_holder_and_are_served_again(self):
+        """Guards against keys without a holder or with two, around crashes and moves."""
+        with Platform() as platform:
+            platform.add_servers("archive", 4, keyed=True)
+            platform.configure([route("/a/", "archive")], [service("archive", keyed=True)])
+            platform.start_instances(3)
+            keys = range(0, 65536, 4096)
+            platform.wait(lambda: all(platform.holders(key) for key in keys), 10, "all held")
+
+            def served():
+                return all(platform.request(number % 3, "GET", "/a/1", key=key).status == 200
+                           for number, key in enumerate(keys))
+            platform.wait(served, 5, "all served")
+            lost = platform.holders(0)[0]
+            platform.backends[lost].kill()
+            platform.wait(lambda: platform.request(0, "GET", "/a/1", key=0).status == 200, 5,
+                          "served again after a crash")
+            leaving = platform.holders(0)[0]
+            platform.backends[leaving].drain()
+            platform.wait(lambda: platform.holders(0) not in ([], [leaving]), 5, "moved")
+            platform.wait(served, 5, "all served after the moves")
+            self.assertEqual(platform.two_holders(), [])
+
+    def test_restart_of_all_instances(self):
+        """Guards against keys that nobody grants when all instances were killed at once."""
+        with Platform() as platform:
+            platform.add_servers("archive", 3, keyed=True)
+            platform.configure([route("/a/", "archive")], [service("archive", keyed=True)])
+            platform.start_instances(3)
+            platform.wait(lambda: platform.holders(77), 10, "held")
+            for instance in platform.instances:
+                instance.process.kill()
+            for instance in platform.instances:
+                instance.process.wait()
+                instance.start()
+            platform.wait(lambda: all(instance.is_ready() for instance in platform.instances),
+                          10, "ready again")
+            platform.wait(lambda: platform.request(1, "GET", "/a/1", key=77).status == 200, 5,
+                          "served again")
+            self.assertEqual(platform.two_holders(), [])
+
+    def test_outage_of_the_store(self):
+        """Guards against an outage that stops requests, and a change that comes late after it."""
+        with Platform() as platform:
+            platform.add_servers("reads", 2)
+            platform.add_servers("archive", 2, keyed=True)
+            rules = [route("/r/", "reads"), route("/a/", "archive")]
+            clusters = [service("reads"), service("archive", keyed=True)]
+            platform.configure(rules, clusters)
+            platform.start_instances(2)
+            platform.wait(lambda: platform.holders(5), 10, "held")
+            platform.wait(lambda: platform.request(0, "GET", "/a/1", key=5).status == 200, 3,
+                          "served")
+            platform.store.fail("silent", 4)
+            until = time.time() + 3.5
+            for number in itertools.count():
+                if time.time() > until:
+                    break
+                self.assertEqual(platform.request(number % 2, "GET", "/r/1").status, 200)
+                self.assertEqual(platform.request(number % 2, "GET", "/a/1", key=5).status, 200)
+            platform.wait(lambda: time.time() > platform.store.fault_until, 2, "end of the outage")
+            platform.store.fault = None
+            platform.configure(rules + [route("/new/", "reads")], clusters)
+            platform.wait(lambda: all(platform.request(number, "GET", "/new/1").status == 200
+                                      for number in range(2)), 5, "new route after the outage")
+            self.assertEqual(platform.two_holders(), [])
+
+    def test_stop_under_load(self):
+        """Guards against requests that are cut, and a process that goes on taking them."""
+        with Platform() as platform:
+            platform.add_servers("reads", 2)
+            platform.configure([route("/r/", "reads")], [service("reads")])
+            platform.start_instances(2)
+            for backend in platform.backends.values():
+                backend.work_s = 0.15
+            instance = platform.instances[0]
+            results = []
+
+            def load():
+                while instance.process.poll() is None:
+                    try:
+                        results.append(platform.request(0, "GET", "/r/1").status)
+                    except ConnectionRefusedError:
+                        return
+                    except OSError as error:
+                        results.append(repr(error))
+            with concurrent.futures.ThreadPoolExecutor(6) as pool:
+                for _ in range(6):
+                    pool.submit(load)
+                platform.wait(lambda: len(results) > 20, 5, "load")
+                platform.terminate(0)
+                platform.wait(lambda: not instance.is_ready(), 1, "not ready")
+                instance.process.wait(7)
+            self.assertEqual(instance.process.returncode, 0)
+            self.assertEqual(set(results), {200})
+
+    def test_wrong_settings(self):
+        """Guards against a start with settings that are wrong, and against one finding a time."""
+        with Platform() as platform:
+            path = platform.folder.name + "/wrong.yaml"
+            with open(path, "w") as file:
+                file.write("self:\n  node: \"n\"\nterms:\n  bounds:\n    drainS: \"soon\"\n")
+            result = subprocess.run([BIN + "/banyangapd", "--platform", "--settings", path],
+                                    capture_output=True, text=True, timeout=10)
+            self.assertEqual(result.returncode, 1)
+            self.assertIn("self.zone", result.stderr)
+            self.assertIn("terms.bounds.drainS", result.stderr)
+
+
+if __name__ == "__main__":
+    unittest.main()
