--- a/packages/keyrange/include/banyangap/keyrange/granter.h
+++ b/packages/keyrange/include/banyangap/keyrange/granter.h
@@ -48,6 +48,8 @@
  * @instance: name of this instance, required
  * @life: random number drawn at the start of the process, required
  * @hold_ms: how long a grant holds; default 2000
+ * @hold_max_ms: longest hold that servers grant; holds are longer than
+ *   @hold_ms if there are very many ranges; default 10000
  * @renew_ms: between renewals; default 500
  * @call_timeout_ms: after it an order counts as not answered and its
  *   connection is reset, so that it cannot arrive later; default 400
@@ -62,6 +64,7 @@
   const char *instance;
   uint64_t life;
   int64_t hold_ms;
+  int64_t hold_max_ms;
   int64_t renew_ms;
   int64_t call_timeout_ms;
   int64_t view_max_ms;
--- a/packages/keyrange/src/granter.c
+++ b/packages/keyrange/src/granter.c
@@ -6,6 +6,7 @@
 #include "granter_state.h"
 
 #define DEFAULT_HOLD_MS 2000
+#define DEFAULT_HOLD_MAX_MS 10000
 #define DEFAULT_RENEW_MS 500
 #define DEFAULT_CALL_TIMEOUT_MS 400
 #define DEFAULT_VIEW_MAX_MS 9500
@@ -44,6 +45,8 @@
 {
   if (desc->hold_ms == 0)
     desc->hold_ms = DEFAULT_HOLD_MS;
+  if (desc->hold_max_ms == 0)
+    desc->hold_max_ms = DEFAULT_HOLD_MAX_MS;
   if (desc->renew_ms == 0)
     desc->renew_ms = DEFAULT_RENEW_MS;
   if (desc->call_timeout_ms == 0)
@@ -125,10 +128,12 @@
   g->counts.takeovers++;
   g->hold_count = 0;
   g->release_count = 0;
+  /* The former granter had as many ranges as this one takes over.  */
   g->foreign_until_ms
-      = had_granter ? bgap_holds_end_ms (
-            now_ms + view_ms + g->desc.call_timeout_ms, g->desc.hold_ms)
-                    : now_ms;
+      = had_granter
+            ? bgap_holds_end_ms (now_ms + view_ms + g->desc.call_timeout_ms,
+                                 bgap_holds_length_ms (g))
+            : now_ms;
   if (had_granter && bgap_holds_take_over (g) != BGAP_OK)
     g->active = false;
   g->balanced_ms = now_ms;
--- a/packages/keyrange/src/granter_calls.c
+++ b/packages/keyrange/src/granter_calls.c
@@ -187,9 +187,10 @@
   if (!bgap_granter_emit (g, &action))
     return;
   hold->call = action.call;
+  hold->call_hold_ms = hold_ms;
   hold->call_end_ms
       = bgap_holds_end_ms (now_ms + g->desc.call_timeout_ms, hold_ms);
-  hold->next_ms = now_ms + g->desc.renew_ms;
+  hold->next_ms = now_ms + bgap_holds_renew_ms (g);
   g->counts.grants++;
 }
 
@@ -224,7 +225,7 @@
     return;
   if (target->lost == 0)
     {
-      _bgap_calls_grant (g, now_ms, range, hold, g->desc.hold_ms);
+      _bgap_calls_grant (g, now_ms, range, hold, bgap_holds_length_ms (g));
       return;
     }
   if (_bgap_calls_is_probed (g, target, hold))
@@ -361,9 +362,9 @@
 _bgap_calls_granted (struct bgap_granter *g, int64_t now_ms,
                      struct bgap_hold *hold, int64_t sent_end_ms)
 {
-  int64_t end_ms = sent_end_ms < bgap_holds_end_ms (now_ms, g->desc.hold_ms)
-                       ? sent_end_ms
-                       : bgap_holds_end_ms (now_ms, g->desc.hold_ms);
+  int64_t answered_end_ms = bgap_holds_end_ms (now_ms, hold->call_hold_ms);
+  int64_t end_ms
+      = sent_end_ms < answered_end_ms ? sent_end_ms : answered_end_ms;
   if (end_ms > hold->end_ms)
     hold->end_ms = end_ms;
   bgap_holds_fence (g, now_ms, hold->first, hold->last, hold->server,
--- a/packages/keyrange/src/granter_holds.c
+++ b/packages/keyrange/src/granter_holds.c
@@ -9,6 +9,10 @@
 /* A server's clock may run slow by this much.  */
 #define DRIFT_PERCENT 2
 
+/* Grants that an instance sends a second at most: at about 0.1 ms each a
+   fortieth of a core.  */
+#define GRANTS_PER_S_MAX 240
+
 /* For the granularity of timers on both sides and a short freeze of this
    process between its last look at the clock and the call.  */
 #define SLACK_MS 100
@@ -19,6 +23,21 @@
   return arrival_ms + hold_ms * (100 + DRIFT_PERCENT) / 100 + SLACK_MS;
 }
 
+int64_t
+bgap_holds_renew_ms (const struct bgap_granter *g)
+{
+  int64_t least_ms = (int64_t)g->current.count * 1000 / GRANTS_PER_S_MAX;
+  return least_ms > g->desc.renew_ms ? least_ms : g->desc.renew_ms;
+}
+
+int64_t
+bgap_holds_length_ms (const struct bgap_granter *g)
+{
+  int64_t hold_ms
+      = bgap_holds_renew_ms (g) * g->desc.hold_ms / g->desc.renew_ms;
+  return hold_ms < g->desc.hold_max_ms ? hold_ms : g->desc.hold_max_ms;
+}
+
 struct bgap_hold *
 bgap_holds_find (struct bgap_granter *g, const struct bgap_key_range *range)
 {
@@ -196,7 +215,7 @@
       const struct bgap_hold *hold = &g->holds[i];
       bool over = hold->call == 0 && now_ms >= hold->end_ms
                   && now_ms >= hold->late_end_ms
-                  && now_ms >= hold->next_ms + g->desc.hold_ms;
+                  && now_ms >= hold->next_ms + g->desc.hold_max_ms;
       if (!over)
         g->holds[count++] = *hold;
     }
--- a/packages/keyrange/src/granter_state.h
+++ b/packages/keyrange/src/granter_state.h
@@ -21,6 +21,7 @@
  * @next_ms: when to renew
  * @call: grant that is running, 0 for none
  * @call_end_ms: end of the hold if that grant takes effect unanswered
+ * @call_hold_ms: how long that grant holds
  */
 struct bgap_hold
 {
@@ -36,6 +37,7 @@
   int64_t next_ms;
   uint32_t call;
   int64_t call_end_ms;
+  int64_t call_hold_ms;
 };
 
 /**
@@ -172,6 +174,17 @@
  */
 int64_t bgap_holds_end_ms (int64_t arrival_ms, int64_t hold_ms);
 
+/**
+ * bgap_holds_renew_ms() - time between two grants of a range; longer than the
+ * option if there are so many ranges that the granter would be kept busy
+ */
+int64_t bgap_holds_renew_ms (const struct bgap_granter *g);
+
+/**
+ * bgap_holds_length_ms() - how long a grant holds, in proportion to the above
+ */
+int64_t bgap_holds_length_ms (const struct bgap_granter *g);
+
 /**
  * bgap_holds_find() - hold of exactly this range, or NULL
  */
--- a/programs/banyangapd/edge_config.c
+++ b/programs/banyangapd/edge_config.c
@@ -109,11 +109,12 @@
     return NULL;
   snprintf (service->name, sizeof service->name, "%s", routed->name);
   if (routed->keyed
-      && bgap_granter_setup (
-             &service->granter,
-             &(struct bgap_granter_desc){ .instance = edge->member,
-                                          .life = edge->life },
-             &err)
+      && bgap_granter_setup (&service->granter,
+                             &(struct bgap_granter_desc){
+                                 .instance = edge->member,
+                                 .life = edge->life,
+                                 .hold_max_ms = edge->settings.hold_max_ms },
+                             &err)
              != BGAP_OK)
     {
       free (service);
