--- a/packages/keyrange/src/granter_balance.c
+++ b/packages/keyrange/src/granter_balance.c
@@ -256,8 +256,8 @@
   while (placed)
     {
       uint64_t load = rest;
-      struct room *room = _bgap_balance_neighbour (next, rooms, count, first,
-                                                   last, rest);
+      struct room *room
+          = _bgap_balance_neighbour (next, rooms, count, first, last, rest);
       if (room == NULL)
         room = _bgap_balance_most_room (rooms, count);
       uint32_t end = _bgap_balance_cut (
--- a/packages/keyrange/src/granter_calls.c
+++ b/packages/keyrange/src/granter_calls.c
@@ -108,8 +108,7 @@
     }
   uint32_t position = _bgap_targets_position (g, id);
   struct bgap_grant_target *target = &g->targets[position];
-  memmove (target + 1, target,
-           (g->target_count - position) * sizeof *target);
+  memmove (target + 1, target, (g->target_count - position) * sizeof *target);
   g->target_count++;
   *target = (struct bgap_grant_target){ .avoid_ms = AVOID_FIRST_MS };
   snprintf (target->desc.id, sizeof target->desc.id, "%s", id);
--- a/packages/keyrange/tests/test_granter.c
+++ b/packages/keyrange/tests/test_granter.c
@@ -240,7 +240,8 @@
       bool is_late = machine->free_ms - (double)now_ms > (double)timeout_ms;
       machine->lost += is_late;
       if (!is_late)
-        machine->answered[(action.first + 1) * MANY_SERVERS / BGAP_KEY_COUNT]++;
+        machine
+            ->answered[(action.first + 1) * MANY_SERVERS / BGAP_KEY_COUNT]++;
       bgap_granter_on_reply (granter, now_ms, action.call,
                              is_late ? BGAP_GRANTER_LOST : BGAP_GRANTER_DONE,
                              "");
--- a/packages/registry/tests/test_relay_tree.c
+++ b/packages/registry/tests/test_relay_tree.c
@@ -15,9 +15,9 @@
   uint32_t found
       = bgap_relay_tree_feeds (count, granter, index, BGAP_RELAY_GRANTER);
   for (uint32_t reader = 0; readers > 1 && reader < readers; reader++)
-    found += reader != granter
-             && bgap_relay_tree_feeds (count, reader, index,
-                                       BGAP_RELAY_READER);
+    found
+        += reader != granter
+           && bgap_relay_tree_feeds (count, reader, index, BGAP_RELAY_READER);
   return found;
 }
 
