--- a/packages/keyrange/src/granter_balance.c
+++ b/packages/keyrange/src/granter_balance.c
@@ -3,13 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "granter_state.h"
-
-/* Load of a key without requests, so that without any the keys are divided
-   evenly. The requests of the sample together count REQUESTS_WEIGHT times as
-   much as all keys.  */
-#define KEY_WEIGHT 1u
-#define REQUESTS_WEIGHT 8u
+#include "granter_rooms.h"
 
 /* Requests in the sample before the load is evened out.  */
 #define SAMPLE_MIN 40u
@@ -48,179 +42,9 @@
 /* Sizes of a piece that are tried, each a third of the one before.  */
 #define CHOICES 3
 
-/* Bounds of the speed of a server, in proportion to the mean.  */
-#define SPEED_MIN 0.4
-#define SPEED_MAX 2.0
-
-/* Each range is renewed by a call of its own, so that more ranges than this
-   per server are brought together again, the least busy ones first and a few
-   at a time.  */
-#define RANGES_PER_SERVER 4u
-#define DEFRAGMENT_MAX 12u
-
 /* Smallest piece that is cut off a range, in keys.  */
 #define PIECE_KEYS_MIN 1u
 
-/**
- * struct room - a server that can get keys
- * @latency_ms, @slots: as the server's description says
- * @capacity: requests it can run a second, in proportion to the others
- * @load: of its keys
- * @share: of the whole load, by its capacity
- */
-struct room
-{
-  const char *server;
-  int64_t born_ms;
-  double capacity;
-  double latency_ms;
-  double slots;
-  uint64_t load;
-  uint64_t share;
-};
-
-static uint64_t
-_bgap_balance_key_load (const struct bgap_granter *g, uint32_t key)
-{
-  return KEY_WEIGHT + (uint64_t)g->load[key] * g->request_weight;
-}
-
-static uint64_t
-_bgap_balance_load (const struct bgap_granter *g, uint32_t first,
-                    uint32_t last)
-{
-  uint64_t sum = 0;
-  for (uint32_t key = first; key <= last; key++)
-    sum += _bgap_balance_key_load (g, key);
-  return sum;
-}
-
-/* The rooms are ordered by server, as the targets are.  */
-static int
-_bgap_balance_by_server (const void *server, const void *room)
-{
-  return strcmp (server, ((const struct room *)room)->server);
-}
-
-static struct room *
-_bgap_balance_find (struct room *rooms, uint32_t count, const char *server)
-{
-  return bsearch (server, rooms, count, sizeof *rooms,
-                  _bgap_balance_by_server);
-}
-
-/* Mean time of a request at the servers that are known, or 0.  */
-static double
-_bgap_balance_mean_latency (const struct bgap_granter *g)
-{
-  double sum_ms = 0;
-  uint32_t count = 0;
-  for (uint32_t i = 0; i < g->target_count; i++)
-    if (!g->targets[i].gone && g->targets[i].desc.latency_ms > 0)
-      {
-        sum_ms += g->targets[i].desc.latency_ms;
-        count++;
-      }
-  return count > 0 ? sum_ms / count : 0;
-}
-
-/* A few answers say little, so that the measured speed counts within
-   bounds.  */
-static double
-_bgap_balance_capacity (const struct bgap_granter_server *server,
-                        double mean_ms)
-{
-  double speed = server->latency_ms > 0 ? mean_ms / server->latency_ms : 1;
-  if (speed < SPEED_MIN)
-    speed = SPEED_MIN;
-  if (speed > SPEED_MAX)
-    speed = SPEED_MAX;
-  return speed * server->slots;
-}
-
-/* The usable servers with their loads; the caller frees it.  */
-static struct room *
-_bgap_balance_rooms (struct bgap_granter *g, int64_t now_ms,
-                     const struct bgap_assignment *next, uint32_t *out)
-{
-  uint32_t count = 0;
-  double capacity = 0;
-  uint64_t total = 0;
-  double mean_ms = _bgap_balance_mean_latency (g);
-  g->request_weight = g->load_total > 0 ? (uint64_t)BGAP_KEY_COUNT
-                                              * REQUESTS_WEIGHT / g->load_total
-                                        : 0;
-  struct room *rooms
-      = calloc (g->target_count ? g->target_count : 1, sizeof *rooms);
-  if (rooms == NULL)
-    return NULL;
-  for (uint32_t i = 0; i < g->target_count; i++)
-    {
-      const struct bgap_grant_target *target = &g->targets[i];
-      if (!bgap_grant_target_usable (target, now_ms))
-        continue;
-      rooms[count++] = (struct room){ .server = target->desc.id,
-                                      .born_ms = target->desc.born_ms,
-                                      .latency_ms = target->desc.latency_ms,
-                                      .slots = target->desc.slots,
-                                      .capacity = _bgap_balance_capacity (
-                                          &target->desc, mean_ms) };
-      capacity += rooms[count - 1].capacity;
-    }
-  for (uint32_t i = 0; i < next->count; i++)
-    {
-      const struct bgap_key_range *range = &next->ranges[i];
-      uint64_t load = _bgap_balance_load (g, range->first, range->last);
-      struct room *room = _bgap_balance_find (rooms, count, range->server);
-      total += load;
-      if (room != NULL && !range->moving)
-        room->load += load;
-    }
-  for (uint32_t i = 0; i < count; i++)
-    rooms[i].share = (uint64_t)((double)total * rooms[i].capacity / capacity);
-  *out = count;
-  return rooms;
-}
-
-static struct room *
-_bgap_balance_most_room (struct room *rooms, uint32_t count)
-{
-  struct room *best = NULL;
-  int64_t best_room = 0;
-  for (uint32_t i = 0; i < count; i++)
-    {
-      int64_t room = (int64_t)rooms[i].share - (int64_t)rooms[i].load;
-      if (best != NULL && room <= best_room)
-        continue;
-      best = &rooms[i];
-      best_room = room;
-    }
-  return best;
-}
-
-/* The server of a neighbouring range, if the whole load fits there: fewer
-   ranges have to be renewed then.  */
-static struct room *
-_bgap_balance_neighbour (const struct bgap_assignment *next,
-                         struct room *rooms, uint32_t count, uint32_t first,
-                         uint32_t last, uint64_t load)
-{
-  const uint32_t keys[] = { first - 1, last + 1 };
-  for (int i = 0; i < 2; i++)
-    {
-      const struct bgap_key_range *range
-          = keys[i] < BGAP_KEY_COUNT ? bgap_assignment_find (next, keys[i])
-                                     : NULL;
-      struct room *room
-          = range != NULL && !range->moving
-                ? _bgap_balance_find (rooms, count, range->server)
-                : NULL;
-      if (room != NULL && room->load + load <= room->share)
-        return room;
-    }
-  return NULL;
-}
-
 /* Last key of the piece of [first, last] that fits into @room. @load is that
    of all the keys, and of the piece afterwards.  */
 static uint32_t
@@ -236,7 +60,7 @@
   *load = 0;
   for (uint32_t key = first; key <= last; key++)
     {
-      *load += _bgap_balance_key_load (g, key);
+      *load += bgap_rooms_key_load (g, key);
       end = key;
       if (*load >= (uint64_t)room && key - first + 1 >= PIECE_KEYS_MIN)
         break;
@@ -250,16 +74,16 @@
                     uint32_t last, uint64_t fence)
 {
   uint32_t count = 0;
-  struct room *rooms = _bgap_balance_rooms (g, now_ms, next, &count);
+  struct bgap_room *rooms = bgap_rooms_list (g, now_ms, next, &count);
   bool placed = rooms != NULL && count > 0;
-  uint64_t rest = placed ? _bgap_balance_load (g, first, last) : 0;
+  uint64_t rest = placed ? bgap_rooms_load (g, first, last) : 0;
   while (placed)
     {
       uint64_t load = rest;
-      struct room *room
-          = _bgap_balance_neighbour (next, rooms, count, first, last, rest);
+      struct bgap_room *room
+          = bgap_rooms_neighbour (next, rooms, count, first, last, rest);
       if (room == NULL)
-        room = _bgap_balance_most_room (rooms, count);
+        room = bgap_rooms_idlest (rooms, count);
       uint32_t end = _bgap_balance_cut (
           g, first, last, (int64_t)room->share - (int64_t)room->load, &load);
       struct bgap_key_range range
@@ -299,11 +123,11 @@
   uint32_t from = first;
   for (uint32_t key = first; key <= last; key++)
     {
-      sum += _bgap_balance_key_load (g, key);
+      sum += bgap_rooms_key_load (g, key);
       while (from < key
              && (sum > search->most
-                 || sum - _bgap_balance_key_load (g, from) >= search->least))
-        sum -= _bgap_balance_key_load (g, from++);
+                 || sum - bgap_rooms_key_load (g, from) >= search->least))
+        sum -= bgap_rooms_key_load (g, from++);
       if (sum > search->most || sum < search->least
           || (search->found
               && key - from >= search->best.last - search->best.first))
@@ -335,10 +159,10 @@
   return search.found;
 }
 
-static struct room *
-_bgap_balance_busiest (struct room *rooms, uint32_t count)
+static struct bgap_room *
+_bgap_balance_busiest (struct bgap_room *rooms, uint32_t count)
 {
-  struct room *busiest = &rooms[0];
+  struct bgap_room *busiest = &rooms[0];
   for (uint32_t i = 1; i < count; i++)
     if (rooms[i].load * busiest->share > busiest->load * rooms[i].share)
       busiest = &rooms[i];
@@ -349,7 +173,7 @@
    the sample; 1 if its speed is not known.  */
 static double
 _bgap_balance_utilization (const struct bgap_granter *g,
-                           const struct room *room)
+                           const struct bgap_room *room)
 {
   if (room->latency_ms <= 0 || g->request_weight == 0)
     return 1;
@@ -362,7 +186,8 @@
    a move.  */
 static bool
 _bgap_balance_is_uneven (const struct bgap_granter *g,
-                         const struct room *busiest, const struct room *idlest)
+                         const struct bgap_room *busiest,
+                         const struct bgap_room *idlest)
 {
   if (idlest == busiest || busiest->load <= busiest->share
       || idlest->load >= idlest->share)
@@ -384,7 +209,8 @@
 static bool
 _bgap_balance_hot_key (const struct bgap_granter *g,
                        const struct bgap_assignment *next,
-                       const struct room *busiest, const struct room *idlest,
+                       const struct bgap_room *busiest,
+                       const struct bgap_room *idlest,
                        struct bgap_key_interval *out)
 {
   uint64_t most = 0;
@@ -397,7 +223,7 @@
         continue;
       for (uint32_t key = range->first; key <= range->last; key++)
         {
-          uint64_t load = _bgap_balance_key_load (g, key);
+          uint64_t load = bgap_rooms_key_load (g, key);
           if (load <= most)
             continue;
           most = load;
@@ -412,7 +238,8 @@
 static bool
 _bgap_balance_choose (const struct bgap_granter *g,
                       const struct bgap_assignment *next,
-                      const struct room *busiest, const struct room *idlest,
+                      const struct bgap_room *busiest,
+                      const struct bgap_room *idlest,
                       struct bgap_key_interval *out)
 {
   uint64_t excess = busiest->load - busiest->share;
@@ -431,8 +258,8 @@
    one's. Returns whether there were any.  */
 static bool
 _bgap_balance_move_piece (struct bgap_granter *g, struct bgap_assignment *next,
-                          uint64_t fence, struct room *busiest,
-                          struct room *idlest)
+                          uint64_t fence, struct bgap_room *busiest,
+                          struct bgap_room *idlest)
 {
   struct bgap_key_interval window;
   if (!_bgap_balance_choose (g, next, busiest, idlest, &window))
@@ -451,7 +278,7 @@
   range.fence = fence;
   if (bgap_assignment_set (next, window.first, window.last, &range) != BGAP_OK)
     return false;
-  uint64_t load = _bgap_balance_load (g, window.first, window.last);
+  uint64_t load = bgap_rooms_load (g, window.first, window.last);
   busiest->load -= load;
   idlest->load += load;
   return true;
@@ -463,14 +290,14 @@
 {
   uint32_t count = 0;
   bool moved = false;
-  struct room *rooms = _bgap_balance_rooms (g, now_ms, next, &count);
+  struct bgap_room *rooms = bgap_rooms_list (g, now_ms, next, &count);
   uint32_t moves_max = count / SERVERS_PER_MOVE > MOVES_MAX
                            ? count / SERVERS_PER_MOVE
                            : MOVES_MAX;
   for (uint32_t i = 0; rooms != NULL && count > 1 && i < moves_max; i++)
     {
-      struct room *busiest = _bgap_balance_busiest (rooms, count);
-      struct room *idlest = _bgap_balance_most_room (rooms, count);
+      struct bgap_room *busiest = _bgap_balance_busiest (rooms, count);
+      struct bgap_room *idlest = bgap_rooms_idlest (rooms, count);
       if (!_bgap_balance_is_uneven (g, busiest, idlest)
           || !_bgap_balance_move_piece (g, next, fence, busiest, idlest))
         break;
@@ -480,86 +307,6 @@
   return moved;
 }
 
-bool
-bgap_balance_join (struct bgap_assignment *next, uint64_t fence)
-{
-  bool joined = false;
-  for (uint32_t i = 1; i < next->count; i++)
-    {
-      const struct bgap_key_range left = next->ranges[i - 1];
-      const struct bgap_key_range right = next->ranges[i];
-      if (left.server[0] == '\0' || left.moving || right.moving
-          || left.born_ms != right.born_ms
-          || strcmp (left.server, right.server) != 0)
-        continue;
-      struct bgap_key_range value = left;
-      value.fence = fence;
-      if (bgap_assignment_set (next, left.first, right.last, &value)
-          != BGAP_OK)
-        break;
-      joined = true;
-      i = 0;
-    }
-  return joined;
-}
-
-/**
- * struct fragment - a range that a neighbour's server could take
- */
-struct fragment
-{
-  uint32_t first;
-  uint32_t last;
-  uint64_t load;
-};
-
-static int
-_bgap_balance_by_load (const void *left, const void *right)
-{
-  const struct fragment *a = left;
-  const struct fragment *b = right;
-  return (a->load > b->load) - (a->load < b->load);
-}
-
-bool
-bgap_balance_defragment (struct bgap_granter *g, int64_t now_ms,
-                         struct bgap_assignment *next, uint64_t fence)
-{
-  uint32_t count = 0;
-  bool moved = false;
-  struct room *rooms = _bgap_balance_rooms (g, now_ms, next, &count);
-  struct fragment *fragments = calloc (next->count, sizeof *fragments);
-  uint32_t found = 0;
-  if (next->count <= count * RANGES_PER_SERVER)
-    count = 0;
-  for (uint32_t i = 0; count > 0 && fragments != NULL && i < next->count; i++)
-    {
-      const struct bgap_key_range *range = &next->ranges[i];
-      uint64_t load = _bgap_balance_load (g, range->first, range->last);
-      if (_bgap_balance_neighbour (next, rooms, count, range->first,
-                                   range->last, load)
-          != NULL)
-        fragments[found++]
-            = (struct fragment){ range->first, range->last, load };
-    }
-  if (found > 0)
-    qsort (fragments, found, sizeof *fragments, _bgap_balance_by_load);
-  for (uint32_t i = 0; i < found && i < DEFRAGMENT_MAX; i++)
-    {
-      struct bgap_key_range range
-          = *bgap_assignment_find (next, fragments[i].first);
-      range.moving = true;
-      range.fence = fence;
-      moved = bgap_assignment_set (next, fragments[i].first, fragments[i].last,
-                                   &range)
-                  == BGAP_OK
-              || moved;
-    }
-  free (fragments);
-  free (rooms);
-  return moved;
-}
-
 void
 bgap_balance_age (struct bgap_granter *g)
 {
--- a/packages/keyrange/src/granter_calls.c
+++ b/packages/keyrange/src/granter_calls.c
@@ -30,8 +30,7 @@
    shows that the grant has no effect.  */
 #define CLOSED_RETRY_MS 150
 
-/* How long a server that did not answer gets no keys; doubles each time.  */
-#define AVOID_FIRST_MS 2000
+/* How long a server is avoided at most.  */
 #define AVOID_MAX_MS 16000
 
 bool
@@ -55,101 +54,6 @@
   return true;
 }
 
-/* Targets.  */
-
-/* First target whose id is not below @id.  */
-static uint32_t
-_bgap_targets_position (const struct bgap_granter *g, const char *id)
-{
-  uint32_t first = 0;
-  uint32_t last = g->target_count;
-  while (first < last)
-    {
-      uint32_t middle = first + (last - first) / 2;
-      if (strcmp (g->targets[middle].desc.id, id) < 0)
-        first = middle + 1;
-      else
-        last = middle;
-    }
-  return first;
-}
-
-struct bgap_grant_target *
-bgap_grant_targets_find (const struct bgap_granter *g, const char *id)
-{
-  uint32_t position = _bgap_targets_position (g, id);
-  if (position == g->target_count
-      || strcmp (g->targets[position].desc.id, id) != 0)
-    return NULL;
-  return &g->targets[position];
-}
-
-bool
-bgap_grant_target_usable (const struct bgap_grant_target *target,
-                          int64_t now_ms)
-{
-  return !target->gone && !target->dead && !target->desc.draining
-         && target->lost == 0 && now_ms >= target->avoid_until_ms;
-}
-
-static struct bgap_grant_target *
-_bgap_targets_add (struct bgap_granter *g, const char *id)
-{
-  if (g->target_count == g->target_capacity)
-    {
-      uint32_t capacity
-          = g->target_capacity ? 2 * g->target_capacity : CAPACITY_FIRST;
-      struct bgap_grant_target *targets
-          = realloc (g->targets, capacity * sizeof *targets);
-      if (targets == NULL)
-        return NULL;
-      g->targets = targets;
-      g->target_capacity = capacity;
-    }
-  uint32_t position = _bgap_targets_position (g, id);
-  struct bgap_grant_target *target = &g->targets[position];
-  memmove (target + 1, target, (g->target_count - position) * sizeof *target);
-  g->target_count++;
-  *target = (struct bgap_grant_target){ .avoid_ms = AVOID_FIRST_MS };
-  snprintf (target->desc.id, sizeof target->desc.id, "%s", id);
-  return target;
-}
-
-void
-bgap_granter_set_server (struct bgap_granter *g, int64_t now_ms,
-                         const struct bgap_granter_server *server)
-{
-  struct bgap_grant_target *target = bgap_grant_targets_find (g, server->id);
-  if (target == NULL)
-    target = _bgap_targets_add (g, server->id);
-  if (target == NULL)
-    return;
-  if (g->first_server_ms == 0)
-    g->first_server_ms = now_ms;
-  bool is_new = target->desc.born_ms != server->born_ms;
-  /* The holds of the earlier process stay noted: the new one may have taken
-     the last grants that were meant for it.  */
-  target->desc = *server;
-  target->gone = false;
-  /* A process that was taken for dead and goes on registering is alive.  */
-  if (is_new || (target->dead && server->sequence > target->dead_sequence + 1))
-    {
-      target->dead = false;
-      target->lost = 0;
-      target->silent_since_ms = 0;
-    }
-}
-
-void
-bgap_granter_remove_server (struct bgap_granter *g, int64_t now_ms,
-                            const char *id)
-{
-  struct bgap_grant_target *target = bgap_grant_targets_find (g, id);
-  (void)now_ms;
-  if (target != NULL)
-    target->gone = true;
-}
-
 void
 bgap_granter_suspect (struct bgap_granter *g, int64_t now_ms, const char *id)
 {
--- a/packages/keyrange/src/granter_state.h
+++ b/packages/keyrange/src/granter_state.h
@@ -4,8 +4,9 @@
 /*
  * Internals of the granter, shared by the granter_*.c files. Calls go one way:
  * granter.c (events) -> granter_plan.c (changes of the assignment) ->
- * granter_balance.c (which server gets keys) and granter_calls.c (orders) ->
- * granter_holds.c (when holds end).
+ * granter_balance.c (which server gets keys), granter_gather.c (fewer ranges)
+ * and granter_calls.c (orders) -> granter_rooms.c (load and shares),
+ * granter_targets.c (servers) and granter_holds.c (when holds end).
  */
 
 #include "banyangap/keyrange/granter.h"
@@ -237,13 +238,15 @@
  */
 void bgap_holds_prune (struct bgap_granter *g, int64_t now_ms);
 
-/* granter_calls.c: orders to servers.  */
+/* granter_targets.c: the servers.  */
 
 struct bgap_grant_target *
 bgap_grant_targets_find (const struct bgap_granter *g, const char *id);
 bool bgap_grant_target_usable (const struct bgap_grant_target *target,
                                int64_t now_ms);
 
+/* granter_calls.c: orders to servers.  */
+
 /**
  * bgap_granter_emit() - queue an action; false without memory
  */
@@ -285,6 +288,13 @@
 bool bgap_balance_even_out (struct bgap_granter *g, int64_t now_ms,
                             struct bgap_assignment *next, uint64_t fence);
 
+/**
+ * bgap_balance_age() - halve the counts of requests
+ */
+void bgap_balance_age (struct bgap_granter *g);
+
+/* granter_gather.c: fewer ranges.  */
+
 /**
  * bgap_balance_join() - make one range of neighbours with the same holder
  *
@@ -301,11 +311,6 @@
 bool bgap_balance_defragment (struct bgap_granter *g, int64_t now_ms,
                               struct bgap_assignment *next, uint64_t fence);
 
-/**
- * bgap_balance_age() - halve the counts of requests
- */
-void bgap_balance_age (struct bgap_granter *g);
-
 /* granter_plan.c: changes of the assignment.  */
 
 /**
