Take a server as gone two seconds after the store is back

The wait for lapsed registrations began with the next regular read of them, a second after the store's return, lasted 2.3 s, and was looked at with the next read only.

Ruled out: the drained flag (its record was gone by then, the topic was compacted) and the relay (the instances read by themselves).

The wait is 2 s, a look at it comes with each timer, the registrations are read at once when any call to the store succeeds again, trouble with any topic counts, and a server is dropped only if they were read 1.2 s into the wait. The test with the stand-in failed before.

--- a/packages/registry/include/banyangap/registry/server_view.h
+++ b/packages/registry/include/banyangap/registry/server_view.h
@@ -24,7 +24,13 @@
 
 /* How long after the end of trouble with the store a registration may be away.
    Servers that live are back about two seconds after the store.  */
-#define BGAP_SERVER_VIEW_LINGER_MS 2300
+#define BGAP_SERVER_VIEW_LINGER_MS 2000
+
+/* The registrations must have been read so long after the store's return, or a
+   server may be back without this instance knowing. Above the time that most
+   servers take to register again, and with reads each 1.05 s early enough to
+   take a server as gone 2.25 s after the store's return.  */
+#define BGAP_SERVER_VIEW_LOOK_MS 1200
 
 /* What has lapsed in an outage is seen with the first reads after it. Later
    removals are those of servers that leave.  */
--- a/packages/registry/src/server_view.c
+++ b/packages/registry/src/server_view.c
@@ -10,6 +10,7 @@
   bool in_trouble;
   bool had_trouble;
   int64_t returned_ms;
+  int64_t contact_ms;
 };
 
 const char *
@@ -173,6 +174,7 @@
   if (view->in_trouble)
     view->returned_ms = now_ms;
   view->in_trouble = false;
+  view->contact_ms = now_ms;
 }
 
 void
@@ -186,7 +188,8 @@
   HASH_ITER (hh, view->servers, server, next)
   {
     if (server->missing_since_ms != 0
-        && now_ms - view->returned_ms >= BGAP_SERVER_VIEW_LINGER_MS)
+        && now_ms - view->returned_ms >= BGAP_SERVER_VIEW_LINGER_MS
+        && view->contact_ms - view->returned_ms >= BGAP_SERVER_VIEW_LOOK_MS)
       _bgap_view_drop (view, server);
   }
 }
--- a/packages/registry/tests/test_server_view.c
+++ b/packages/registry/tests/test_server_view.c
@@ -115,9 +115,14 @@
   bgap_server_view_trouble (view, 10000);
   bgap_server_view_contact (view, 10500);
   bgap_server_view_remove (view, 10600, "i-1");
-  bgap_server_view_tick (view, 12500);
+  bgap_server_view_contact (view, 11600);
+  bgap_server_view_tick (view, 12400);
   assert_non_null (bgap_server_view_find (view, "i-1"));
-  bgap_server_view_tick (view, 13000);
+  /* It may be back: the registrations were last read too early.  */
+  bgap_server_view_tick (view, 12600);
+  assert_non_null (bgap_server_view_find (view, "i-1"));
+  bgap_server_view_contact (view, 12700);
+  bgap_server_view_tick (view, 12700);
   assert_null (bgap_server_view_find (view, "i-1"));
   bgap_server_view_free (view);
 }
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -135,6 +135,9 @@
   /* What was asked during the trouble may never be answered.  */
   bgap_follower_restart (edge->config);
   bgap_follower_restart (edge->own);
+  /* The time that lapsed registrations have begins with this read.  */
+  bgap_follower_restart (edge->registrations);
+  bgap_follower_hurry (edge->registrations);
   bgap_event (&event_store, "state=regained after_ms=%lld",
               (long long)(bgap_now_ms () - edge->store_trouble_ms));
 }
@@ -147,6 +150,7 @@
     return;
   edge->store_trouble = true;
   edge->store_trouble_ms = bgap_now_ms ();
+  bgap_server_view_trouble (edge->view, edge->store_trouble_ms);
   bgap_event (&event_store, "state=lost topic=%s outcome=\"%s\" detail=\"%s\"",
               topic, bgap_store_outcome_name (outcome),
               message ? message : "");
@@ -262,6 +266,7 @@
       bgap_event_log_flush ();
       bgap_edge_revive_servers (edge, now_ms);
     }
+  bgap_server_view_tick (edge->view, now_ms);
   bgap_edge_update_candidates (edge);
   bgap_edge_report_keys (edge, now_ms);
   bgap_edge_relay_beat (edge, now_ms);
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -220,6 +220,8 @@
         self.fences = {}
         self.state = "ready"
         self.alive = True
+        self.registers = True
+        self.registering = threading.Lock()
         self.sequence = 0
         self.born = int(time.time() * 1000)
         backend = self
@@ -238,8 +240,11 @@
 
     def beat(self):
         while self.alive:
-            self.sequence += 1
-            self.register()
+            with self.registering:
+                if not self.registers:
+                    return
+                self.sequence += 1
+                self.register()
             time.sleep(HEARTBEAT_S)
 
     def register(self):
@@ -252,6 +257,12 @@
         self.state = "draining"
         self.register()
 
+    def withdraw(self):
+        """Ends its registration, but goes on answering."""
+        with self.registering:
+            self.registers = False
+            self.store.append("keyed.servers", self.name, b"")
+
     def kill(self):
         """Ends without a word; its registration lapses."""
         self.alive = False
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -114,6 +114,23 @@
                                       for number in range(2)), 5, "new route after the outage")
             self.assertEqual(platform.two_holders(), [])
 
+    def test_server_that_left_during_an_outage(self):
+        """Guards against requests to a server whose registration ended while the store was away:
+        it may come back for two seconds after that, and not until the next record is read."""
+        with Platform() as platform:
+            platform.add_servers("reads", 1)
+            platform.configure([route("/r/", "reads")], [service("reads")])
+            platform.start_instances(1)
+            platform.wait(lambda: platform.request(0, "GET", "/r/1").status == 200, 5, "served")
+            platform.store.fail("silent", 3)
+            platform.wait(lambda: "state=lost" in platform.instances[0].log(), 3, "store lost")
+            platform.backends["reads-0"].withdraw()
+            self.assertEqual(platform.request(0, "GET", "/r/1").status, 200)
+            platform.wait(lambda: time.time() > platform.store.fault_until, 3, "end of the outage")
+            platform.store.fault = None
+            platform.wait(lambda: platform.request(0, "GET", "/r/1").status == 503, 2.8,
+                          "taken as gone")
+
     def test_stop_under_load(self):
         """Guards against requests that are cut, and a process that goes on taking them."""
         with Platform() as platform:
