Wait for granters before the last one; mark servers that drain when added

Ruled out: the length of holds of many ranges (the record had 51 ranges, 2.14 s, in the bound) and grants applied late (the server answered each renewal). The last record of a granter now says how long it was itself still waiting (schema 2).

--- a/packages/keyrange/include/banyangap/keyrange/assignment.h
+++ b/packages/keyrange/include/banyangap/keyrange/assignment.h
@@ -53,6 +53,8 @@
  * @granter: instance that may grant the keys, "" if there is none
  * @life: number that the granter drew at its start
  * @released: the granter has stopped and sends no more grants
+ * @foreign_ms: if @released, how long after this record grants of earlier
+ *   granters can still hold keys, 0 for not at all
  * @fence: highest fence number in use
  */
 struct bgap_assignment
@@ -60,6 +62,7 @@
   char granter[BGAP_KEYRANGE_NAME_SIZE];
   uint64_t life;
   bool released;
+  int64_t foreign_ms;
   uint64_t fence;
   struct bgap_key_range *ranges;
   uint32_t count;
--- a/packages/keyrange/src/assignment_codec.c
+++ b/packages/keyrange/src/assignment_codec.c
@@ -5,7 +5,11 @@
 #include "banyangap/base/json.h"
 #include "banyangap/keyrange/assignment.h"
 
-#define SCHEMA 1
+#define SCHEMA 2
+
+/* Far above what a granter waits for earlier ones; a larger value is a mistake
+   that would stop all moves.  */
+#define FOREIGN_MAX_MS 60000
 
 /* Elements of a range: first, last, server, start, fence, moving.  */
 #define RANGE_FIELDS 6
@@ -17,9 +21,11 @@
   enum bgap_status status = bgap_buffer_printf (
       out,
       "{\"schema\":%d,\"granter\":\"%s\",\"life\":\"%016" PRIx64
-      "\",\"released\":%s,\"fence\":%" PRIu64 ",\"ranges\":[",
+      "\",\"released\":%s,\"foreign_ms\":%" PRId64 ",\"fence\":%" PRIu64
+      ",\"ranges\":[",
       SCHEMA, assignment->granter, assignment->life,
-      assignment->released ? "true" : "false", assignment->fence);
+      assignment->released ? "true" : "false", assignment->foreign_ms,
+      assignment->fence);
   for (uint32_t i = 0; i < assignment->count && status == BGAP_OK; i++)
     {
       const struct bgap_key_range *range = &assignment->ranges[i];
@@ -108,6 +114,7 @@
 {
   int64_t schema = 0;
   int64_t fence = 0;
+  int64_t foreign_ms = 0;
   const char *granter = "";
   const char *life = "";
   enum bgap_status status = bgap_json_int (root, "schema", &schema, err);
@@ -116,6 +123,8 @@
                            (long long)schema);
   if (status == BGAP_OK)
     status = bgap_json_int (root, "fence", &fence, err);
+  if (status == BGAP_OK)
+    status = bgap_json_int (root, "foreign_ms", &foreign_ms, err);
   if (status == BGAP_OK)
     status = bgap_json_string (root, "granter", &granter, err);
   if (status == BGAP_OK)
@@ -123,10 +132,12 @@
   if (status != BGAP_OK)
     return status;
   if (!json_is_array (json_object_get (root, "ranges")) || fence < 0
+      || foreign_ms < 0 || foreign_ms > FOREIGN_MAX_MS
       || sscanf (life, "%" SCNx64, &out->life) != 1
       || !_bgap_assignment_name (out->granter, granter))
     return bgap_error_set (err, BGAP_ERR_PROTOCOL, "a field is malformed");
   out->fence = (uint64_t)fence;
+  out->foreign_ms = foreign_ms;
   out->released = json_is_true (json_object_get (root, "released"));
   return BGAP_OK;
 }
--- a/packages/keyrange/src/granter.c
+++ b/packages/keyrange/src/granter.c
@@ -124,21 +124,28 @@
 }
 
 /* What the former granter sent last is not known. If it has said that it has
-   stopped, only its last calls count.  */
+   stopped, only its last calls count, and those of granters before it that it
+   was still waiting for.  */
 static void
 _bgap_granter_began (struct bgap_granter *g, int64_t now_ms, bool had_granter,
-                     bool was_released)
+                     bool was_released, int64_t foreign_ms)
 {
   int64_t view_ms = was_released ? 0 : g->desc.view_max_ms;
   g->counts.takeovers++;
   g->hold_count = 0;
   g->release_count = 0;
-  /* The former granter had as many ranges as this one takes over.  */
-  g->foreign_until_ms
-      = had_granter
-            ? bgap_holds_end_ms (now_ms + view_ms + g->desc.call_timeout_ms,
-                                 bgap_holds_length_ms (g))
-            : now_ms;
+  g->foreign_until_ms = now_ms;
+  if (had_granter)
+    {
+      /* The former granter had as many ranges as this one takes over.  */
+      int64_t own_end_ms
+          = bgap_holds_end_ms (now_ms + view_ms + g->desc.call_timeout_ms,
+                               bgap_holds_length_ms (g));
+      int64_t foreign_end_ms
+          = foreign_ms > 0 ? bgap_holds_end_ms (now_ms, foreign_ms) : now_ms;
+      g->foreign_until_ms
+          = own_end_ms > foreign_end_ms ? own_end_ms : foreign_end_ms;
+    }
   if (had_granter && bgap_holds_take_over (g) != BGAP_OK)
     g->active = false;
   g->balanced_ms = now_ms;
@@ -151,6 +158,7 @@
   bool was_active = g->active;
   bool had_granter = g->known;
   bool was_released = g->known && g->current.released;
+  int64_t foreign_ms = was_released ? g->current.foreign_ms : 0;
   bool same_granter = g->known && g->current.life == assignment->life;
   if (bgap_assignment_copy (&g->current, assignment) != BGAP_OK)
     {
@@ -166,7 +174,7 @@
   g->active = _bgap_granter_is_own (g, assignment) && !assignment->released;
   bgap_plan_resolved (g);
   if (g->active && !was_active)
-    _bgap_granter_began (g, now_ms, had_granter, was_released);
+    _bgap_granter_began (g, now_ms, had_granter, was_released, foreign_ms);
   g->counts.fence = assignment->fence;
 }
 
--- a/packages/keyrange/src/granter_plan.c
+++ b/packages/keyrange/src/granter_plan.c
@@ -115,6 +115,7 @@
   if (status != BGAP_OK)
     return;
   g->proposal.released = false;
+  g->proposal.foreign_ms = 0;
   g->proposal.fence++;
   for (uint32_t i = 0; i < g->proposal.count; i++)
     g->proposal.ranges[i].fence = g->proposal.fence;
@@ -263,6 +264,8 @@
   if (bgap_assignment_copy (&g->proposal, &g->current) != BGAP_OK)
     return;
   g->proposal.released = true;
+  g->proposal.foreign_ms
+      = g->foreign_until_ms > now_ms ? g->foreign_until_ms - now_ms : 0;
   _bgap_plan_propose (g, now_ms);
 }
 
--- a/packages/keyrange/tests/test_granter.c
+++ b/packages/keyrange/tests/test_granter.c
@@ -208,6 +208,97 @@
   bgap_granter_shutdown (granter);
 }
 
+/* Runs the actions: appends are read back, and only "s1" answers grants.
+   Returns whether a grant was sent to it.  */
+static bool
+run_with_silent_s0 (struct bgap_granter *granter, int64_t now_ms)
+{
+  struct bgap_granter_action action;
+  bool granted = false;
+  while (bgap_granter_next_action (granter, &action))
+    {
+      struct bgap_assignment read = { 0 };
+      bool is_s1 = strcmp (action.server, "s1") == 0;
+      if (action.kind != BGAP_GRANTER_APPEND)
+        {
+          granted = granted || (is_s1 && action.kind == BGAP_GRANTER_GRANT);
+          bgap_granter_on_reply (granter, now_ms, action.call,
+                                 is_s1 ? BGAP_GRANTER_DONE : BGAP_GRANTER_LOST,
+                                 "");
+          continue;
+        }
+      assert_int_equal (
+          bgap_assignment_decode (&read, action.bytes, action.size, NULL),
+          BGAP_OK);
+      bgap_granter_on_append (granter, now_ms, BGAP_GRANTER_APPENDED);
+      bgap_granter_on_assignment (granter, now_ms, &read);
+      bgap_assignment_shutdown (&read);
+    }
+  return granted;
+}
+
+/* A granter that takes over @record and hands its role over at once; its last
+   record is in @last.  */
+static void
+take_over_and_leave (const struct bgap_assignment *record,
+                     struct bgap_assignment *last)
+{
+  struct bgap_granter *granter = NULL;
+  uint32_t grants;
+  assert_int_equal (
+      bgap_granter_setup (
+          &granter,
+          &(struct bgap_granter_desc){ .instance = "n1", .life = LIFE + 1 },
+          NULL),
+      BGAP_OK);
+  add_server (granter, 100, "s0", 0);
+  bgap_granter_on_assignment (granter, 100, record);
+  bgap_granter_on_loaded (granter, 100);
+  bgap_granter_set_candidate (granter, 100, true, true);
+  bgap_granter_tick (granter, 200);
+  assert_true (drain (granter, last, &grants));
+  bgap_granter_on_append (granter, 210, BGAP_GRANTER_APPENDED);
+  bgap_granter_on_assignment (granter, 210, last);
+  bgap_granter_release_role (granter, 300);
+  bgap_granter_tick (granter, 300);
+  assert_true (drain (granter, last, &grants));
+  assert_true (last->released);
+  bgap_granter_shutdown (granter);
+}
+
+/* Guards against two holders: a granter that is cut off goes on granting, the
+   next one hands its role over in order, and the third one takes that for the
+   end of all grants.  */
+static void
+test_grants_of_a_granter_before_the_last_count (void **state)
+{
+  struct bgap_granter *granter = granter_new ();
+  struct bgap_assignment cut_off = assignment_of ("n9", LIFE + 9, 3);
+  struct bgap_assignment last = { 0 };
+  (void)state;
+  set_holder (&cut_off, 0, BGAP_KEY_COUNT - 1, "s0");
+  take_over_and_leave (&cut_off, &last);
+  add_server (granter, 310, "s0", 0);
+  add_server (granter, 310, "s1", 0);
+  bgap_granter_on_assignment (granter, 310, &last);
+  bgap_granter_on_loaded (granter, 310);
+  bgap_granter_set_candidate (granter, 310, true, false);
+  int64_t granted_ms = 0;
+  for (int64_t now_ms = 400; now_ms < 20000 && granted_ms == 0; now_ms += 50)
+    {
+      bgap_granter_on_view (granter, now_ms, now_ms - 5);
+      bgap_granter_tick (granter, now_ms);
+      if (run_with_silent_s0 (granter, now_ms))
+        granted_ms = now_ms;
+    }
+  /* The one that was cut off may grant for 9.5 s after the takeover, for 2 s
+     each.  */
+  assert_in_range (granted_ms, 200 + 9500 + 2000, 16000);
+  bgap_assignment_shutdown (&cut_off);
+  bgap_assignment_shutdown (&last);
+  bgap_granter_shutdown (granter);
+}
+
 /* A machine with a tenth of a core spends this much time on a grant at most:
    0.43 ms of processor time.  */
 #define SLOW_GRANT_MS 4.3
@@ -316,6 +407,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_assignment_text),
     cmocka_unit_test (test_restarted_granter_takes_over),
+    cmocka_unit_test (test_grants_of_a_granter_before_the_last_count),
     cmocka_unit_test (test_many_ranges_do_not_overload_a_small_machine),
     cmocka_unit_test (test_hot_keys_are_spread),
     cmocka_unit_test (test_single_hot_key_stays),
--- a/programs/banyangapd/edge_servers.c
+++ b/programs/banyangapd/edge_servers.c
@@ -182,6 +182,9 @@
   known->user = server;
   bgap_router_server_alive (&edge->router, bgap_now_ms (), server->router_id,
                             (uint64_t)known->entry.born_ms);
+  /* It may have been leaving before its service was known.  */
+  bgap_router_server_drain (&edge->router, bgap_now_ms (), server->router_id,
+                            BGAP_DRAIN_HOST_LIST, known->entry.draining);
   if (service->granter != NULL)
     bgap_edge_set_granter_server (edge, service, &known->entry);
 }
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -114,6 +114,21 @@
                                       for number in range(2)), 5, "new route after the outage")
             self.assertEqual(platform.two_holders(), [])
 
+    def test_draining_server_of_a_new_service(self):
+        """Guards against requests to a server that was leaving before its service was known: after
+        a start the registrations may be read before the configuration."""
+        with Platform() as platform:
+            platform.add_servers("late", 2)
+            platform.backends["late-0"].drain()
+            platform.configure([], [])
+            platform.start_instances(1)
+            platform.wait(lambda: "server=late-1" in platform.instances[0].log(), 5, "registered")
+            platform.configure([route("/l/", "late")], [service("late")])
+            platform.wait(lambda: platform.request(0, "GET", "/l/1").status == 200, 5, "served")
+            for number in range(20):
+                self.assertEqual(platform.request(0, "GET", "/l/%d" % number).status, 200)
+            self.assertEqual(platform.backends["late-0"].ran, [])
+
     def test_server_that_left_during_an_outage(self):
         """Guards against requests to a server whose registration ended while the store was away:
         it may come back for two seconds after that, and not until the next record is read."""
