--- a/packages/store/include/banyangap/store/follower.h
+++ b/packages/store/include/banyangap/store/follower.h
@@ -7,7 +7,7 @@
  *
  *   struct bgap_follower *follower;
  *   bgap_follower_setup (&follower, &(struct bgap_follower_desc){
- *     .base = base, .store = &store, .topic = "keyed.op", .wait_ms = 8000,
+ *     .base = base, .store = &store, .topic = "config", .wait_ms = 8000,
  *     .ops = { .record = on_record, .context = me } }, &err);
  *   bgap_follower_shutdown (follower);
  *
--- a/packages/store/include/banyangap/store/store.h
+++ b/packages/store/include/banyangap/store/store.h
@@ -6,7 +6,7 @@
  * offsets, of which some keep the newest record of each key.
  *
  *   struct bgap_store_read call = {
- *     .topic = "keyed.op", .from = 7, .wait_ms = 8000,
+ *     .topic = "config", .from = 7, .wait_ms = 8000,
  *     .done = on_page, .user = me };
  *   if (ops->read (ops->context, &call) != BGAP_OK)
  *     ...   it was not sent, and done is not called
