--- a/packages/routing/src/router_attempt.c
+++ b/packages/routing/src/router_attempt.c
@@ -262,6 +262,11 @@
                           result->kind == BGAP_RESULT_NO_CONNECT);
       return;
     case BGAP_RESULT_FAILED:
+      if (!request->idempotent)
+        {
+          bgap_router_broken (state, now_ms, request, BGAP_REASON_FAILED);
+          return;
+        }
       request->maybe_ran = true;
       _bgap_router_retry (state, now_ms, request, BGAP_REASON_FAILED, true);
       return;
