Make every instance of a large fleet known to the others

Cause: the store deals the partitions of a topic evenly among its members and leaves them where they are while that is even.

Ruled out: members that lapse (joins were answered, with no partitions, for 15 s); lost calls; old generations (the generation stood still).

The list is read at once only by the first member and by readers, by others once in 20 ms per member. Readers are the first of an order by hash, which spreads them over zones, and an instance keeps its reader while others come and go. An instance that is not fed pauses between its reads. After a failed call a topic waits longer, and is read at once when any call shows that the store answers.

--- a/packages/registry/include/banyangap/registry/relay_tree.h
+++ b/packages/registry/include/banyangap/registry/relay_tree.h
@@ -4,24 +4,35 @@
 /*
  * Which instances pass records on to which others.
  *
+ *   struct bgap_relay_tree tree = { 0 };
+ *   for (uint32_t i = 0; i < bgap_relay_tree_readers (count); i++)
+ *     tree.readers[tree.reader_count++] = names[i];
  *   for (uint32_t i = 0; i < count; i++)
- *     if (bgap_relay_tree_feeds (count, own, i, BGAP_RELAY_READER))
- *       send (i);
+ *     if (bgap_relay_tree_feeds (&tree, own, i, names[i], BGAP_RELAY_READER))
+ *       send (names[i]);
  *
- * Instances are numbered by their place in the sorted list of all of them. The
- * first ones are readers: they read the store and feed the others. A granter
- * reads the assignments of keys and feeds all; among many instances the
- * readers pass its messages on, since its own link would be filled by a copy
- * of a large assignment for each of them.
+ * Instances are numbered by their place in the list of all of them, which has
+ * the same order everywhere. The first ones are readers: they read the store
+ * and feed the others. A granter reads the assignments of keys and feeds all;
+ * among many instances the readers pass its messages on, since its own link
+ * would be filled by a copy of a large assignment for each of them. Which
+ * reader feeds an instance follows from their names, so that it stays the same
+ * when others come and go and while lists differ.
  */
 
 #include <stdbool.h>
 #include <stdint.h>
 
-/* Instances that one reader feeds. Each costs it a few small messages a
-   second.  */
+/* Instances for which there is a reader more.  */
+#define BGAP_RELAY_INSTANCES_PER_READER 16u
+
+/* Instances that one reader feeds at most, since names divide them unevenly.
+   Each costs it a few small messages a second.  */
 #define BGAP_RELAY_FED_PER_READER 32u
 
+/* Readers at most, for 1024 instances.  */
+#define BGAP_RELAY_READERS_MAX 65u
+
 /**
  * enum bgap_relay_role - as what an instance passes records on
  * @BGAP_RELAY_READER: it has read them, or got them from the granter
@@ -33,15 +44,29 @@
   BGAP_RELAY_GRANTER
 };
 
+/**
+ * struct bgap_relay_tree - the readers
+ * @readers: names of the first instances of the list; they stay valid
+ */
+struct bgap_relay_tree
+{
+  const char *readers[BGAP_RELAY_READERS_MAX];
+  uint32_t reader_count;
+};
+
 /**
  * bgap_relay_tree_readers() - number of readers among @count instances
  */
 uint32_t bgap_relay_tree_readers (uint32_t count);
 
 /**
- * bgap_relay_tree_feeds() - whether instance @own sends records to @index
+ * bgap_relay_tree_feeds() - whether an instance sends records to another
+ * @own: place of the one that sends
+ * @index: place of the other
+ * @name: of the other
  */
-bool bgap_relay_tree_feeds (uint32_t count, uint32_t own, uint32_t index,
+bool bgap_relay_tree_feeds (const struct bgap_relay_tree *tree, uint32_t own,
+                            uint32_t index, const char *name,
                             enum bgap_relay_role role);
 
 #endif
--- a/packages/registry/src/relay_tree.c
+++ b/packages/registry/src/relay_tree.c
@@ -1,19 +1,45 @@
 #include "banyangap/registry/relay_tree.h"
 
+#include <string.h>
+
+#include "banyangap/base/hash.h"
+
 uint32_t
 bgap_relay_tree_readers (uint32_t count)
 {
-  return 1 + count / BGAP_RELAY_FED_PER_READER;
+  uint32_t readers = 1 + count / BGAP_RELAY_INSTANCES_PER_READER;
+  return readers < BGAP_RELAY_READERS_MAX ? readers : BGAP_RELAY_READERS_MAX;
+}
+
+/* Place of the reader that feeds an instance.  */
+static uint32_t
+_bgap_relay_tree_reader_of (const struct bgap_relay_tree *tree,
+                            const char *name)
+{
+  uint64_t key = bgap_hash64 (name, strlen (name));
+  uint64_t most = 0;
+  uint32_t best = 0;
+  for (uint32_t i = 0; i < tree->reader_count; i++)
+    {
+      uint64_t weight = bgap_rendezvous_weight (key, tree->readers[i]);
+      if (weight < most)
+        continue;
+      most = weight;
+      best = i;
+    }
+  return best;
 }
 
 bool
-bgap_relay_tree_feeds (uint32_t count, uint32_t own, uint32_t index,
+bgap_relay_tree_feeds (const struct bgap_relay_tree *tree, uint32_t own,
+                       uint32_t index, const char *name,
                        enum bgap_relay_role role)
 {
-  uint32_t readers = bgap_relay_tree_readers (count);
   if (index == own)
     return false;
-  if (role == BGAP_RELAY_GRANTER && (readers == 1 || index < readers))
+  if (role == BGAP_RELAY_GRANTER
+      && (tree->reader_count == 1 || index < tree->reader_count))
     return true;
-  return index >= readers && index % readers == own;
+  return index >= tree->reader_count && own < tree->reader_count
+         && _bgap_relay_tree_reader_of (tree, name) == own;
 }
--- a/packages/store/include/banyangap/store/follower.h
+++ b/packages/store/include/banyangap/store/follower.h
@@ -109,8 +109,11 @@
 
 /**
  * bgap_follower_set_fed() - whether another instance feeds it
+ * @pause_ms: while it should be fed and is not, the time from the start of a
+ *   read to the next one at least
  */
-void bgap_follower_set_fed (struct bgap_follower *follower, bool fed);
+void bgap_follower_set_fed (struct bgap_follower *follower, bool fed,
+                            uint32_t pause_ms);
 
 /**
  * struct bgap_feed - what another instance has read
@@ -149,4 +152,10 @@
  */
 void bgap_follower_hurry (struct bgap_follower *follower);
 
+/**
+ * bgap_follower_retry() - the store answers again: if the last call failed,
+ * start the next one at once
+ */
+void bgap_follower_retry (struct bgap_follower *follower);
+
 #endif
--- a/packages/store/include/banyangap/store/membership.h
+++ b/packages/store/include/banyangap/store/membership.h
@@ -71,6 +71,16 @@
  */
 void bgap_membership_leave (struct bgap_membership *membership);
 
+/**
+ * bgap_membership_set_eager() - whether this member reads the list at once
+ * after a change of the group
+ *
+ * Otherwise it does so less often the more members there are. The first member
+ * always reads it at once.
+ */
+void bgap_membership_set_eager (struct bgap_membership *membership,
+                                bool eager);
+
 /**
  * bgap_membership_is_first() - this member was dealt the group's first part
  */
@@ -88,10 +98,19 @@
 
 /**
  * bgap_membership_at() - member of an index below bgap_membership_listed()
+ *
+ * All members have the same order, in which a name says nothing about the
+ * place.
  */
 const char *bgap_membership_at (const struct bgap_membership *membership,
                                 uint32_t index);
 
+/**
+ * bgap_membership_index() - index of a member, or where it would be
+ */
+uint32_t bgap_membership_index (const struct bgap_membership *membership,
+                                const char *member);
+
 /**
  * bgap_membership_has() - whether a member is in the list
  */
--- a/packages/store/src/follower.c
+++ b/packages/store/src/follower.c
@@ -8,10 +8,11 @@
 
 #include "banyangap/base/clock.h"
 
-/* First and longest pause after a failed call; it doubles in between. Short,
-   because what the topic says must be known soon after an outage.  */
+/* First and longest pause after a failed call; it doubles in between. The
+   owner says when the store answers again, so that the longest pause only
+   matters for a topic that fails alone.  */
 #define RETRY_FIRST_MS 60
-#define RETRY_MAX_MS 480
+#define RETRY_MAX_MS 1500
 
 /* The store answers a read of a topic without records late even when one is
    appended, so that such a topic is asked again after this time instead.  */
@@ -44,6 +45,7 @@
  * @next: offset to read from
  * @check: timer of the read that looks behind a waiting one
  * @fed: another instance feeds this one; @fed_ms is the last time
+ * @unfed_pause_ms: between reads while that feed is missing
  * @latency_ms: smoothed time of answers that did not wait for a record
  * @generation: of the call whose result counts; earlier ones are ignored
  * @busy: that call is running
@@ -64,6 +66,7 @@
   bool busy;
   bool fed;
   int64_t fed_ms;
+  uint32_t unfed_pause_ms;
   double latency_ms;
   uint64_t generation;
   int64_t sent_ms;
@@ -205,9 +208,12 @@
     return f->fed_ms + f->desc.fed_timeout_ms - now_ms;
   if (page->end == 0)
     return EMPTY_PAUSE_MS;
-  if (page->count == 0 || f->next >= page->end)
-    return f->sent_ms + f->desc.pause_ms - now_ms;
-  return 0;
+  if (page->count > 0 && f->next < page->end)
+    return 0;
+  uint32_t pause_ms = f->desc.pause_ms;
+  if (f->fed && f->unfed_pause_ms > pause_ms)
+    pause_ms = f->unfed_pause_ms;
+  return f->sent_ms + pause_ms - now_ms;
 }
 
 static void
@@ -446,11 +452,13 @@
 }
 
 void
-bgap_follower_set_fed (struct bgap_follower *follower, bool fed)
+bgap_follower_set_fed (struct bgap_follower *follower, bool fed,
+                       uint32_t pause_ms)
 {
   if (follower->fed && !fed)
     bgap_follower_hurry (follower);
   follower->fed = fed;
+  follower->unfed_pause_ms = pause_ms;
 }
 
 /* What is fed makes a read that waits needless.  */
@@ -517,3 +525,10 @@
   if (!follower->busy)
     _bgap_follower_arm (follower, 0);
 }
+
+void
+bgap_follower_retry (struct bgap_follower *follower)
+{
+  if (follower->retry_ms > RETRY_FIRST_MS)
+    bgap_follower_hurry (follower);
+}
--- a/packages/store/src/membership.c
+++ b/packages/store/src/membership.c
@@ -5,6 +5,12 @@
 #include <string.h>
 
 #include "banyangap/base/clock.h"
+#include "banyangap/base/hash.h"
+
+/* Each change of the group makes all members read the list again. So long for
+   each member passes between two reads of one that is in no hurry, so that all
+   together read it fifty times a second at most.  */
+#define LIST_PACE_PER_MEMBER_MS 20
 
 /**
  * struct bgap_membership - the membership
@@ -22,6 +28,7 @@
   bool joining;
   bool listing;
   bool left;
+  bool eager;
   char (*names)[BGAP_STORE_MEMBER_SIZE];
   size_t count;
 };
@@ -33,6 +40,18 @@
   return clock->now_ms (clock->context);
 }
 
+/* Members are ordered by hash, so that the first ones are spread over the
+   zones, which their names usually begin with.  */
+static int
+_bgap_membership_compare (const void *left, const void *right)
+{
+  uint64_t a = bgap_hash64 (left, strlen (left));
+  uint64_t b = bgap_hash64 (right, strlen (right));
+  if (a != b)
+    return a < b ? -1 : 1;
+  return strcmp (left, right);
+}
+
 static void
 _bgap_membership_on_members (void *user,
                              const struct bgap_store_members *members)
@@ -50,6 +69,7 @@
     return;
   if (size > 0)
     memcpy (names, members->names, size);
+  qsort (names, members->count, sizeof *names, _bgap_membership_compare);
   free (m->names);
   m->names = names;
   m->count = members->count;
@@ -57,6 +77,15 @@
   m->desc.ops.changed (m->desc.ops.context);
 }
 
+/* Whether the list is read after a change of the group at once.  */
+static bool
+_bgap_membership_may_list (const struct bgap_membership *m)
+{
+  int64_t pace_ms = (int64_t)m->count * LIST_PACE_PER_MEMBER_MS;
+  return m->eager || m->is_first || m->listed_ms == 0
+         || _bgap_membership_now_ms () - m->listed_ms >= pace_ms;
+}
+
 static void
 _bgap_membership_list (struct bgap_membership *m)
 {
@@ -65,7 +94,8 @@
     .done = _bgap_membership_on_members,
     .user = m,
   };
-  if (m->listing || m->listed_generation == m->generation)
+  if (m->listing || m->listed_generation == m->generation
+      || !_bgap_membership_may_list (m))
     return;
   m->listed_generation = m->generation;
   m->listing = m->desc.store->list (m->desc.store->context, &call) == BGAP_OK;
@@ -150,6 +180,12 @@
                                        membership->desc.member);
 }
 
+void
+bgap_membership_set_eager (struct bgap_membership *membership, bool eager)
+{
+  membership->eager = eager;
+}
+
 bool
 bgap_membership_is_first (const struct bgap_membership *membership)
 {
@@ -174,14 +210,30 @@
   return membership->names[index];
 }
 
+uint32_t
+bgap_membership_index (const struct bgap_membership *membership,
+                       const char *member)
+{
+  uint32_t first = 0;
+  uint32_t last = (uint32_t)membership->count;
+  while (first < last)
+    {
+      uint32_t middle = first + (last - first) / 2;
+      if (_bgap_membership_compare (membership->names[middle], member) < 0)
+        first = middle + 1;
+      else
+        last = middle;
+    }
+  return first;
+}
+
 bool
 bgap_membership_has (const struct bgap_membership *membership,
                      const char *member)
 {
-  for (size_t i = 0; i < membership->count; i++)
-    if (strcmp (membership->names[i], member) == 0)
-      return true;
-  return false;
+  uint32_t index = bgap_membership_index (membership, member);
+  return index < membership->count
+         && strcmp (membership->names[index], member) == 0;
 }
 
 int64_t
--- a/packages/store/tests/test_follower.c
+++ b/packages/store/tests/test_follower.c
@@ -271,7 +271,7 @@
   struct bgap_follower *follower = start (&fake, 0);
   struct feeding feeding = { &fake, follower };
   const struct timeval soon = { .tv_usec = 20000 };
-  bgap_follower_set_fed (follower, true);
+  bgap_follower_set_fed (follower, true, 0);
   event_base_once (fake.base, -1, EV_TIMEOUT, on_feed, &feeding, &soon);
   finish (&fake, follower);
   assert_int_equal (fake.seen_count, 2);
@@ -305,13 +305,67 @@
   struct bgap_follower *follower = start (&fake, 30);
   struct feeding feeding = { &fake, follower };
   const struct timeval soon = { .tv_usec = 20000 };
-  bgap_follower_set_fed (follower, true);
+  bgap_follower_set_fed (follower, true, 0);
   event_base_once (fake.base, -1, EV_TIMEOUT, on_gap, &feeding, &soon);
   finish (&fake, follower);
   assert_int_equal (fake.seen_count, 2);
   assert_int_equal (fake.read_from[1], 1);
 }
 
+/* A zone that is cut off, in a topic with many records a second: the instances
+   there are not fed. Guards against a call of each of them for each record.
+ */
+static void
+test_reads_without_a_feed_are_paced (void **state)
+{
+  (void)state;
+  struct fake fake = {
+    .answers
+    = { { .records = { { .offset = 0, .key = "a" } }, .count = 1, .end = 1 },
+        { .records = { { .offset = 1, .key = "a" } }, .count = 1, .end = 2 },
+        { .records = { { .offset = 2, .key = "a" } }, .count = 1, .end = 3 },
+        { .records = { { .offset = 3, .key = "a" } }, .count = 1, .end = 4 },
+        { .never = true } },
+    .answer_count = 5,
+  };
+  struct bgap_follower *follower = start (&fake, 0);
+  const struct timeval end = { .tv_usec = 100000 };
+  bgap_follower_set_fed (follower, true, 60);
+  event_base_loopexit (fake.base, &end);
+  finish (&fake, follower);
+  assert_int_equal (fake.reads, 2);
+}
+
+static void
+on_return (evutil_socket_t fd, short events, void *follower)
+{
+  (void)fd;
+  (void)events;
+  bgap_follower_retry (follower);
+}
+
+/* Guards against a topic that is not read for up to the longest pause after
+   the store has come back.  */
+static void
+test_reads_at_once_when_the_store_is_back (void **state)
+{
+  (void)state;
+  struct fake fake = {
+    .answers
+    = { { .records = { { .offset = 0, .key = "a" } }, .count = 1, .end = 1 },
+        { .outcome = BGAP_STORE_REFUSED, .end = 1 },
+        { .never = true } },
+    .answer_count = 3,
+  };
+  struct bgap_follower *follower = start (&fake, 0);
+  const struct timeval back = { .tv_usec = 15000 };
+  const struct timeval end = { .tv_usec = 40000 };
+  event_base_once (fake.base, -1, EV_TIMEOUT, on_return, follower, &back);
+  event_base_loopexit (fake.base, &end);
+  finish (&fake, follower);
+  assert_int_equal (fake.reads, 2);
+}
+
 /**
  * struct appending - appends a record every 10 ms
  */
@@ -380,6 +434,8 @@
     cmocka_unit_test (test_finds_what_a_waiting_read_misses),
     cmocka_unit_test (test_a_feed_replaces_reads),
     cmocka_unit_test (test_a_gap_in_the_feed_is_read),
+    cmocka_unit_test (test_reads_without_a_feed_are_paced),
+    cmocka_unit_test (test_reads_at_once_when_the_store_is_back),
     cmocka_unit_test (test_own_records_do_not_put_reads_off),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- /dev/null
+++ b/packages/store/tests/test_membership.c
@@ -0,0 +1,176 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <stdlib.h>
+
+#include <cmocka.h>
+
+#include "banyangap/store/membership.h"
+
+/* Between two joins; a change of the group at each of them.  */
+#define INTERVAL_MS 2
+
+/**
+ * struct fake - a store whose group changes all the time
+ */
+struct fake
+{
+  struct event_base *base;
+  struct bgap_store_ops ops;
+  uint32_t members;
+  int64_t generation;
+  bool is_first;
+  uint32_t joins;
+  uint32_t lists;
+};
+
+/**
+ * struct pending - a call that is answered from the event loop
+ */
+struct pending
+{
+  struct fake *fake;
+  struct bgap_store_join join;
+  struct bgap_store_list list;
+};
+
+static void
+on_answer (evutil_socket_t fd, short events, void *context)
+{
+  static char names[BGAP_STORE_MEMBERS_MAX][BGAP_STORE_MEMBER_SIZE];
+  struct pending pending = *(struct pending *)context;
+  struct fake *fake = pending.fake;
+  (void)fd;
+  (void)events;
+  free (context);
+  if (pending.join.done != NULL)
+    {
+      pending.join.done (
+          pending.join.user,
+          &(struct bgap_store_joined){ .generation = ++fake->generation,
+                                       .is_first = fake->is_first });
+      return;
+    }
+  for (uint32_t i = 0; i < fake->members; i++)
+    snprintf (names[i], sizeof names[i], "edge-%u", i);
+  pending.list.done (pending.list.user,
+                     &(struct bgap_store_members){
+                         .names = (const char (*)[sizeof names[0]])names,
+                         .count = fake->members });
+}
+
+static void
+answer (struct fake *fake, const struct pending *call)
+{
+  struct pending *pending = malloc (sizeof *pending);
+  const struct timeval now = { 0 };
+  assert_non_null (pending);
+  *pending = *call;
+  pending->fake = fake;
+  event_base_once (fake->base, -1, EV_TIMEOUT, on_answer, pending, &now);
+}
+
+static enum bgap_status
+fake_join (void *context, const struct bgap_store_join *call)
+{
+  struct fake *fake = context;
+  fake->joins++;
+  answer (fake, &(struct pending){ .join = *call });
+  return BGAP_OK;
+}
+
+static enum bgap_status
+fake_list (void *context, const struct bgap_store_list *call)
+{
+  struct fake *fake = context;
+  fake->lists++;
+  answer (fake, &(struct pending){ .list = *call });
+  return BGAP_OK;
+}
+
+static void
+on_changed (void *context)
+{
+  (void)context;
+}
+
+static void
+on_ended (void *context, enum bgap_store_outcome outcome)
+{
+  (void)context;
+  (void)outcome;
+}
+
+/* Runs a member for 100 ms.  */
+static void
+run (struct fake *fake, bool eager)
+{
+  struct bgap_membership *membership;
+  const struct timeval end = { .tv_usec = 100000 };
+  fake->base = event_base_new ();
+  fake->ops = (struct bgap_store_ops){ .join = fake_join,
+                                       .list = fake_list,
+                                       .context = fake };
+  assert_int_equal (bgap_membership_setup (&membership,
+                                           &(struct bgap_membership_desc){
+                                               .base = fake->base,
+                                               .store = &fake->ops,
+                                               .group = "g",
+                                               .member = "edge-7",
+                                               .ttl_ms = 1000,
+                                               .interval_ms = INTERVAL_MS,
+                                               .ops = { .changed = on_changed,
+                                                        .ended = on_ended } },
+                                           NULL),
+                    BGAP_OK);
+  bgap_membership_set_eager (membership, eager);
+  event_base_loopexit (fake->base, &end);
+  event_base_dispatch (fake->base);
+  assert_int_equal (bgap_membership_listed (membership), fake->members);
+  assert_true (bgap_membership_has (membership, "edge-7"));
+  assert_false (bgap_membership_has (membership, "edge-999"));
+  for (uint32_t i = 0; i < fake->members; i++)
+    assert_int_equal (
+        bgap_membership_index (membership, bgap_membership_at (membership, i)),
+        i);
+  bgap_membership_shutdown (membership);
+  event_base_free (fake->base);
+}
+
+/* Restarts one after the other in a group of 87. Guards against a list that
+   each member reads at each change: that grows with the square of the members
+   and was a third of all calls to the store.  */
+static void
+test_large_group_reads_its_list_seldom (void **state)
+{
+  struct fake fake = { .members = 87 };
+  (void)state;
+  run (&fake, false);
+  assert_true (fake.joins > 10);
+  assert_int_equal (fake.lists, 1);
+}
+
+/* Guards against a first member or a reader that acts on an old list.  */
+static void
+test_those_that_decide_read_it_at_once (void **state)
+{
+  struct fake first = { .members = 87, .is_first = true };
+  struct fake eager = { .members = 87 };
+  (void)state;
+  run (&first, false);
+  assert_true (first.lists >= first.joins / 2);
+  run (&eager, true);
+  assert_true (eager.lists >= eager.joins / 2);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_large_group_reads_its_list_seldom),
+    cmocka_unit_test (test_those_that_decide_read_it_at_once),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -138,6 +138,8 @@
   /* The time that lapsed registrations have begins with this read.  */
   bgap_follower_restart (edge->registrations);
   bgap_follower_hurry (edge->registrations);
+  bgap_follower_retry (edge->config);
+  bgap_follower_retry (edge->own);
   bgap_event (&event_store, "state=regained after_ms=%lld",
               (long long)(bgap_now_ms () - edge->store_trouble_ms));
 }
--- a/programs/banyangapd/edge_relay.c
+++ b/programs/banyangapd/edge_relay.c
@@ -28,6 +28,11 @@
 /* Time between messages of the granter that say that nothing has come.  */
 #define BEAT_INTERVAL_MS 1000
 
+/* An instance that should be fed and is not reads a topic once in so long for
+   each instance, so that all together read it 250 times a second at most,
+   however many records come.  */
+#define UNFED_PAUSE_PER_INSTANCE_MS 4
+
 /* Marks a message of the granter that a reader has passed on; nobody passes it
    on again, even if lists of instances differ.  */
 #define FORWARDED 0x80u
@@ -78,37 +83,38 @@
   return false;
 }
 
-/* Place of an instance in the sorted list.  */
-static uint32_t
-_bgap_relay_index (const struct bgap_edge *edge, const char *name)
+/* The readers among the instances of the list.  */
+static struct bgap_relay_tree
+_bgap_relay_tree (const struct bgap_edge *edge)
 {
-  uint32_t index = 0;
-  for (uint32_t i = 0; i < bgap_membership_listed (edge->membership); i++)
-    if (strcmp (bgap_membership_at (edge->membership, i), name) < 0)
-      index++;
-  return index;
-}
-
-static uint32_t
-_bgap_relay_readers (const struct bgap_edge *edge)
-{
-  return bgap_relay_tree_readers (bgap_membership_listed (edge->membership));
+  struct bgap_relay_tree tree = {
+    .reader_count
+    = bgap_relay_tree_readers (bgap_membership_listed (edge->membership)),
+  };
+  for (uint32_t i = 0; i < tree.reader_count; i++)
+    if (i < bgap_membership_listed (edge->membership))
+      tree.readers[i] = bgap_membership_at (edge->membership, i);
+  return tree;
 }
 
 void
 bgap_edge_update_relay (struct bgap_edge *edge)
 {
-  uint32_t index = _bgap_relay_index (edge, edge->member);
-  bool is_reader = !bgap_membership_has (edge->membership, edge->member)
-                   || index < _bgap_relay_readers (edge);
+  uint32_t listed = bgap_membership_listed (edge->membership);
+  uint32_t index = bgap_membership_index (edge->membership, edge->member);
+  uint32_t readers = bgap_relay_tree_readers (listed);
+  bool is_listed = bgap_membership_has (edge->membership, edge->member);
+  bool is_reader = !is_listed || index < readers;
   if (is_reader != edge->is_reader)
     bgap_event (&event_relay, "is_reader=%d index=%u readers=%u instances=%u",
-                is_reader, index, _bgap_relay_readers (edge),
-                bgap_membership_listed (edge->membership));
+                is_reader, index, readers, listed);
   edge->is_reader = is_reader;
-  bgap_follower_set_fed (edge->config, !is_reader);
-  bgap_follower_set_fed (edge->registrations, !is_reader);
-  bgap_follower_set_fed (edge->own, !_bgap_relay_is_granter (edge));
+  /* What readers know of the list decides whom they feed.  */
+  bgap_membership_set_eager (edge->membership, is_listed && is_reader);
+  uint32_t pause_ms = listed * UNFED_PAUSE_PER_INSTANCE_MS;
+  bgap_follower_set_fed (edge->config, !is_reader, pause_ms);
+  bgap_follower_set_fed (edge->registrations, !is_reader, pause_ms);
+  bgap_follower_set_fed (edge->own, !_bgap_relay_is_granter (edge), pause_ms);
 }
 
 /* Sending.  */
@@ -119,13 +125,16 @@
 {
   struct bgap_error err = { 0 };
   struct bgap_edge_member parsed;
+  const struct bgap_relay_tree tree = _bgap_relay_tree (edge);
   uint32_t count = bgap_membership_listed (edge->membership);
-  uint32_t own = _bgap_relay_index (edge, edge->member);
+  bool is_listed = bgap_membership_has (edge->membership, edge->member);
+  uint32_t own = is_listed
+                     ? bgap_membership_index (edge->membership, edge->member)
+                     : count;
   for (uint32_t i = 0; i < count; i++)
     {
       const char *member = bgap_membership_at (edge->membership, i);
-      uint32_t index = _bgap_relay_index (edge, member);
-      if (!bgap_relay_tree_feeds (count, own, index, role)
+      if (!bgap_relay_tree_feeds (&tree, own, i, member, role)
           || !bgap_edge_member_parse (member, &parsed))
         continue;
       /* One that misses a message reads by itself.  */
@@ -142,8 +151,9 @@
   struct bgap_buffer bytes = { 0 };
   const unsigned char topic = RELAY_OWN | FORWARDED;
   const unsigned char *rest = (const unsigned char *)data + 1;
+  uint32_t listed = bgap_membership_listed (edge->membership);
   if (!edge->is_reader || _bgap_relay_is_granter (edge)
-      || _bgap_relay_readers (edge) == 1)
+      || bgap_relay_tree_readers (listed) == 1)
     return;
   if (bgap_buffer_append (&bytes, &topic, 1) == BGAP_OK
       && bgap_buffer_append (&bytes, rest, size - 1) == BGAP_OK)
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -88,6 +88,8 @@
         self.changed = threading.Condition()
         self.topics = {}
         self.members = {}
+        self.partitions = 24
+        self.dealt = {}
         self.generation = 0
         self.fault = None  # None, "silent" or "busy"
         self.fault_until = 0
@@ -173,24 +175,40 @@
             end = len(self.topics.get(query["topic"], []))
         handler.reply_json(200, {"items": items, "hasMore": False, "endOffset": end})
 
-    def live_members(self):
+    def deal(self):
+        """Deals the partitions of each topic evenly to the members that share it. A partition stays
+        where it is as long as that is even, whatever the members hold of other topics."""
         now = time.time()
-        live = sorted(name for name, until in self.members.items() if until > now)
-        if live != getattr(self, "last_live", None):
-            self.last_live = live
+        dealt = {}
+        live = {name: topics for name, (until, topics) in self.members.items() if until > now}
+        for topic in sorted({topic for topics in live.values() for topic in topics}):
+            sharing = sorted(name for name, topics in live.items() if topic in topics)
+            owned = {name: [] for name in sharing}
+            for number in range(self.partitions):
+                owner = self.dealt.get((topic, number))
+                owned[owner if owner in owned else min(owned, key=lambda m: len(owned[m]))].append(
+                    number)
+            while True:
+                most = max(sharing, key=lambda name: len(owned[name]))
+                least = min(sharing, key=lambda name: len(owned[name]))
+                if len(owned[most]) - len(owned[least]) < 2:
+                    break
+                owned[least].append(owned[most].pop())
+            for name, numbers in owned.items():
+                dealt.update({(topic, number): name for number in numbers})
+        if dealt != self.dealt:
+            self.dealt = dealt
             self.generation += 1
-        return live
 
     def parts(self, name=None):
-        live = self.live_members()
-        rows = [["banyangap.members.0", number, live[number % len(live)], 0]
-                for number in range(24)] if live else []
-        return [row for row in rows if name is None or row[2] == name]
+        self.deal()
+        return [[topic, number, owner, 0] for (topic, number), owner in sorted(self.dealt.items())
+                if name is None or owner == name]
 
     def on_log_join(self, handler, query, body):
         call = json.loads(body)
         with self.changed:
-            self.members[call["memberId"]] = time.time() + call["ttlS_time"]
+            self.members[call["memberId"]] = (time.time() + call["ttlS_time"], call["topics"])
             parts = [[row[0], row[1], 0] for row in self.parts(call["memberId"])]
         handler.reply_json(200, {"generation": self.generation, "parts": parts})
 
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -30,6 +30,17 @@
             self.assertEqual(platform.request(0, "POST", "/w/1", body=b"x" * 200000).status, 413)
             self.assertIn("bgap_request_seconds_count", platform.instances[0].metrics())
 
+    def test_more_instances_than_partitions(self):
+        """Guards against an instance that nobody knows of, because all partitions of a topic were
+        dealt before it came: it is not fed, and the others use its share of all limits."""
+        with Platform() as platform:
+            platform.store.partitions = 5
+            platform.add_servers("reads", 1)
+            platform.configure([route("/r/", "reads")], [service("reads")])
+            platform.start_instances(6)
+            platform.wait(lambda: all("\nbgap_instances 6\n" in instance.metrics()
+                                      for instance in platform.instances), 5, "all known")
+
     def test_new_configuration_and_bad_input(self):
         """Guards against a change that comes late, and against input that is not skipped."""
         with Platform() as platform:
