Remember longer how busy the holder of a hot key is among many instances

Cause: an instance takes the requests of others in a server for half as many after 300 ms.

Change: the half-life doubles with the instances per slot beyond two, for keyed services only.

Test: a model of instances that all want one key, 8 to 87 of them; it fails with the earlier half-life.

--- a/packages/routing/include/banyangap/routing/server.h
+++ b/packages/routing/include/banyangap/routing/server.h
@@ -55,6 +55,7 @@
  * @queue_allowance: requests that may wait in it, if @shared
  * @quota: connections that this instance may open
  * @others: requests of other instances in it, from its last load report
+ * @others_half_life_ms: of that number
  * @latency_ms: smoothed time of answers that did not wait for a slot, 0 if not
  *   known
  * @cold_until_ms: it is slow before
@@ -76,6 +77,7 @@
   uint32_t slots;
   uint32_t slots_reported;
   uint32_t quota;
+  int64_t others_half_life_ms;
   uint32_t in_flight;
   uint32_t in_flight_peers;
   uint32_t suspects;
--- a/packages/routing/include/banyangap/routing/service.h
+++ b/packages/routing/include/banyangap/routing/service.h
@@ -75,6 +75,7 @@
  * @slots: requests it runs at a time; default 1
  * @connections: it accepts from all instances together; default 64
  * @entry_hosts_max: divisor of @connections; default 12
+ * @instances: that send requests to it; default 1
  * @in_place: the server was already running before the instance started, so
  *   that no slow start applies
  * @cold_ms: it is slow for so long from now on; 0 means the default slow start
@@ -86,6 +87,7 @@
   uint32_t slots;
   uint32_t connections;
   uint32_t entry_hosts_max;
+  uint32_t instances;
   bool in_place;
   int64_t cold_ms;
 };
--- a/packages/routing/src/server.c
+++ b/packages/routing/src/server.c
@@ -23,8 +23,11 @@
 #define MAX_HALF_LIVES 10
 
 /* The requests of other instances that a report shows count half after this
-   time, so that a server that looked full is tried again.  */
+   time, so that a server that looked full is tried again. The time doubles
+   with the instances per slot of the server beyond INSTANCES_PER_SLOT: when so
+   many look at a full server, others take the place of those that end.  */
 #define OTHERS_HALF_LIFE_MS 300
+#define INSTANCES_PER_SLOT 2u
 
 /* First pause of a server to which no connection could be opened.  */
 #define NO_CONNECT_HOLD_MS 150
@@ -64,6 +67,10 @@
     server->window = slots * WINDOW_ONE;
   server->slots = slots;
   server->quota = quota ? quota : 1;
+  server->others_half_life_ms = OTHERS_HALF_LIFE_MS;
+  for (uint32_t instances = slots * INSTANCES_PER_SLOT;
+       instances < desc->instances; instances *= 2)
+    server->others_half_life_ms *= 2;
 }
 
 void
@@ -196,7 +203,7 @@
 bgap_server_others (const struct bgap_server *server, int64_t now_ms)
 {
   int64_t age = now_ms - server->load_at_ms;
-  int64_t halves = age > 0 ? age / OTHERS_HALF_LIFE_MS : 0;
+  int64_t halves = age > 0 ? age / server->others_half_life_ms : 0;
   return halves < MAX_HALF_LIVES ? server->others >> halves : 0;
 }
 
--- /dev/null
+++ b/packages/routing/tests/test_hot_key.c
@@ -0,0 +1,185 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "banyangap/base/random.h"
+#include "banyangap/routing/server.h"
+
+/* A key in which all instances always have requests waiting, and the server
+   that holds it. It runs SLOTS requests of SERVICE_MS and refuses those above
+   ACCEPTED_MAX.  */
+#define INSTANCES_MAX 87
+#define SLOTS 4u
+#define ACCEPTED_MAX 20u
+#define SERVICE_MS 680
+#define WAY_MS 3
+#define RUN_MS 40000
+
+/* What a dispatch waits for.  */
+enum call_state
+{
+  CALL_NONE,
+  CALL_REFUSED,
+  CALL_QUEUED,
+  CALL_RUNNING
+};
+
+struct call
+{
+  enum call_state state;
+  int64_t at_ms;
+};
+
+struct instance
+{
+  struct bgap_server server;
+  struct call calls[ACCEPTED_MAX];
+};
+
+/**
+ * struct hot_key - the server and what came of the requests
+ */
+struct hot_key
+{
+  struct instance instances[INSTANCES_MAX];
+  uint32_t instance_count;
+  uint32_t queued;
+  uint32_t running;
+  uint32_t refused;
+  uint32_t served;
+  struct bgap_random random;
+};
+
+static void
+hot_key_setup (struct hot_key *k, uint32_t instance_count, uint64_t seed)
+{
+  memset (k, 0, sizeof *k);
+  k->instance_count = instance_count;
+  k->random.state = seed;
+  for (uint32_t i = 0; i < instance_count; i++)
+    {
+      struct bgap_server *server = &k->instances[i].server;
+      bgap_server_setup (
+          server, 0,
+          &(struct bgap_server_desc){ .name = "s",
+                                      .zone = "z",
+                                      .slots = SLOTS,
+                                      .connections = 2,
+                                      .entry_hosts_max = 1,
+                                      .instances = instance_count,
+                                      .in_place = true });
+      server->shared = true;
+      server->queue_allowance = SLOTS;
+    }
+}
+
+static void
+send (struct hot_key *k, int64_t now_ms, struct instance *instance)
+{
+  struct call *call = instance->calls;
+  while (call->state != CALL_NONE)
+    call++;
+  bool accepted = k->queued + k->running < ACCEPTED_MAX;
+  *call = (struct call){ accepted ? CALL_QUEUED : CALL_REFUSED,
+                         now_ms + 2 * WAY_MS };
+  k->queued += accepted;
+  k->refused += !accepted;
+  bgap_server_on_dispatch (&instance->server);
+}
+
+static void
+end (struct hot_key *k, int64_t now_ms, struct instance *instance,
+     struct call *call)
+{
+  struct bgap_server *server = &instance->server;
+  bgap_server_on_end (server);
+  bgap_server_on_load (server, now_ms,
+                       &(struct bgap_server_load){ .in_flight = k->running,
+                                                   .queued = k->queued,
+                                                   .slots = SLOTS });
+  if (call->state == CALL_REFUSED)
+    {
+      bgap_server_hold (
+          server, now_ms,
+          1 + (int64_t)bgap_random_below (&k->random, SERVICE_MS / 2));
+      bgap_server_on_result (server, now_ms, BGAP_RESULT_SHED);
+    }
+  else
+    bgap_server_on_result (server, now_ms, BGAP_RESULT_COMPLETE);
+  call->state = CALL_NONE;
+}
+
+/* Starts, ends and answers the calls of an instance.  */
+static void
+advance (struct hot_key *k, int64_t now_ms, struct instance *instance)
+{
+  for (uint32_t i = 0; i < ACCEPTED_MAX; i++)
+    {
+      struct call *call = &instance->calls[i];
+      if (call->state == CALL_QUEUED && k->running < SLOTS)
+        {
+          call->state = CALL_RUNNING;
+          call->at_ms = now_ms + SERVICE_MS / 2
+                        + (int64_t)bgap_random_below (&k->random, SERVICE_MS);
+          k->queued--;
+          k->running++;
+        }
+      if (call->state == CALL_RUNNING && now_ms >= call->at_ms)
+        {
+          k->running--;
+          k->served++;
+          end (k, now_ms, instance, call);
+        }
+      if (call->state == CALL_REFUSED && now_ms >= call->at_ms)
+        end (k, now_ms, instance, call);
+    }
+}
+
+static void
+run (struct hot_key *k, uint32_t instance_count, uint64_t seed)
+{
+  hot_key_setup (k, instance_count, seed);
+  for (int64_t now_ms = 0; now_ms < RUN_MS; now_ms++)
+    for (uint32_t i = 0; i < instance_count; i++)
+      {
+        struct instance *instance
+            = &k->instances[(i + (uint32_t)now_ms) % instance_count];
+        advance (k, now_ms, instance);
+        if (!bgap_server_full (&instance->server, now_ms))
+          send (k, now_ms, instance);
+      }
+}
+
+/* Guards against instances that together send a busy server many more requests
+   than it can run: each refusal takes from the budget of further attempts, and
+   the server resets connections that come on top.  */
+static void
+test_refusals_do_not_grow_with_the_instances (void **state)
+{
+  static struct hot_key k;
+  const uint32_t counts[] = { 8, 12, 40, INSTANCES_MAX };
+  const uint32_t capacity = RUN_MS / SERVICE_MS * SLOTS;
+  (void)state;
+  for (size_t i = 0; i < sizeof counts / sizeof *counts; i++)
+    for (uint64_t seed = 1; seed <= 3; seed++)
+      {
+        run (&k, counts[i], seed);
+        print_message ("%u instances: %u served of %u, %u refused\n",
+                       counts[i], k.served, capacity, k.refused);
+        assert_true (k.served * 10 >= capacity * 9);
+        assert_true (k.refused <= 2 * k.served);
+      }
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_refusals_do_not_grow_with_the_instances),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/programs/banyangapd/edge_servers.c
+++ b/programs/banyangapd/edge_servers.c
@@ -100,6 +100,10 @@
     .slots = entry->slots,
     .connections = _bgap_servers_own_requests (edge, entry),
     .entry_hosts_max = 1,
+    /* What one instance sees of a server says little about the others' use of
+       it unless they all must use this one.  */
+    .instances
+    = service->granter != NULL ? bgap_membership_count (edge->membership) : 1,
     .in_place = true,
     .cold_ms = entry->cold_ms,
   };
