Pass assignments on as differences, and connect to the fed ones ahead

Ruled out: requests that cross zones without need (servers of the own zone go first; the holders of keys are where they are); a tree by zone, which loses messages when the one instance of a zone that passes them on fails.

Change: a long record travels as its deflated difference to the record before it with the same key, which both sides keep. A receiver that does not have that record reads the store.

The first instance and the readers now connect ahead to those that they may have to feed. Instances that are fed also ask an empty topic less often, which is what showed this.

--- a/packages/store/src/follower.c
+++ b/packages/store/src/follower.c
@@ -207,7 +207,7 @@
   if (f->fed && now_ms - f->fed_ms < f->desc.fed_timeout_ms)
     return f->fed_ms + f->desc.fed_timeout_ms - now_ms;
   if (page->end == 0)
-    return EMPTY_PAUSE_MS;
+    return f->fed ? f->desc.fed_timeout_ms : EMPTY_PAUSE_MS;
   if (page->count > 0 && f->next < page->end)
     return 0;
   uint32_t pause_ms = f->desc.pause_ms;
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -394,6 +394,8 @@
     status = _bgap_edge_open_traffic (edge, err);
   if (status == BGAP_OK)
     status = bgap_edge_open_reports (edge, err);
+  if (status == BGAP_OK)
+    status = bgap_edge_open_relay (edge);
   if (status == BGAP_OK)
     status = bgap_edge_open_peers (edge, err);
   if (status == BGAP_OK)
@@ -431,6 +433,7 @@
   bgap_backend_shutdown (edge->backend);
   bgap_edge_free_servers (edge);
   bgap_edge_free_services (edge);
+  bgap_edge_close_relay (edge);
   if (edge->router.state != NULL)
     bgap_router_shutdown (&edge->router);
   bgap_counters_shutdown (&edge->counters);
--- a/programs/banyangapd/edge_private.h
+++ b/programs/banyangapd/edge_private.h
@@ -26,6 +26,7 @@
 #include "banyangap/peer/peer.h"
 #include "banyangap/routing/balancer.h"
 #include "banyangap/routing/router.h"
+#include "banyangap/store/feed_codec.h"
 #include "banyangap/store/follower.h"
 #include "banyangap/store/membership.h"
 #include "edge.h"
@@ -61,7 +62,10 @@
 
 /* Kinds of messages between instances.  */
 #define BGAP_EDGE_MESSAGE_KEYS 1
-#define BGAP_EDGE_MESSAGE_RELAY 2
+#define BGAP_EDGE_MESSAGE_RELAY 3
+
+/* Topics that are relayed.  */
+#define BGAP_EDGE_RELAY_TOPICS 3
 
 /**
  * struct bgap_edge_member - parts of a member's name,
@@ -160,6 +164,7 @@
  * struct bgap_edge - the instance
  * @member: name for other instances, see struct bgap_edge_member
  * @is_reader: it reads the store for others
+ * @histories: by topic, what relayed records differ from
  * @changed: ids of servers whose registration changed in the read that is
  *   being reported
  * @table: configuration in force, NULL if there is none yet
@@ -200,6 +205,7 @@
   int64_t reported_ms;
   int64_t beat_ms;
   bool is_reader;
+  struct bgap_feed_history *histories[BGAP_EDGE_RELAY_TOPICS];
   uint32_t changed_count;
   char changed[BGAP_EDGE_CHANGED_MAX][BGAP_REGISTRY_NAME_SIZE];
   int64_t config_ms;
@@ -344,6 +350,18 @@
 
 /* edge_relay.c */
 
+/**
+ * bgap_edge_open_relay() - prepare for relayed records
+ *
+ * Return: BGAP_OK or BGAP_ERR_NO_MEMORY.
+ */
+enum bgap_status bgap_edge_open_relay (struct bgap_edge *edge);
+
+/**
+ * bgap_edge_close_relay() - free what it keeps
+ */
+void bgap_edge_close_relay (struct bgap_edge *edge);
+
 /**
  * bgap_edge_member_parse() - split a member's name; false if it is no such
  * name
--- a/programs/banyangapd/edge_relay.c
+++ b/programs/banyangapd/edge_relay.c
@@ -6,25 +6,14 @@
 #include "edge_private.h"
 #include "now.h"
 
-/* Follower that a message is for, in its first byte after the kind.  */
+/* Follower that a message is for.  */
 enum relay_topic
 {
   RELAY_CONFIG,
   RELAY_SERVERS,
-  RELAY_OWN,
-  RELAY_TOPICS
+  RELAY_OWN
 };
 
-/* Bytes of the head of a message: topic, from, next, age of the read.  */
-#define HEAD_SIZE (1 + 8 + 8 + 4)
-
-/* Bytes of the head of a record: offset, size of the key, size of the value.
- */
-#define RECORD_HEAD_SIZE (8 + 1 + 4)
-
-/* Records of one message at most; a reader sends more messages.  */
-#define RECORDS_MAX 256
-
 /* Time between messages of the granter that say that nothing has come.  */
 #define BEAT_INTERVAL_MS 1000
 
@@ -39,22 +28,6 @@
 
 static struct bgap_event_kind event_relay = { .name = "relay" };
 
-static void
-_bgap_relay_put (unsigned char *out, uint64_t value, int bytes)
-{
-  for (int i = 0; i < bytes; i++)
-    out[i] = (unsigned char)(value >> 8 * (bytes - 1 - i));
-}
-
-static uint64_t
-_bgap_relay_get (const unsigned char *in, int bytes)
-{
-  uint64_t value = 0;
-  for (int i = 0; i < bytes; i++)
-    value = value << 8 | in[i];
-  return value;
-}
-
 /* Roles.  */
 
 bool
@@ -97,6 +70,71 @@
   return tree;
 }
 
+/* Sending.  */
+
+/* Calls @visit for each instance that this one feeds in a role.  */
+static void
+_bgap_relay_each_fed (struct bgap_edge *edge, enum bgap_relay_role role,
+                      void (*visit) (struct bgap_edge *edge,
+                                     const char *member,
+                                     const struct bgap_buffer *bytes),
+                      const struct bgap_buffer *bytes)
+{
+  const struct bgap_relay_tree tree = _bgap_relay_tree (edge);
+  uint32_t count = bgap_membership_listed (edge->membership);
+  bool is_listed = bgap_membership_has (edge->membership, edge->member);
+  uint32_t own = is_listed
+                     ? bgap_membership_index (edge->membership, edge->member)
+                     : count;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      const char *member = bgap_membership_at (edge->membership, i);
+      if (bgap_relay_tree_feeds (&tree, own, i, member, role))
+        visit (edge, member, bytes);
+    }
+}
+
+static void
+_bgap_relay_connect (struct bgap_edge *edge, const char *member,
+                     const struct bgap_buffer *bytes)
+{
+  struct bgap_error err = { 0 };
+  struct bgap_edge_member parsed;
+  (void)bytes;
+  if (!bgap_edge_member_parse (member, &parsed))
+    return;
+  if (bgap_peer_set (edge->peer, member, parsed.address, &err) != BGAP_OK)
+    bgap_event (&event_relay, "peer=%s reason=\"%s\"", member, err.message);
+}
+
+static void
+_bgap_relay_send_to (struct bgap_edge *edge, const char *member,
+                     const struct bgap_buffer *bytes)
+{
+  _bgap_relay_connect (edge, member, NULL);
+  /* One that misses a message reads by itself.  */
+  (void)bgap_peer_send (edge->peer, member, BGAP_EDGE_MESSAGE_RELAY,
+                        bytes->data, bytes->size);
+}
+
+static void
+_bgap_relay_send (struct bgap_edge *edge, const struct bgap_buffer *bytes,
+                  enum bgap_relay_role role)
+{
+  _bgap_relay_each_fed (edge, role, _bgap_relay_send_to, bytes);
+}
+
+/* What is sent before a connection is open is lost, so that those who may have
+   to feed others connect to them ahead.  */
+static void
+_bgap_relay_connect_ahead (struct bgap_edge *edge)
+{
+  if (edge->is_reader)
+    _bgap_relay_each_fed (edge, BGAP_RELAY_READER, _bgap_relay_connect, NULL);
+  if (bgap_membership_is_first (edge->membership))
+    _bgap_relay_each_fed (edge, BGAP_RELAY_GRANTER, _bgap_relay_connect, NULL);
+}
+
 void
 bgap_edge_update_relay (struct bgap_edge *edge)
 {
@@ -115,33 +153,7 @@
   bgap_follower_set_fed (edge->config, !is_reader, pause_ms);
   bgap_follower_set_fed (edge->registrations, !is_reader, pause_ms);
   bgap_follower_set_fed (edge->own, !_bgap_relay_is_granter (edge), pause_ms);
-}
-
-/* Sending.  */
-
-static void
-_bgap_relay_send (struct bgap_edge *edge, const struct bgap_buffer *bytes,
-                  enum bgap_relay_role role)
-{
-  struct bgap_error err = { 0 };
-  struct bgap_edge_member parsed;
-  const struct bgap_relay_tree tree = _bgap_relay_tree (edge);
-  uint32_t count = bgap_membership_listed (edge->membership);
-  bool is_listed = bgap_membership_has (edge->membership, edge->member);
-  uint32_t own = is_listed
-                     ? bgap_membership_index (edge->membership, edge->member)
-                     : count;
-  for (uint32_t i = 0; i < count; i++)
-    {
-      const char *member = bgap_membership_at (edge->membership, i);
-      if (!bgap_relay_tree_feeds (&tree, own, i, member, role)
-          || !bgap_edge_member_parse (member, &parsed))
-        continue;
-      /* One that misses a message reads by itself.  */
-      if (bgap_peer_set (edge->peer, member, parsed.address, &err) == BGAP_OK)
-        (void)bgap_peer_send (edge->peer, member, BGAP_EDGE_MESSAGE_RELAY,
-                              bytes->data, bytes->size);
-    }
+  _bgap_relay_connect_ahead (edge);
 }
 
 /* Passes a message of the granter on to the instances that this one feeds.  */
@@ -161,39 +173,15 @@
   bgap_buffer_shutdown (&bytes);
 }
 
-static enum bgap_status
-_bgap_relay_print (struct bgap_buffer *out, enum relay_topic topic,
-                   const struct bgap_feed *feed)
-{
-  unsigned char head[HEAD_SIZE];
-  int64_t age_ms = bgap_now_ms () - feed->sent_ms;
-  head[0] = (unsigned char)topic;
-  _bgap_relay_put (head + 1, feed->from, 8);
-  _bgap_relay_put (head + 9, feed->next, 8);
-  _bgap_relay_put (head + 17, (uint64_t)age_ms, 4);
-  enum bgap_status status = bgap_buffer_append (out, head, sizeof head);
-  for (size_t i = 0; i < feed->count && status == BGAP_OK; i++)
-    {
-      const struct bgap_store_record *record = &feed->records[i];
-      unsigned char bytes[RECORD_HEAD_SIZE];
-      _bgap_relay_put (bytes, record->offset, 8);
-      bytes[8] = (unsigned char)strlen (record->key);
-      _bgap_relay_put (bytes + 9, record->removed ? 0 : record->size, 4);
-      status = bgap_buffer_append (out, bytes, sizeof bytes);
-      if (status == BGAP_OK)
-        status = bgap_buffer_append (out, record->key, bytes[8]);
-      if (status == BGAP_OK && !record->removed)
-        status = bgap_buffer_append (out, record->value, record->size);
-    }
-  return status;
-}
-
 static void
 _bgap_relay_feed (struct bgap_edge *edge, enum relay_topic topic,
                   const struct bgap_feed *feed)
 {
   struct bgap_buffer bytes = { 0 };
-  if (_bgap_relay_print (&bytes, topic, feed) == BGAP_OK)
+  int64_t age_ms = bgap_now_ms () - feed->sent_ms;
+  if (bgap_feed_encode (edge->histories[topic], (uint8_t)topic, feed, age_ms,
+                        &bytes)
+      == BGAP_OK)
     _bgap_relay_send (edge, &bytes,
                       topic == RELAY_OWN ? BGAP_RELAY_GRANTER
                                          : BGAP_RELAY_READER);
@@ -216,7 +204,10 @@
                         const struct bgap_store_record *records, size_t count)
 {
   if (!edge->is_reader)
-    return;
+    {
+      bgap_feed_history_note (edge->histories[RELAY_CONFIG], records, count);
+      return;
+    }
   _bgap_relay_feed (
       edge, RELAY_CONFIG,
       &(struct bgap_feed){ .from = from,
@@ -231,7 +222,10 @@
                      const struct bgap_store_record *records, size_t count)
 {
   if (!_bgap_relay_is_granter (edge))
-    return;
+    {
+      bgap_feed_history_note (edge->histories[RELAY_OWN], records, count);
+      return;
+    }
   edge->beat_ms = bgap_now_ms ();
   _bgap_relay_feed (edge, RELAY_OWN,
                     &(struct bgap_feed){ .from = from,
@@ -246,18 +240,18 @@
 bgap_edge_relay_servers (struct bgap_edge *edge, uint64_t from,
                          const struct bgap_store_record *records, size_t count)
 {
-  struct bgap_store_record changed[RECORDS_MAX];
+  struct bgap_store_record changed[BGAP_FEED_RECORDS_MAX];
   size_t changed_count = 0;
   if (!edge->is_reader)
     return;
-  for (size_t i = 0; i < count && changed_count < RECORDS_MAX; i++)
+  for (size_t i = 0; i < count && changed_count < BGAP_FEED_RECORDS_MAX; i++)
     if (records[i].removed || bgap_edge_server_changed (edge, &records[i]))
       changed[changed_count++] = records[i];
   edge->changed_count = 0;
   /* Those that find no room are found by a gap in the offsets.  */
-  uint64_t next = changed_count < RECORDS_MAX
+  uint64_t next = changed_count < BGAP_FEED_RECORDS_MAX
                       ? bgap_follower_end (edge->registrations)
-                      : changed[RECORDS_MAX - 1].offset + 1;
+                      : changed[BGAP_FEED_RECORDS_MAX - 1].offset + 1;
   _bgap_relay_feed (edge, RELAY_SERVERS,
                     &(struct bgap_feed){ .from = from,
                                          .next = next,
@@ -279,59 +273,57 @@
 
 /* Receiving.  */
 
-static bool
-_bgap_relay_parse (const unsigned char *bytes, size_t size,
-                   struct bgap_store_record *records, size_t *count)
+static void
+_bgap_relay_receive (struct bgap_follower *follower,
+                     struct bgap_feed_message *message,
+                     enum bgap_status status)
 {
-  size_t at = 0;
-  *count = 0;
-  while (at < size)
+  message->feed.sent_ms = bgap_now_ms () - message->age_ms;
+  if (status == BGAP_OK)
     {
-      if (*count == RECORDS_MAX || size - at < RECORD_HEAD_SIZE)
-        return false;
-      struct bgap_store_record *record = &records[(*count)++];
-      size_t key_size = bytes[at + 8];
-      uint64_t value_size = _bgap_relay_get (bytes + at + 9, 4);
-      if (size - at - RECORD_HEAD_SIZE < key_size + value_size)
-        return false;
-      record->offset = _bgap_relay_get (bytes + at, 8);
-      at += RECORD_HEAD_SIZE;
-      memcpy (record->key, bytes + at, key_size);
-      record->key[key_size] = '\0';
-      record->value = bytes + at + key_size;
-      record->size = value_size;
-      record->removed = value_size == 0;
-      at += key_size + value_size;
+      bgap_follower_feed (follower, &message->feed);
+      return;
     }
-  return true;
+  /* What cannot be restored here is read from the store.  */
+  bgap_follower_restart (follower);
+  bgap_follower_hurry (follower);
 }
 
 bool
 bgap_edge_on_relay (struct bgap_edge *edge, const void *bytes, size_t size)
 {
-  struct bgap_follower *const followers[RELAY_TOPICS] = {
+  struct bgap_follower *const followers[BGAP_EDGE_RELAY_TOPICS] = {
     [RELAY_CONFIG] = edge->config,
     [RELAY_SERVERS] = edge->registrations,
     [RELAY_OWN] = edge->own,
   };
-  const unsigned char *data = bytes;
-  struct bgap_feed feed = { 0 };
-  if (size < HEAD_SIZE || (data[0] & ~FORWARDED) >= RELAY_TOPICS)
+  struct bgap_feed_message message;
+  int head = bgap_feed_topic (bytes, size);
+  unsigned topic = (unsigned)head & ~FORWARDED;
+  if (head < 0 || topic >= BGAP_EDGE_RELAY_TOPICS)
     return false;
-  if (data[0] == RELAY_OWN)
+  if (head == RELAY_OWN)
     _bgap_relay_forward (edge, bytes, size);
-  struct bgap_store_record *records = calloc (RECORDS_MAX, sizeof *records);
-  bool valid = records != NULL
-               && _bgap_relay_parse (data + HEAD_SIZE, size - HEAD_SIZE,
-                                     records, &feed.count);
-  if (valid)
-    {
-      feed.from = _bgap_relay_get (data + 1, 8);
-      feed.next = _bgap_relay_get (data + 9, 8);
-      feed.sent_ms = bgap_now_ms () - (int64_t)_bgap_relay_get (data + 17, 4);
-      feed.records = records;
-      bgap_follower_feed (followers[data[0] & ~FORWARDED], &feed);
-    }
-  free (records);
-  return valid;
+  enum bgap_status status
+      = bgap_feed_decode (edge->histories[topic], bytes, size, &message);
+  if (status != BGAP_ERR_PROTOCOL)
+    _bgap_relay_receive (followers[topic], &message, status);
+  bgap_feed_message_shutdown (&message);
+  return status != BGAP_ERR_PROTOCOL;
+}
+
+enum bgap_status
+bgap_edge_open_relay (struct bgap_edge *edge)
+{
+  enum bgap_status status = BGAP_OK;
+  for (int i = 0; i < BGAP_EDGE_RELAY_TOPICS && status == BGAP_OK; i++)
+    status = bgap_feed_history_setup (&edge->histories[i]);
+  return status;
+}
+
+void
+bgap_edge_close_relay (struct bgap_edge *edge)
+{
+  for (int i = 0; i < BGAP_EDGE_RELAY_TOPICS; i++)
+    bgap_feed_history_shutdown (edge->histories[i]);
 }
