Give keys to servers that join while another one is the busiest

Cause: only the busiest server gave keys away.

Change: a server that has nothing to give is passed over; a server without keys goes first and gets half of what another one has.

Test: a hot key on a server of its own and a server that joins, as fast as the others or slower; it failed first."

--- a/packages/keyrange/src/granter_balance.c
+++ b/packages/keyrange/src/granter_balance.c
@@ -159,16 +159,32 @@
   return search.found;
 }
 
+/* The busiest server that has keys to give, or NULL.  */
 static struct bgap_room *
 _bgap_balance_busiest (struct bgap_room *rooms, uint32_t count)
 {
-  struct bgap_room *busiest = &rooms[0];
-  for (uint32_t i = 1; i < count; i++)
-    if (rooms[i].load * busiest->share > busiest->load * rooms[i].share)
-      busiest = &rooms[i];
+  struct bgap_room *busiest = NULL;
+  for (uint32_t i = 0; i < count; i++)
+    {
+      if (rooms[i].stuck)
+        continue;
+      if (busiest == NULL
+          || rooms[i].load * busiest->share > busiest->load * rooms[i].share)
+        busiest = &rooms[i];
+    }
   return busiest;
 }
 
+/* The server that is to get keys: one that has none goes first.  */
+static struct bgap_room *
+_bgap_balance_idlest (struct bgap_room *rooms, uint32_t count)
+{
+  for (uint32_t i = 0; i < count; i++)
+    if (rooms[i].load == 0 && rooms[i].share > 0)
+      return &rooms[i];
+  return bgap_rooms_idlest (rooms, count);
+}
+
 /* Part of the time that the slots of a server are busy with the requests of
    the sample; 1 if its speed is not known.  */
 static double
@@ -189,11 +205,13 @@
                          const struct bgap_room *busiest,
                          const struct bgap_room *idlest)
 {
-  if (idlest == busiest || busiest->load <= busiest->share
-      || idlest->load >= idlest->share)
+  if (idlest == busiest || idlest->load >= idlest->share)
     return false;
+  /* A server without keys gets some, whatever the others have.  */
   if (idlest->load == 0)
-    return true;
+    return busiest->load > 0;
+  if (busiest->load <= busiest->share)
+    return false;
   if (g->load_total < SAMPLE_MIN || g->request_weight == 0
       || _bgap_balance_utilization (g, busiest) < UTILIZATION_MIN)
     return false;
@@ -233,6 +251,18 @@
   return most > busiest->load / 2;
 }
 
+/* What the busiest server should give: what is above its share, or half of
+   what it has if the other has nothing.  */
+static uint64_t
+_bgap_balance_excess (const struct bgap_room *busiest,
+                      const struct bgap_room *idlest)
+{
+  uint64_t excess
+      = busiest->load > busiest->share ? busiest->load - busiest->share : 0;
+  uint64_t half = busiest->load / 2;
+  return idlest->load == 0 && half > excess ? half : excess;
+}
+
 /* Keys of the busiest server that the idlest one is to get: as much as fits,
    or else less.  */
 static bool
@@ -242,9 +272,10 @@
                       const struct bgap_room *idlest,
                       struct bgap_key_interval *out)
 {
-  uint64_t excess = busiest->load - busiest->share;
   uint64_t room = idlest->share - idlest->load;
-  uint64_t load = excess < room ? excess : room;
+  uint64_t load = _bgap_balance_excess (busiest, idlest);
+  if (load > room)
+    load = room;
   for (int i = 0; i < CHOICES; i++)
     {
       if (_bgap_balance_window (g, next, busiest->server, load, room, out))
@@ -289,22 +320,24 @@
                        struct bgap_assignment *next, uint64_t fence)
 {
   uint32_t count = 0;
-  bool moved = false;
   struct bgap_room *rooms = bgap_rooms_list (g, now_ms, next, &count);
   uint32_t moves_max = count / SERVERS_PER_MOVE > MOVES_MAX
                            ? count / SERVERS_PER_MOVE
                            : MOVES_MAX;
-  for (uint32_t i = 0; rooms != NULL && count > 1 && i < moves_max; i++)
+  uint32_t moves = 0;
+  while (rooms != NULL && count > 1 && moves < moves_max)
     {
       struct bgap_room *busiest = _bgap_balance_busiest (rooms, count);
-      struct bgap_room *idlest = bgap_rooms_idlest (rooms, count);
-      if (!_bgap_balance_is_uneven (g, busiest, idlest)
-          || !_bgap_balance_move_piece (g, next, fence, busiest, idlest))
+      struct bgap_room *idlest = _bgap_balance_idlest (rooms, count);
+      if (busiest == NULL || !_bgap_balance_is_uneven (g, busiest, idlest))
         break;
-      moved = true;
+      if (_bgap_balance_move_piece (g, next, fence, busiest, idlest))
+        moves++;
+      else
+        busiest->stuck = true;
     }
   free (rooms);
-  return moved;
+  return moves > 0;
 }
 
 void
--- a/packages/keyrange/src/granter_rooms.h
+++ b/packages/keyrange/src/granter_rooms.h
@@ -17,6 +17,7 @@
  * @capacity: requests it can run a second, in proportion to the others
  * @load: of its keys
  * @share: of the whole load, by its capacity
+ * @stuck: none of its keys can move in this round
  */
 struct bgap_room
 {
@@ -27,6 +28,7 @@
   double slots;
   uint64_t load;
   uint64_t share;
+  bool stuck;
 };
 
 /**
--- a/packages/keyrange/tests/test_granter.c
+++ b/packages/keyrange/tests/test_granter.c
@@ -208,6 +208,60 @@
   bgap_granter_shutdown (granter);
 }
 
+/* Keys of the proposal that are taken from a server.  */
+static uint32_t
+moving_keys (const struct bgap_assignment *proposal, const char *server)
+{
+  uint32_t moving = 0;
+  for (uint32_t i = 0; i < proposal->count; i++)
+    if (proposal->ranges[i].moving
+        && strcmp (proposal->ranges[i].server, server) == 0)
+      moving += proposal->ranges[i].last - proposal->ranges[i].first + 1;
+  return moving;
+}
+
+/* Load of a single key on a server that has no other, and a server that joins.
+   Guards against a new server that gets no keys because the busiest one has
+   none to give.  */
+static void
+join_beside_a_hot_key (double latency_ms)
+{
+  struct bgap_granter *granter = granter_new ();
+  struct bgap_assignment own = assignment_of ("n0", LIFE, 3);
+  struct bgap_assignment proposal = { 0 };
+  uint32_t grants;
+  set_holder (&own, 0, BGAP_KEY_COUNT - 1, "s1");
+  set_holder (&own, 1000, 1000, "s0");
+  add_server (granter, 100, "s0", 200);
+  add_server (granter, 100, "s1", 200);
+  add_server (granter, 100, "s2", latency_ms);
+  bgap_granter_on_loaded (granter, 100);
+  bgap_granter_on_assignment (granter, 100, &own);
+  bgap_granter_on_view (granter, 100, 95);
+  bgap_granter_tick (granter, 110);
+  drain (granter, &proposal, &grants);
+  count_requests (granter, 1000, 1000, 400);
+  bgap_granter_tick (granter, 900);
+  assert_true (drain (granter, &proposal, &grants));
+  assert_int_equal (moving_keys (&proposal, "s0"), 0);
+  uint32_t moving = moving_keys (&proposal, "s1");
+  assert_true (moving >= BGAP_KEY_COUNT / 5);
+  assert_true (moving <= BGAP_KEY_COUNT / 2 + 1);
+  bgap_assignment_shutdown (&own);
+  bgap_assignment_shutdown (&proposal);
+  bgap_granter_shutdown (granter);
+}
+
+/* The new server may be as fast as the others, or slower, so that another one
+   is further below its share.  */
+static void
+test_server_that_joins_beside_a_hot_key (void **state)
+{
+  (void)state;
+  join_beside_a_hot_key (200);
+  join_beside_a_hot_key (400);
+}
+
 /* Runs the actions: appends are read back, and only "s1" answers grants.
    Returns whether a grant was sent to it.  */
 static bool
@@ -412,6 +466,7 @@
     cmocka_unit_test (test_hot_keys_are_spread),
     cmocka_unit_test (test_single_hot_key_stays),
     cmocka_unit_test (test_single_hot_key_moves_to_a_faster_server),
+    cmocka_unit_test (test_server_that_joins_beside_a_hot_key),
     cmocka_unit_test (test_idle_servers_keep_their_keys),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
