--- a/packages/routing/include/banyangap/routing/retry_budget.h
+++ b/packages/routing/include/banyangap/routing/retry_budget.h
@@ -19,11 +19,14 @@
  * struct bgap_retry_budget_desc - options; zero means the default
  * @percent: retries per 100 requests; default 20
  * @burst: retries that can be saved up, and the initial stock; default 20
+ * @empty: start without a stock: many instances that start together do not
+ *   know of each other, and their stocks together would be above the limit
  */
 struct bgap_retry_budget_desc
 {
   uint32_t percent;
   uint32_t burst;
+  bool empty;
 };
 
 /**
@@ -38,11 +41,17 @@
 };
 
 /**
- * bgap_retry_budget_setup() - start with a full stock
+ * bgap_retry_budget_setup() - start with a full stock, or an empty one
  */
 void bgap_retry_budget_setup (struct bgap_retry_budget *budget,
                               const struct bgap_retry_budget_desc *desc);
 
+/**
+ * bgap_retry_budget_change() - other limits; the stock does not grow
+ */
+void bgap_retry_budget_change (struct bgap_retry_budget *budget,
+                               const struct bgap_retry_budget_desc *desc);
+
 /**
  * bgap_retry_budget_on_request() - a new request adds its share
  */
--- a/packages/routing/include/banyangap/routing/router.h
+++ b/packages/routing/include/banyangap/routing/router.h
@@ -368,6 +368,13 @@
  */
 void bgap_router_leave (struct bgap_router *router);
 
+/**
+ * bgap_router_refuse_waiting() - answer the requests that are not at a server,
+ * since this process ends before one could answer them; as not run unless an
+ * attempt may have run
+ */
+void bgap_router_refuse_waiting (struct bgap_router *router, int64_t now_ms);
+
 /**
  * bgap_router_idle() - no request and no outcome to be appended is left
  */
--- a/packages/routing/include/banyangap/routing/server.h
+++ b/packages/routing/include/banyangap/routing/server.h
@@ -223,6 +223,14 @@
 void bgap_server_hold (struct bgap_server *server, int64_t now_ms,
                        int64_t hold_ms);
 
+/**
+ * bgap_server_turned_away() - it closed a connection without an answer, as
+ * some servers do when they are full: hold it, and take it for full
+ * @hold_ms: as for bgap_server_hold()
+ */
+void bgap_server_turned_away (struct bgap_server *server, int64_t now_ms,
+                              int64_t hold_ms);
+
 /**
  * bgap_server_full() - no room for another attempt now
  */
--- a/packages/routing/include/banyangap/routing/service.h
+++ b/packages/routing/include/banyangap/routing/service.h
@@ -32,6 +32,7 @@
  * @retry_percent: retries per 100 requests; default 20
  * @retry_burst: retries that can be saved up, and the initial stock; default
  * 20
+ * @retry_starts_empty: see struct bgap_retry_budget_desc
  * @charge_refusals: every attempt after the first takes from the retry budget,
  *   also after a refusal; the refusals count as attempts
  * @shared_slots: the load that servers report with their answers counts
@@ -58,6 +59,7 @@
   uint32_t attempts_max;
   uint32_t retry_percent;
   uint32_t retry_burst;
+  bool retry_starts_empty;
   bool charge_refusals;
   bool shared_slots;
   uint32_t queue_per_server;
--- a/packages/routing/src/retry_budget.c
+++ b/packages/routing/src/retry_budget.c
@@ -16,10 +16,22 @@
   *budget = (struct bgap_retry_budget){
     .percent = percent > 100 ? 100 : percent,
     .burst = burst,
-    .hundredths = burst * HUNDREDTHS,
+    .hundredths = desc->empty ? 0 : burst * HUNDREDTHS,
   };
 }
 
+void
+bgap_retry_budget_change (struct bgap_retry_budget *budget,
+                          const struct bgap_retry_budget_desc *desc)
+{
+  uint32_t stock = budget->hundredths;
+  bgap_retry_budget_setup (budget, desc);
+  if (desc->empty || stock < budget->hundredths)
+    budget->hundredths = stock;
+  if (budget->hundredths > budget->burst * HUNDREDTHS)
+    budget->hundredths = budget->burst * HUNDREDTHS;
+}
+
 void
 bgap_retry_budget_on_request (struct bgap_retry_budget *budget)
 {
--- a/packages/routing/src/router.c
+++ b/packages/routing/src/router.c
@@ -182,6 +182,22 @@
   router->state->leaving = true;
 }
 
+void
+bgap_router_refuse_waiting (struct bgap_router *router, int64_t now_ms)
+{
+  struct bgap_router_state *state = router->state;
+  uint32_t id = bgap_pool_next (&state->requests, BGAP_INVALID_ID);
+  while (id != BGAP_INVALID_ID)
+    {
+      struct bgap_router_request *request
+          = bgap_pool_get (&state->requests, id);
+      id = bgap_pool_next (&state->requests, id);
+      if (request->state != BGAP_REQUEST_IN_FLIGHT
+          && request->state != BGAP_REQUEST_ONCE)
+        bgap_router_finish (state, now_ms, request, BGAP_REASON_SHUTDOWN);
+    }
+}
+
 bool
 bgap_router_idle (const struct bgap_router *router)
 {
--- a/packages/routing/src/router_attempt.c
+++ b/packages/routing/src/router_attempt.c
@@ -176,6 +176,12 @@
   if (kind == BGAP_RESULT_SHED)
     bgap_server_hold (&server->server, now_ms,
                       _bgap_router_hold_ms (state, service));
+  /* Requests for a key have no other server to go to, so that all instances
+     would try a full holder again and again.  */
+  if (kind == BGAP_RESULT_BROKEN && service->desc.keyed
+      && service->desc.shared_slots)
+    bgap_server_turned_away (&server->server, now_ms,
+                             _bgap_router_hold_ms (state, service));
   if (bgap_server_on_result (&server->server, now_ms, kind))
     _bgap_router_eject (now_ms, service, &server->server);
   if (kind != BGAP_RESULT_COMPLETE)
--- a/packages/routing/src/router_service.c
+++ b/packages/routing/src/router_service.c
@@ -72,11 +72,15 @@
   service->desc.name = service->name;
   service->balancer = (struct bgap_balancer){ .ops = service->desc.policy,
                                               .random = &state->random };
-  if (first || percent != desc->retry_percent || burst != desc->retry_burst)
-    bgap_retry_budget_setup (
-        &service->budget,
-        &(struct bgap_retry_budget_desc){ .percent = desc->retry_percent,
-                                          .burst = desc->retry_burst });
+  const struct bgap_retry_budget_desc budget = {
+    .percent = desc->retry_percent,
+    .burst = desc->retry_burst,
+    .empty = desc->retry_starts_empty,
+  };
+  if (first)
+    bgap_retry_budget_setup (&service->budget, &budget);
+  else if (percent != desc->retry_percent || burst != desc->retry_burst)
+    bgap_retry_budget_change (&service->budget, &budget);
   for (uint32_t i = 0; i < service->server_count; i++)
     bgap_router_share_slots (service, service->servers[i]);
 }
--- a/packages/routing/src/server.c
+++ b/packages/routing/src/server.c
@@ -29,6 +29,10 @@
 #define OTHERS_HALF_LIFE_MS 300
 #define INSTANCES_PER_SLOT 2u
 
+/* A server that turns a request away has this many times what instances leave
+   room for: it takes some requests per slot before it does.  */
+#define TURNED_AWAY_ROOMS 4u
+
 /* First pause of a server to which no connection could be opened.  */
 #define NO_CONNECT_HOLD_MS 150
 
@@ -106,6 +110,21 @@
   return slots + server->queue_allowance;
 }
 
+void
+bgap_server_turned_away (struct bgap_server *server, int64_t now_ms,
+                         int64_t hold_ms)
+{
+  uint32_t busy
+      = TURNED_AWAY_ROOMS * _bgap_server_shared_room (server, now_ms);
+  uint32_t others = busy > server->in_flight ? busy - server->in_flight : 0;
+  bgap_server_hold (server, now_ms, hold_ms);
+  if (others > bgap_server_others (server, now_ms))
+    {
+      server->others = others;
+      server->load_at_ms = now_ms;
+    }
+}
+
 bool
 bgap_server_full (const struct bgap_server *server, int64_t now_ms)
 {
--- a/packages/routing/tests/test_hot_key.c
+++ b/packages/routing/tests/test_hot_key.c
@@ -42,6 +42,7 @@
 
 /**
  * struct hot_key - the server and what came of the requests
+ * @resets: it refuses by closing the connection instead of an answer
  */
 struct hot_key
 {
@@ -51,14 +52,17 @@
   uint32_t running;
   uint32_t refused;
   uint32_t served;
+  bool resets;
   struct bgap_random random;
 };
 
 static void
-hot_key_setup (struct hot_key *k, uint32_t instance_count, uint64_t seed)
+hot_key_setup (struct hot_key *k, uint32_t instance_count, bool resets,
+               uint64_t seed)
 {
   memset (k, 0, sizeof *k);
   k->instance_count = instance_count;
+  k->resets = resets;
   k->random.state = seed;
   for (uint32_t i = 0; i < instance_count; i++)
     {
@@ -92,24 +96,42 @@
 }
 
 static void
-end (struct hot_key *k, int64_t now_ms, struct instance *instance,
-     struct call *call)
+on_answer (struct hot_key *k, int64_t now_ms, struct bgap_server *server)
 {
-  struct bgap_server *server = &instance->server;
-  bgap_server_on_end (server);
   bgap_server_on_load (server, now_ms,
                        &(struct bgap_server_load){ .in_flight = k->running,
                                                    .queued = k->queued,
                                                    .slots = SLOTS });
-  if (call->state == CALL_REFUSED)
+}
+
+static void
+on_refused (struct hot_key *k, int64_t now_ms, struct bgap_server *server)
+{
+  int64_t hold_ms
+      = 1 + (int64_t)bgap_random_below (&k->random, SERVICE_MS / 2);
+  if (k->resets)
     {
-      bgap_server_hold (
-          server, now_ms,
-          1 + (int64_t)bgap_random_below (&k->random, SERVICE_MS / 2));
-      bgap_server_on_result (server, now_ms, BGAP_RESULT_SHED);
+      bgap_server_turned_away (server, now_ms, hold_ms);
+      return;
     }
+  on_answer (k, now_ms, server);
+  bgap_server_hold (server, now_ms, hold_ms);
+  bgap_server_on_result (server, now_ms, BGAP_RESULT_SHED);
+}
+
+static void
+end (struct hot_key *k, int64_t now_ms, struct instance *instance,
+     struct call *call)
+{
+  struct bgap_server *server = &instance->server;
+  bgap_server_on_end (server);
+  if (call->state == CALL_REFUSED)
+    on_refused (k, now_ms, server);
   else
-    bgap_server_on_result (server, now_ms, BGAP_RESULT_COMPLETE);
+    {
+      on_answer (k, now_ms, server);
+      bgap_server_on_result (server, now_ms, BGAP_RESULT_COMPLETE);
+    }
   call->state = CALL_NONE;
 }
 
@@ -140,9 +162,9 @@
 }
 
 static void
-run (struct hot_key *k, uint32_t instance_count, uint64_t seed)
+run (struct hot_key *k, uint32_t instance_count, bool resets, uint64_t seed)
 {
-  hot_key_setup (k, instance_count, seed);
+  hot_key_setup (k, instance_count, resets, seed);
   for (int64_t now_ms = 0; now_ms < RUN_MS; now_ms++)
     for (uint32_t i = 0; i < instance_count; i++)
       {
@@ -154,20 +176,16 @@
       }
 }
 
-/* Guards against instances that together send a busy server many more requests
-   than it can run: each refusal takes from the budget of further attempts, and
-   the server resets connections that come on top.  */
 static void
-test_refusals_do_not_grow_with_the_instances (void **state)
+assert_few_refusals (bool resets)
 {
   static struct hot_key k;
   const uint32_t counts[] = { 8, 12, 40, INSTANCES_MAX };
   const uint32_t capacity = RUN_MS / SERVICE_MS * SLOTS;
-  (void)state;
   for (size_t i = 0; i < sizeof counts / sizeof *counts; i++)
     for (uint64_t seed = 1; seed <= 3; seed++)
       {
-        run (&k, counts[i], seed);
+        run (&k, counts[i], resets, seed);
         print_message ("%u instances: %u served of %u, %u refused\n",
                        counts[i], k.served, capacity, k.refused);
         assert_true (k.served * 10 >= capacity * 9);
@@ -175,11 +193,31 @@
       }
 }
 
+/* Guards against instances that together send a busy server many more requests
+   than it can run: each refusal takes from the budget of further attempts, and
+   the server resets connections that come on top.  */
+static void
+test_refusals_do_not_grow_with_the_instances (void **state)
+{
+  (void)state;
+  assert_few_refusals (false);
+}
+
+/* Guards against the same with a server that resets connections when it is
+   full and says nothing: an instance did not take that for a refusal.  */
+static void
+test_resets_do_not_grow_with_the_instances (void **state)
+{
+  (void)state;
+  assert_few_refusals (true);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_refusals_do_not_grow_with_the_instances),
+    cmocka_unit_test (test_resets_do_not_grow_with_the_instances),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/packages/routing/tests/test_shared.c
+++ b/packages/routing/tests/test_shared.c
@@ -1,6 +1,7 @@
 #include "fixture.h"
 
 #include "banyangap/routing/balancer.h"
+#include "banyangap/routing/retry_budget.h"
 
 static const struct bgap_service_desc shared = {
   .name = "s",
@@ -101,6 +102,53 @@
   fixture_shutdown (&f);
 }
 
+/* Guards against instances whose stocks of further attempts are together above
+   the limit: after a restart of all each knows of few others, and each change
+   of their number filled the stock again.  */
+static void
+test_stock_of_retries_is_not_filled_again (void **state)
+{
+  struct bgap_retry_budget budget;
+  const struct bgap_retry_budget_desc few
+      = { .percent = 10, .burst = 18, .empty = true };
+  const struct bgap_retry_budget_desc many
+      = { .percent = 10, .burst = 2, .empty = true };
+  (void)state;
+  bgap_retry_budget_setup (&budget, &few);
+  assert_false (bgap_retry_budget_take (&budget));
+  for (int i = 0; i < 50; i++)
+    bgap_retry_budget_on_request (&budget);
+  bgap_retry_budget_change (&budget, &many);
+  bgap_retry_budget_change (&budget, &few);
+  assert_true (bgap_retry_budget_take (&budget));
+  assert_true (bgap_retry_budget_take (&budget));
+  assert_false (bgap_retry_budget_take (&budget));
+}
+
+/* Stop of an instance. Guards against a request that waits until the process
+   ends and gets no answer at all.  */
+static void
+test_waiting_requests_are_refused_at_the_end (void **state)
+{
+  (void)state;
+  struct fixture f;
+  struct bgap_service_desc desc = shared;
+  desc.queue_per_server = 0;
+  fixture_setup (&f, &desc);
+  add_server (&f, "a", "z1");
+  fixture_request (&f, NULL);
+  fixture_request (&f, NULL);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+  struct bgap_request_id waiting = fixture_request (&f, NULL);
+  fixture_expect_none (&f);
+  bgap_router_leave (&f.router);
+  bgap_router_refuse_waiting (&f.router, f.now_ms);
+  fixture_expect_finish (&f, waiting, BGAP_OUTCOME_NOT_RUN, 503);
+  fixture_expect_none (&f);
+  fixture_shutdown (&f);
+}
+
 /* Guards against a request that is sent to more servers than its route
    allows.  */
 static void
@@ -123,6 +171,38 @@
   fixture_shutdown (&f);
 }
 
+/* Guards against a holder that resets connections because it is full and gets
+   the next request for its keys at once.  */
+static void
+test_reset_by_a_holder_is_a_refusal (void **state)
+{
+  (void)state;
+  struct fixture f;
+  struct bgap_service_desc desc = shared;
+  desc.keyed = true;
+  fixture_setup (&f, &desc);
+  add_server (&f, "a", "z1");
+  struct bgap_server_id a
+      = bgap_router_find_server (&f.router, f.service, "a");
+  for (int i = 0; i < 2; i++)
+    {
+      struct bgap_request_id request = fixture_request (
+          &f, &(struct bgap_request_desc){ .deadline_ms = 5000 });
+      fixture_expect (&f, BGAP_ROUTER_ACTION_RESOLVE);
+      bgap_router_resolved (&f.router, f.now_ms, request, a, 1);
+      if (i > 0)
+        break;
+      struct bgap_router_action d
+          = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+      fixture_result (&f, d.attempt, BGAP_RESULT_BROKEN);
+      fixture_expect_finish (&f, request, BGAP_OUTCOME_UNKNOWN, 502);
+    }
+  assert_int_equal (dispatches (&f), 0);
+  fixture_wait (&f, 1000);
+  assert_int_equal (dispatches (&f), 1);
+  fixture_shutdown (&f);
+}
+
 /* Guards against a second run of a request that may run only once.  */
 static void
 test_error_of_a_request_that_runs_once (void **state)
@@ -209,7 +289,10 @@
     cmocka_unit_test (test_load_of_others_counts),
     cmocka_unit_test (test_queue_of_the_server_is_bounded),
     cmocka_unit_test (test_refusals_take_from_the_budget),
+    cmocka_unit_test (test_stock_of_retries_is_not_filled_again),
+    cmocka_unit_test (test_waiting_requests_are_refused_at_the_end),
     cmocka_unit_test (test_attempts_of_a_request),
+    cmocka_unit_test (test_reset_by_a_holder_is_a_refusal),
     cmocka_unit_test (test_error_of_a_request_that_runs_once),
     cmocka_unit_test (test_late_requests_wait_behind),
     cmocka_unit_test (test_retry_after_can_be_used),
--- a/packages/store/src/follower.c
+++ b/packages/store/src/follower.c
@@ -465,14 +465,16 @@
 static void
 _bgap_follower_rest (struct bgap_follower *f)
 {
-  if (f->busy && f->state == FOLLOWING)
+  int64_t rest_ms
+      = f->fed_ms + f->desc.fed_timeout_ms - _bgap_follower_now_ms ();
+  if (f->busy && f->state == FOLLOWING && rest_ms > 0)
     {
       f->busy = false;
       f->generation++;
       event_del (&f->check);
     }
   if (!f->busy)
-    _bgap_follower_arm (f, f->desc.fed_timeout_ms);
+    _bgap_follower_arm (f, rest_ms);
 }
 
 void
@@ -487,7 +489,12 @@
       bgap_follower_hurry (f);
       return;
     }
-  f->fed_ms = _bgap_follower_now_ms ();
+  /* A read that waits for a record is as good as new, however old. Of others,
+     what was read long ago is no reason to rest.  */
+  int64_t fed_ms
+      = f->desc.wait_ms > 0 ? _bgap_follower_now_ms () : feed->sent_ms;
+  if (fed_ms > f->fed_ms)
+    f->fed_ms = fed_ms;
   _bgap_follower_rest (f);
   uint64_t next = f->next;
   if (feed->next > f->next)
--- a/packages/store/tests/test_follower.c
+++ b/packages/store/tests/test_follower.c
@@ -4,6 +4,7 @@
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
+#include <time.h>
 
 #include <cmocka.h>
 
@@ -243,6 +244,14 @@
   struct bgap_follower *follower;
 };
 
+static int64_t
+time_ms (void)
+{
+  struct timespec now;
+  clock_gettime (CLOCK_MONOTONIC, &now);
+  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+}
+
 static void
 on_feed (evutil_socket_t fd, short events, void *context)
 {
@@ -250,10 +259,12 @@
   const struct bgap_store_record record = { .offset = 1, .key = "a" };
   (void)fd;
   (void)events;
-  bgap_follower_feed (
-      feeding->follower,
-      &(struct bgap_feed){
-          .from = 1, .next = 4, .records = &record, .count = 1 });
+  bgap_follower_feed (feeding->follower,
+                      &(struct bgap_feed){ .from = 1,
+                                           .next = 4,
+                                           .sent_ms = time_ms (),
+                                           .records = &record,
+                                           .count = 1 });
 }
 
 /* Guards against reads by an instance that is fed, and against one that does
@@ -279,6 +290,42 @@
   assert_int_equal (fake.read_from[1], 4);
 }
 
+static void
+on_old_feed (evutil_socket_t fd, short events, void *context)
+{
+  const struct feeding *feeding = context;
+  (void)fd;
+  (void)events;
+  bgap_follower_feed (
+      feeding->follower,
+      &(struct bgap_feed){ .from = 1, .next = 1, .sent_ms = time_ms () - 60 });
+}
+
+/* A reader that is slow. Guards against an instance that rests after a feed
+   for the whole time, though what it was told was old when it came: it found
+   out too late that a server was leaving.  */
+static void
+test_the_age_of_a_feed_counts (void **state)
+{
+  (void)state;
+  struct fake fake = {
+    .answers
+    = { { .records = { { .offset = 0, .key = "a" } }, .count = 1, .end = 1 },
+        { .never = true },
+        { .never = true } },
+    .answer_count = 3,
+  };
+  struct bgap_follower *follower = start (&fake, 0);
+  struct feeding feeding = { &fake, follower };
+  const struct timeval soon = { .tv_usec = 20000 };
+  const struct timeval end = { .tv_usec = 90000 };
+  bgap_follower_set_fed (follower, true, 0);
+  event_base_once (fake.base, -1, EV_TIMEOUT, on_old_feed, &feeding, &soon);
+  event_base_loopexit (fake.base, &end);
+  finish (&fake, follower);
+  assert_int_equal (fake.reads, 2);
+}
+
 static void
 on_gap (evutil_socket_t fd, short events, void *context)
 {
@@ -433,6 +480,7 @@
     cmocka_unit_test (test_loads_again_when_truncated),
     cmocka_unit_test (test_finds_what_a_waiting_read_misses),
     cmocka_unit_test (test_a_feed_replaces_reads),
+    cmocka_unit_test (test_the_age_of_a_feed_counts),
     cmocka_unit_test (test_a_gap_in_the_feed_is_read),
     cmocka_unit_test (test_reads_without_a_feed_are_paced),
     cmocka_unit_test (test_reads_at_once_when_the_store_is_back),
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -40,6 +40,10 @@
 #define STOP_ACCEPT_MS 3000
 #define STOP_MARGIN_MS 250
 
+/* So long before it is killed, the process refuses what still waits: most
+   requests need more time at a server, and other instances can serve them.  */
+#define STOP_REFUSE_MS 1500
+
 static struct bgap_event_kind event_start = { .name = "start" };
 static struct bgap_event_kind event_stop = { .name = "stop" };
 static struct bgap_event_kind event_reload = { .name = "reload" };
@@ -216,6 +220,11 @@
   if (since_ms < STOP_ACCEPT_MS)
     return;
   bgap_frontend_stop (edge->frontend);
+  if (since_ms >= edge->settings.grace_ms - STOP_REFUSE_MS)
+    {
+      bgap_router_leave (&edge->router);
+      bgap_router_refuse_waiting (&edge->router, now_ms);
+    }
   /* Responses that have been written may still be on their way.  */
   if (!edge->frontend_stopped
       && since_ms < edge->settings.grace_ms - STOP_MARGIN_MS)
