Count calls to the store by kind and result in the metrics

What was missing to tell an outage for one instance from an outage for all, and what the calls cost: bgap_store_calls_total{call,result}.

--- a/packages/store/include/banyangap/store/store.h
+++ b/packages/store/include/banyangap/store/store.h
@@ -48,6 +48,33 @@
  */
 const char *bgap_store_outcome_name (enum bgap_store_outcome outcome);
 
+/**
+ * enum bgap_store_call_kind - the calls
+ */
+enum bgap_store_call_kind
+{
+  BGAP_STORE_NEWEST,
+  BGAP_STORE_READ,
+  BGAP_STORE_APPEND,
+  BGAP_STORE_JOIN,
+  BGAP_STORE_LIST,
+  BGAP_STORE_LEAVE,
+  BGAP_STORE_CALL_COUNT
+};
+
+/**
+ * bgap_store_call_name() - short name, never NULL
+ */
+const char *bgap_store_call_name (enum bgap_store_call_kind kind);
+
+/**
+ * struct bgap_store_counts - calls that have ended since the start
+ */
+struct bgap_store_counts
+{
+  uint64_t ended[BGAP_STORE_CALL_COUNT][BGAP_STORE_OUTCOME_COUNT];
+};
+
 /**
  * struct bgap_store_record - a record of a keyed topic
  * @value: @size bytes; with @removed there are none and the key is gone
@@ -182,6 +209,8 @@
  *
  * Each returns BGAP_OK, or BGAP_ERR_NO_MEMORY or BGAP_ERR_INVALID, after which
  * nothing is sent and no callback follows. leave has no callback.
+ *
+ * @counts: kept by the client; NULL if it keeps none
  */
 struct bgap_store_ops
 {
@@ -194,6 +223,7 @@
   enum bgap_status (*list) (void *context, const struct bgap_store_list *call);
   enum bgap_status (*leave) (void *context, const char *group,
                              const char *member);
+  const struct bgap_store_counts *counts;
   void *context;
 };
 
--- a/programs/banyangapd/edge_report.c
+++ b/programs/banyangapd/edge_report.c
@@ -70,6 +70,25 @@
                       (int64_t)counts.keys_moved);
 }
 
+static void
+_bgap_report_store (const struct bgap_store_counts *counts,
+                    struct bgap_buffer *out)
+{
+  char labels[96];
+  for (int kind = 0; kind < BGAP_STORE_CALL_COUNT; kind++)
+    for (int outcome = 0; outcome < BGAP_STORE_OUTCOME_COUNT; outcome++)
+      {
+        uint64_t ended = counts->ended[kind][outcome];
+        if (ended == 0)
+          continue;
+        snprintf (labels, sizeof labels, "{call=\"%s\",result=\"%s\"}",
+                  bgap_store_call_name (kind),
+                  bgap_store_outcome_name (outcome));
+        _bgap_report_gauge (out, "bgap_store_calls_total", labels,
+                            (int64_t)ended);
+      }
+}
+
 static void
 _bgap_report_on_metrics (void *context, struct bgap_admin_id id,
                          const struct bgap_admin_request *request)
@@ -87,6 +106,8 @@
                       now_ms - edge->servers_ms);
   _bgap_report_gauge (&out, "bgap_instances", "",
                       bgap_membership_count (edge->membership));
+  if (edge->desc.store->counts != NULL)
+    _bgap_report_store (edge->desc.store->counts, &out);
   _bgap_report_gauge (&out, "bgap_log_suppressed_total", "",
                       (int64_t)bgap_event_log_suppressed ());
   for (const struct bgap_edge_service *service = edge->services;
--- a/tests/process/test_platform.py
+++ b/tests/process/test_platform.py
@@ -28,7 +28,9 @@
             self.assertEqual(platform.request(0, "GET", "/other/").status, 404)
             self.assertEqual(platform.request(0, "GET", "/r/1", host="x").status, 404)
             self.assertEqual(platform.request(0, "POST", "/w/1", body=b"x" * 200000).status, 413)
-            self.assertIn("bgap_request_seconds_count", platform.instances[0].metrics())
+            metrics = platform.instances[0].metrics()
+            self.assertIn("bgap_request_seconds_count", metrics)
+            self.assertIn('bgap_store_calls_total{call="join",result="ok"}', metrics)
 
     def test_more_instances_than_partitions(self):
         """Guards against an instance that nobody knows of, because all partitions of a topic were
