--- a/packages/keyrange/src/assignment.c
+++ b/packages/keyrange/src/assignment.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#define CAPACITY_FIRST 16u
+#include "banyangap/base/array.h"
 
 /* A change adds at most two ranges: what is left of the old ones on both
    sides.  */
@@ -12,19 +12,8 @@
 static enum bgap_status
 _bgap_assignment_reserve (struct bgap_assignment *assignment, uint32_t count)
 {
-  uint32_t capacity
-      = assignment->capacity ? assignment->capacity : CAPACITY_FIRST;
-  if (count <= assignment->capacity)
-    return BGAP_OK;
-  while (capacity < count)
-    capacity *= 2;
-  struct bgap_key_range *ranges
-      = realloc (assignment->ranges, capacity * sizeof *ranges);
-  if (ranges == NULL)
-    return BGAP_ERR_NO_MEMORY;
-  assignment->ranges = ranges;
-  assignment->capacity = capacity;
-  return BGAP_OK;
+  return bgap_array_reserve (&assignment->ranges, &assignment->capacity, count,
+                             sizeof *assignment->ranges);
 }
 
 enum bgap_status
--- a/packages/keyrange/src/granter_calls.c
+++ b/packages/keyrange/src/granter_calls.c
@@ -2,10 +2,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "banyangap/base/array.h"
 #include "granter_state.h"
 
-#define CAPACITY_FIRST 16u
-
 /* Grants that are sent at a time at most: a burst for all ranges of a large
    service would keep a small machine busy beyond the timeout of a call.  */
 #define PACE_MS 50
@@ -39,17 +38,10 @@
 {
   if (g->action_first == g->action_count)
     g->action_first = g->action_count = 0;
-  if (g->action_count == g->action_capacity)
-    {
-      uint32_t capacity
-          = g->action_capacity ? 2 * g->action_capacity : CAPACITY_FIRST;
-      struct bgap_granter_action *actions
-          = realloc (g->actions, capacity * sizeof *actions);
-      if (actions == NULL)
-        return false;
-      g->actions = actions;
-      g->action_capacity = capacity;
-    }
+  if (bgap_array_reserve (&g->actions, &g->action_capacity,
+                          g->action_count + 1, sizeof *g->actions)
+      != BGAP_OK)
+    return false;
   g->actions[g->action_count++] = *action;
   return true;
 }
@@ -198,17 +190,10 @@
         && g->releases[i].last == range->last
         && g->releases[i].fence == range->fence)
       return &g->releases[i];
-  if (g->release_count == g->release_capacity)
-    {
-      uint32_t capacity
-          = g->release_capacity ? 2 * g->release_capacity : CAPACITY_FIRST;
-      struct bgap_release_call *releases
-          = realloc (g->releases, capacity * sizeof *releases);
-      if (releases == NULL)
-        return NULL;
-      g->releases = releases;
-      g->release_capacity = capacity;
-    }
+  if (bgap_array_reserve (&g->releases, &g->release_capacity,
+                          g->release_count + 1, sizeof *g->releases)
+      != BGAP_OK)
+    return NULL;
   struct bgap_release_call *release = &g->releases[g->release_count++];
   *release = (struct bgap_release_call){
     .first = range->first,
--- a/packages/keyrange/src/granter_holds.c
+++ b/packages/keyrange/src/granter_holds.c
@@ -2,10 +2,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "banyangap/base/array.h"
 #include "granter_state.h"
 
-#define CAPACITY_FIRST 16u
-
 /* A server's clock may run slow by this much.  */
 #define DRIFT_PERCENT 2
 
@@ -57,16 +56,10 @@
 struct bgap_hold *
 bgap_holds_add (struct bgap_granter *g, const struct bgap_key_range *range)
 {
-  if (g->hold_count == g->hold_capacity)
-    {
-      uint32_t capacity
-          = g->hold_capacity ? 2 * g->hold_capacity : CAPACITY_FIRST;
-      struct bgap_hold *holds = realloc (g->holds, capacity * sizeof *holds);
-      if (holds == NULL)
-        return NULL;
-      g->holds = holds;
-      g->hold_capacity = capacity;
-    }
+  if (bgap_array_reserve (&g->holds, &g->hold_capacity, g->hold_count + 1,
+                          sizeof *g->holds)
+      != BGAP_OK)
+    return NULL;
   struct bgap_hold *hold = &g->holds[g->hold_count++];
   *hold = (struct bgap_hold){
     .first = range->first,
--- a/packages/keyrange/src/granter_targets.c
+++ b/packages/keyrange/src/granter_targets.c
@@ -2,10 +2,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "banyangap/base/array.h"
 #include "granter_state.h"
 
-#define CAPACITY_FIRST 16u
-
 /* How long a server that did not answer gets no keys; doubles each time.  */
 #define AVOID_FIRST_MS 2000
 
@@ -47,17 +46,10 @@
 static struct bgap_grant_target *
 _bgap_targets_add (struct bgap_granter *g, const char *id)
 {
-  if (g->target_count == g->target_capacity)
-    {
-      uint32_t capacity
-          = g->target_capacity ? 2 * g->target_capacity : CAPACITY_FIRST;
-      struct bgap_grant_target *targets
-          = realloc (g->targets, capacity * sizeof *targets);
-      if (targets == NULL)
-        return NULL;
-      g->targets = targets;
-      g->target_capacity = capacity;
-    }
+  if (bgap_array_reserve (&g->targets, &g->target_capacity,
+                          g->target_count + 1, sizeof *g->targets)
+      != BGAP_OK)
+    return NULL;
   uint32_t position = _bgap_targets_position (g, id);
   struct bgap_grant_target *target = &g->targets[position];
   memmove (target + 1, target, (g->target_count - position) * sizeof *target);
--- a/programs/banyangapd/edge_servers.c
+++ b/programs/banyangapd/edge_servers.c
@@ -114,6 +114,15 @@
                 err.message);
 }
 
+static void
+_bgap_servers_set_drain (struct bgap_edge *edge,
+                         const struct bgap_edge_server *server,
+                         const struct bgap_server_entry *entry)
+{
+  bgap_router_server_drain (&edge->router, bgap_now_ms (), server->router_id,
+                            BGAP_DRAIN_HOST_LIST, entry->draining);
+}
+
 /* Adding and removing.  */
 
 static void
@@ -186,9 +195,7 @@
   known->user = server;
   bgap_router_server_alive (&edge->router, bgap_now_ms (), server->router_id,
                             (uint64_t)known->entry.born_ms);
-  /* It may have been leaving before its service was known.  */
-  bgap_router_server_drain (&edge->router, bgap_now_ms (), server->router_id,
-                            BGAP_DRAIN_HOST_LIST, known->entry.draining);
+  _bgap_servers_set_drain (edge, server, &known->entry);
   if (service->granter != NULL)
     bgap_edge_set_granter_server (edge, service, &known->entry);
 }
@@ -330,8 +337,8 @@
   if (change == BGAP_SERVER_CHANGED || change == BGAP_SERVER_REBORN)
     _bgap_servers_set_router (edge, server->service, entry,
                               &server->router_id);
-  bgap_router_server_drain (&edge->router, now_ms, server->router_id,
-                            BGAP_DRAIN_HOST_LIST, entry->draining);
+  if (change != BGAP_SERVER_ADDED)
+    _bgap_servers_set_drain (edge, server, entry);
 }
 
 bool
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -91,7 +91,7 @@
         self.partitions = 24
         self.dealt = {}
         self.generation = 0
-        self.fault = None  # None, "silent" or "busy"
+        self.fault = None  # None, "silent", "busy" or "lost" (done, but not answered)
         self.fault_until = 0
         store = self
 
@@ -137,9 +137,18 @@
             if self.fault == "busy":
                 handler.reply(503)
                 return
+            if self.fault == "lost":
+                self.serve(handler, url, query, body, answers=False)
+                return
             time.sleep(max(0, self.fault_until - time.time()))
             handler.close_connection = True
             return
+        self.serve(handler, url, query, body)
+
+    def serve(self, handler, url, query, body, answers=True):
+        if not answers:
+            handler.reply = lambda *args, **named: None
+            handler.close_connection = True
         getattr(self, "on_" + url.path[1:].replace("-", "_"))(handler, query, body)
 
     def on_log_append(self, handler, query, body):
@@ -225,7 +234,8 @@
 class Backend:
     """A server that registers itself, runs requests and holds granted keys."""
 
-    def __init__(self, store, name, service_name, zone, keyed):
+    def __init__(self, store, name, service_name, zone, keyed, through=None):
+        """through: makes a proxy for an address, whose own address is registered."""
         self.store = store
         self.name = name
         self.service = service_name
@@ -233,7 +243,7 @@
         self.keyed = keyed
         self.lock = threading.Lock()
         self.work_s = 0.01
-        self.ran = []      # (time, request id, key)
+        self.ran = []      # (time, request id, key, body)
         self.held = []     # [first, last, from, until, fence]
         self.fences = {}
         self.state = "ready"
@@ -253,6 +263,9 @@
 
         self.http = Server(("127.0.0.1", free_port()), Handler)
         self.address = "127.0.0.1:%d" % self.http.server_port
+        self.link = through(self.address) if through else None
+        if self.link:
+            self.address = self.link.address
         threading.Thread(target=self.http.serve_forever, daemon=True).start()
         threading.Thread(target=self.beat, daemon=True).start()
 
@@ -361,7 +374,7 @@
                 handler.reply(421, headers=[("Not-Executed", "1"),
                                             ("Instance-Id", self.name)])
                 return
-            self.ran.append((time.time(), request_id, key))
+            self.ran.append((time.time(), request_id, key, body))
         time.sleep(self.work_s)
         handler.reply(200, b"%s:%s" % (self.name.encode(), body),
                       [("Attempt-Id", request_id), ("Backend-Signature", "s-" + self.name),
