Feed instances that the store turns away, and do not ask a busy store at once again

After the cut all of them load the registrations again; the store refuses what is too much, and each join that succeeded made every instance ask for everything again.

Change: members that were listed within 12 s are fed on, and one that is not listed any more goes on taking what it is fed. Only an outage (joins that fail, calls without an answer) is followed by asking again at once. Links between instances that have gone silent are closed after 2.5 s.

--- a/packages/peer/src/link.c
+++ b/packages/peer/src/link.c
@@ -9,6 +9,12 @@
 #define RECONNECT_MS 50
 #define RECONNECT_MAX_MS 500
 
+/* A connection that has gone silent is closed after this time: after a cut of
+   some seconds TCP would wait as long again before its next attempt, and what
+   was queued would come when it is old.  */
+#define HEARTBEAT_MS 1000
+#define SILENCE_MAX_MS 2500
+
 static void
 _bgap_peer_link_set_options (void *socket, int queue_limit)
 {
@@ -18,6 +24,13 @@
   /* Messages for a peer without a connection are dropped, not queued: old
      heartbeats and queries are of no use to it.  */
   const int immediate = 1;
+  const int heartbeat_ms = HEARTBEAT_MS;
+  const int silence_ms = SILENCE_MAX_MS;
+  zmq_setsockopt (socket, ZMQ_HEARTBEAT_IVL, &heartbeat_ms,
+                  sizeof heartbeat_ms);
+  zmq_setsockopt (socket, ZMQ_HEARTBEAT_TIMEOUT, &silence_ms,
+                  sizeof silence_ms);
+  zmq_setsockopt (socket, ZMQ_TCP_MAXRT, &silence_ms, sizeof silence_ms);
   zmq_setsockopt (socket, ZMQ_LINGER, &linger_ms, sizeof linger_ms);
   zmq_setsockopt (socket, ZMQ_RECONNECT_IVL, &reconnect_ms,
                   sizeof reconnect_ms);
--- a/packages/store/include/banyangap/store/follower.h
+++ b/packages/store/include/banyangap/store/follower.h
@@ -28,7 +28,8 @@
  * @record: a record
  * @loaded: all keys that the topic has were reported
  * @contact: a call that was sent at @sent_ms succeeded, so that everything
- *   acknowledged before then was reported
+ *   acknowledged before then was reported; with @fed it was the call of the
+ *   instance that feeds this one
  * @trouble: a call failed
  * @page: a read by this follower has ended, with the records from @from on
  */
@@ -37,7 +38,7 @@
   void (*load) (void *context);
   void (*record) (void *context, const struct bgap_store_record *record);
   void (*loaded) (void *context);
-  void (*contact) (void *context, int64_t sent_ms);
+  void (*contact) (void *context, int64_t sent_ms, bool fed);
   void (*trouble) (void *context, enum bgap_store_outcome outcome,
                    const char *message);
   void (*page) (void *context, uint64_t from,
--- a/packages/store/include/banyangap/store/membership.h
+++ b/packages/store/include/banyangap/store/membership.h
@@ -117,6 +117,20 @@
 bool bgap_membership_has (const struct bgap_membership *membership,
                           const char *member);
 
+/**
+ * bgap_membership_departed() - members that were listed within the last 12 s
+ * and no longer are; the store may only have turned them away
+ */
+uint32_t bgap_membership_departed (const struct bgap_membership *membership);
+
+/**
+ * bgap_membership_departed_at() - departed member of an index below
+ * bgap_membership_departed()
+ */
+const char *
+bgap_membership_departed_at (const struct bgap_membership *membership,
+                             uint32_t index);
+
 /**
  * bgap_membership_listed_ms() - when the list was last read, 0 for never
  */
--- a/packages/store/src/follower.c
+++ b/packages/store/src/follower.c
@@ -131,7 +131,7 @@
 {
   f->retry_ms = RETRY_FIRST_MS;
   if (f->desc.ops.contact != NULL)
-    f->desc.ops.contact (f->desc.ops.context, f->sent_ms);
+    f->desc.ops.contact (f->desc.ops.context, f->sent_ms, false);
 }
 
 static void
@@ -503,7 +503,7 @@
     if (feed->records[i].offset >= next)
       f->desc.ops.record (f->desc.ops.context, &feed->records[i]);
   if (f->desc.ops.contact != NULL)
-    f->desc.ops.contact (f->desc.ops.context, feed->sent_ms);
+    f->desc.ops.contact (f->desc.ops.context, feed->sent_ms, true);
 }
 
 void
--- a/packages/store/src/membership.c
+++ b/packages/store/src/membership.c
@@ -12,6 +12,20 @@
    together read it fifty times a second at most.  */
 #define LIST_PACE_PER_MEMBER_MS 20
 
+/* A member that is no longer listed may only be turned away by the store; the
+   longest outage that keys have to outlive is 9.5 s.  */
+#define DEPARTED_MS 12000
+#define DEPARTED_MAX 256u
+
+/**
+ * struct departed - a member that was in the list before
+ */
+struct departed
+{
+  char name[BGAP_STORE_MEMBER_SIZE];
+  int64_t since_ms;
+};
+
 /**
  * struct bgap_membership - the membership
  * @generation: of the group, as last received
@@ -31,6 +45,8 @@
   bool eager;
   char (*names)[BGAP_STORE_MEMBER_SIZE];
   size_t count;
+  struct departed departed[DEPARTED_MAX];
+  uint32_t departed_count;
 };
 
 static int64_t
@@ -52,6 +68,38 @@
   return strcmp (left, right);
 }
 
+/* Drops those that are back or long gone.  */
+static void
+_bgap_membership_forget_departed (struct bgap_membership *m, int64_t now_ms)
+{
+  uint32_t kept = 0;
+  for (uint32_t i = 0; i < m->departed_count; i++)
+    {
+      const struct departed *departed = &m->departed[i];
+      if (!bgap_membership_has (m, departed->name)
+          && now_ms - departed->since_ms < DEPARTED_MS)
+        m->departed[kept++] = *departed;
+    }
+  m->departed_count = kept;
+}
+
+/* Notes those of the old list that are not in the new one.  */
+static void
+_bgap_membership_note_departed (struct bgap_membership *m, int64_t now_ms,
+                                const char (*names)[BGAP_STORE_MEMBER_SIZE],
+                                size_t count)
+{
+  _bgap_membership_forget_departed (m, now_ms);
+  for (size_t i = 0; i < count && m->departed_count < DEPARTED_MAX; i++)
+    {
+      if (bgap_membership_has (m, names[i]))
+        continue;
+      struct departed *departed = &m->departed[m->departed_count++];
+      memcpy (departed->name, names[i], sizeof departed->name);
+      departed->since_ms = now_ms;
+    }
+}
+
 static void
 _bgap_membership_on_members (void *user,
                              const struct bgap_store_members *members)
@@ -70,10 +118,14 @@
   if (size > 0)
     memcpy (names, members->names, size);
   qsort (names, members->count, sizeof *names, _bgap_membership_compare);
-  free (m->names);
+  char (*old)[BGAP_STORE_MEMBER_SIZE] = m->names;
+  size_t old_count = m->count;
   m->names = names;
   m->count = members->count;
   m->listed_ms = _bgap_membership_now_ms ();
+  _bgap_membership_note_departed (
+      m, m->listed_ms, (const char (*)[BGAP_STORE_MEMBER_SIZE])old, old_count);
+  free (old);
   m->desc.ops.changed (m->desc.ops.context);
 }
 
@@ -236,6 +288,19 @@
          && strcmp (membership->names[index], member) == 0;
 }
 
+uint32_t
+bgap_membership_departed (const struct bgap_membership *membership)
+{
+  return membership->departed_count;
+}
+
+const char *
+bgap_membership_departed_at (const struct bgap_membership *membership,
+                             uint32_t index)
+{
+  return membership->departed[index].name;
+}
+
 int64_t
 bgap_membership_listed_ms (const struct bgap_membership *membership)
 {
--- a/packages/store/tests/test_membership.c
+++ b/packages/store/tests/test_membership.c
@@ -14,6 +14,7 @@
 
 /**
  * struct fake - a store whose group changes all the time
+ * @members_later: from the second list on, if not 0
  */
 struct fake
 {
@@ -22,8 +23,10 @@
   uint32_t members;
   int64_t generation;
   bool is_first;
+  uint32_t members_later;
   uint32_t joins;
   uint32_t lists;
+  uint32_t departed;
 };
 
 /**
@@ -53,6 +56,8 @@
                                        .is_first = fake->is_first });
       return;
     }
+  if (fake->lists > 1 && fake->members_later != 0)
+    fake->members = fake->members_later;
   for (uint32_t i = 0; i < fake->members; i++)
     snprintf (names[i], sizeof names[i], "edge-%u", i);
   pending.list.done (pending.list.user,
@@ -135,6 +140,10 @@
     assert_int_equal (
         bgap_membership_index (membership, bgap_membership_at (membership, i)),
         i);
+  fake->departed = bgap_membership_departed (membership);
+  if (fake->departed > 0)
+    assert_string_equal (bgap_membership_departed_at (membership, 0),
+                         "edge-8");
   bgap_membership_shutdown (membership);
   event_base_free (fake->base);
 }
@@ -165,11 +174,23 @@
   assert_true (eager.lists >= eager.joins / 2);
 }
 
+/* The store turns some instances away. Guards against instances that nobody
+   tells of a new configuration, because they are no longer listed.  */
+static void
+test_departed_members_are_remembered (void **state)
+{
+  struct fake fake = { .members = 9, .members_later = 8 };
+  (void)state;
+  run (&fake, true);
+  assert_int_equal (fake.departed, 1);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_large_group_reads_its_list_seldom),
+    cmocka_unit_test (test_departed_members_are_remembered),
     cmocka_unit_test (test_those_that_decide_read_it_at_once),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -130,28 +130,42 @@
 
 /* The store.  */
 
-void
-bgap_edge_contact (struct bgap_edge *edge)
+/* After an outage, what was asked during it may never be answered, and what
+   failed need not wait for its next turn.  */
+static void
+_bgap_edge_ask_again (struct bgap_edge *edge)
 {
-  if (!edge->store_trouble)
-    return;
-  edge->store_trouble = false;
-  /* What was asked during the trouble may never be answered.  */
   bgap_follower_restart (edge->config);
   bgap_follower_restart (edge->own);
+  bgap_follower_retry (edge->config);
+  bgap_follower_retry (edge->own);
   /* The time that lapsed registrations have begins with this read.  */
   bgap_follower_restart (edge->registrations);
   bgap_follower_hurry (edge->registrations);
-  bgap_follower_retry (edge->config);
-  bgap_follower_retry (edge->own);
-  bgap_event (&event_store, "state=regained after_ms=%lld",
-              (long long)(bgap_now_ms () - edge->store_trouble_ms));
+}
+
+void
+bgap_edge_contact (struct bgap_edge *edge)
+{
+  if (!edge->store_trouble)
+    return;
+  edge->store_trouble = false;
+  /* A store that refuses some calls and answers others has too much to do;
+     asking all again would keep it so.  */
+  if (edge->store_outage)
+    _bgap_edge_ask_again (edge);
+  bgap_event (&event_store, "state=regained after_ms=%lld outage=%d",
+              (long long)(bgap_now_ms () - edge->store_trouble_ms),
+              edge->store_outage);
+  edge->store_outage = false;
 }
 
 void
 bgap_edge_trouble (struct bgap_edge *edge, const char *topic,
                    enum bgap_store_outcome outcome, const char *message)
 {
+  if (outcome == BGAP_STORE_UNKNOWN)
+    edge->store_outage = true;
   if (edge->store_trouble)
     return;
   edge->store_trouble = true;
@@ -162,14 +176,19 @@
               message ? message : "");
 }
 
+/* Joins are cheap for the store, so that one that fails shows an outage, and
+   one that succeeds after that its end.  */
 static void
 _bgap_edge_on_join (void *context, enum bgap_store_outcome outcome)
 {
   struct bgap_edge *edge = context;
-  if (outcome == BGAP_STORE_OK)
+  if (outcome != BGAP_STORE_OK)
+    {
+      bgap_edge_trouble (edge, GROUP, outcome, "join");
+      edge->store_outage = true;
+    }
+  else if (edge->store_outage)
     bgap_edge_contact (edge);
-  else
-    bgap_edge_trouble (edge, GROUP, outcome, "join");
 }
 
 static void
--- a/programs/banyangapd/edge_config.c
+++ b/programs/banyangapd/edge_config.c
@@ -193,11 +193,12 @@
 }
 
 static void
-_bgap_config_on_contact (void *context, int64_t sent_ms)
+_bgap_config_on_contact (void *context, int64_t sent_ms, bool fed)
 {
   struct bgap_edge *edge = context;
   edge->config_ms = sent_ms;
-  bgap_edge_contact (edge);
+  if (!fed)
+    bgap_edge_contact (edge);
 }
 
 static void
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -262,7 +262,7 @@
 }
 
 static void
-_bgap_keys_on_contact (void *context, int64_t sent_ms)
+_bgap_keys_on_contact (void *context, int64_t sent_ms, bool fed)
 {
   struct bgap_edge *edge = context;
   edge->own_ms = sent_ms;
@@ -270,7 +270,8 @@
        service = service->hh.next)
     if (service->granter != NULL)
       bgap_granter_on_view (service->granter, bgap_now_ms (), sent_ms);
-  bgap_edge_contact (edge);
+  if (!fed)
+    bgap_edge_contact (edge);
   bgap_edge_run_actions (edge);
 }
 
--- a/programs/banyangapd/edge_private.h
+++ b/programs/banyangapd/edge_private.h
@@ -164,6 +164,7 @@
  * struct bgap_edge - the instance
  * @member: name for other instances, see struct bgap_edge_member
  * @is_reader: it reads the store for others
+ * @was_listed: others have known this instance
  * @histories: by topic, what relayed records differ from
  * @changed: ids of servers whose registration changed in the read that is
  *   being reported
@@ -200,11 +201,13 @@
   struct event *signals[3];
   bool running_actions;
   bool store_trouble;
+  bool store_outage;
   int64_t store_trouble_ms;
   int64_t granter_missing_ms;
   int64_t reported_ms;
   int64_t beat_ms;
   bool is_reader;
+  bool was_listed;
   struct bgap_feed_history *histories[BGAP_EDGE_RELAY_TOPICS];
   uint32_t changed_count;
   char changed[BGAP_EDGE_CHANGED_MAX][BGAP_REGISTRY_NAME_SIZE];
--- a/programs/banyangapd/edge_relay.c
+++ b/programs/banyangapd/edge_relay.c
@@ -92,6 +92,13 @@
       if (bgap_relay_tree_feeds (&tree, own, i, member, role))
         visit (edge, member, bytes);
     }
+  /* One that the store turns away lives on what the others tell it.  */
+  for (uint32_t i = 0; i < bgap_membership_departed (edge->membership); i++)
+    {
+      const char *member = bgap_membership_departed_at (edge->membership, i);
+      if (bgap_relay_tree_feeds (&tree, own, UINT32_MAX, member, role))
+        visit (edge, member, bytes);
+    }
 }
 
 static void
@@ -142,7 +149,8 @@
   uint32_t index = bgap_membership_index (edge->membership, edge->member);
   uint32_t readers = bgap_relay_tree_readers (listed);
   bool is_listed = bgap_membership_has (edge->membership, edge->member);
-  bool is_reader = !is_listed || index < readers;
+  edge->was_listed = edge->was_listed || is_listed;
+  bool is_reader = is_listed ? index < readers : !edge->was_listed;
   if (is_reader != edge->is_reader)
     bgap_event (&event_relay, "is_reader=%d index=%u readers=%u instances=%u",
                 is_reader, index, readers, listed);
--- a/programs/banyangapd/edge_servers.c
+++ b/programs/banyangapd/edge_servers.c
@@ -401,13 +401,14 @@
 }
 
 static void
-_bgap_servers_on_contact (void *context, int64_t sent_ms)
+_bgap_servers_on_contact (void *context, int64_t sent_ms, bool fed)
 {
   struct bgap_edge *edge = context;
   edge->servers_ms = sent_ms;
   bgap_server_view_contact (edge->view, bgap_now_ms ());
   bgap_server_view_tick (edge->view, bgap_now_ms ());
-  bgap_edge_contact (edge);
+  if (!fed)
+    bgap_edge_contact (edge);
   bgap_edge_run_actions (edge);
 }
 
