Load the newest records instead of the history when far behind

On links of 10 Mbit/s an answer took longer than a call may, the store sent 14 MB/s and refused other reads with 503 for 10 s, and nobody caught up before the history had grown as much. Instances used servers and configurations of before the cut (DRAIN, CONFIG).

Change: a page of the system's own records has 128 KB at most, and a follower that is further behind than a page loads the newest record of each key.

Test: a follower that is far behind; it failed first.

--- a/packages/store/include/banyangap/store/follower.h
+++ b/packages/store/include/banyangap/store/follower.h
@@ -50,6 +50,9 @@
  * struct bgap_follower_desc - options
  * @base, @store, @topic: required; the strings and @store stay valid
  * @wait_ms: how long a read waits for a record
+ * @page_kb: size of a page at most, in KiB; 0 for the store's own limit. A
+ *   follower that is further behind than a page loads the newest records
+ *   instead of the history
  * @fed_timeout_ms: without a feed for so long the follower reads by itself
  * @pause_ms: time from the start of a read to the next one at least; bounds
  *   the number of calls on a busy topic
@@ -62,6 +65,7 @@
   uint32_t wait_ms;
   uint32_t pause_ms;
   uint32_t fed_timeout_ms;
+  uint32_t page_kb;
   struct bgap_follower_ops ops;
 };
 
--- a/packages/store/include/banyangap/store/store.h
+++ b/packages/store/include/banyangap/store/store.h
@@ -119,12 +119,14 @@
 /**
  * struct bgap_store_read - read records from an offset on
  * @wait_ms: wait for a record for so long, 0 not to wait
+ * @max_kb: size of the answer at most, in KiB; 0 for the store's own limit
  */
 struct bgap_store_read
 {
   const char *topic;
   uint64_t from;
   uint32_t wait_ms;
+  uint32_t max_kb;
   void (*done) (void *user, const struct bgap_store_page *page);
   void *user;
 };
--- a/packages/store/src/follower.c
+++ b/packages/store/src/follower.c
@@ -208,8 +208,6 @@
     return f->fed_ms + f->desc.fed_timeout_ms - now_ms;
   if (page->end == 0)
     return f->fed ? f->desc.fed_timeout_ms : EMPTY_PAUSE_MS;
-  if (page->count > 0 && f->next < page->end)
-    return 0;
   uint32_t pause_ms = f->desc.pause_ms;
   if (f->fed && f->unfed_pause_ms > pause_ms)
     pause_ms = f->unfed_pause_ms;
@@ -253,6 +251,13 @@
   /* A report can ask for all records again, or start the next read.  */
   if (f->state == LOADING || f->busy)
     return;
+  /* After a long cut the history of a busy topic is much longer than its
+     newest records, and could not be read before it has grown as much.  */
+  if (page->count > 0 && f->next < page->end)
+    {
+      bgap_follower_reload (f);
+      return;
+    }
   _bgap_follower_arm (f, _bgap_follower_pause_ms (f, page));
 }
 
@@ -309,6 +314,7 @@
           f->desc.store->context,
           &(struct bgap_store_read){ .topic = f->desc.topic,
                                      .from = f->next,
+                                     .max_kb = f->desc.page_kb,
                                      .done = _bgap_follower_on_checked,
                                      .user = call })
       == BGAP_OK)
@@ -352,6 +358,7 @@
                                    .from = f->next,
                                    .wait_ms
                                    = f->next > 0 ? f->desc.wait_ms : 0,
+                                   .max_kb = f->desc.page_kb,
                                    .done = _bgap_follower_on_read,
                                    .user = call });
   f->busy = status == BGAP_OK;
--- a/packages/store/tests/test_follower.c
+++ b/packages/store/tests/test_follower.c
@@ -383,6 +383,30 @@
   assert_int_equal (fake.reads, 2);
 }
 
+/* A cut of some seconds in a topic of large records. Guards against reading
+   the whole history: on a small link it takes longer than a call may, and all
+   that were cut off together ask for more than the store can send.  */
+static void
+test_one_far_behind_loads_the_newest (void **state)
+{
+  (void)state;
+  struct fake fake = {
+    .answers
+    = { { .records = { { .offset = 0, .key = "a" } }, .count = 1, .end = 1 },
+        { .records = { { .offset = 1, .key = "a" } }, .count = 1, .end = 90 },
+        { .records = { { .offset = 89, .key = "a" } }, .count = 1, .end = 90 },
+        { .never = true } },
+    .answer_count = 4,
+  };
+  struct bgap_follower *follower = start (&fake, 0);
+  const struct timeval end = { .tv_usec = 50000 };
+  event_base_loopexit (fake.base, &end);
+  finish (&fake, follower);
+  assert_int_equal (fake.loads, 2);
+  assert_int_equal (fake.read_from[1], 90);
+  assert_int_equal (fake.seen_count, 3);
+}
+
 static void
 on_return (evutil_socket_t fd, short events, void *follower)
 {
@@ -483,6 +507,7 @@
     cmocka_unit_test (test_the_age_of_a_feed_counts),
     cmocka_unit_test (test_a_gap_in_the_feed_is_read),
     cmocka_unit_test (test_reads_without_a_feed_are_paced),
+    cmocka_unit_test (test_one_far_behind_loads_the_newest),
     cmocka_unit_test (test_reads_at_once_when_the_store_is_back),
     cmocka_unit_test (test_own_records_do_not_put_reads_off),
   };
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -16,6 +16,10 @@
 #define OWN_WAIT_MS 8000
 #define GRANTER_PAUSE_MS 1500
 
+/* A page of them: an assignment of some hundred ranges has 10 to 25 KB, and a
+   link may have no more than 10 Mbit/s.  */
+#define OWN_PAGE_KB 128
+
 /* The granter counts as lost if it is missing from the list of instances for
    so long; right after an outage of the store the list may be short.  */
 #define GRANTER_MISSING_MS 100
@@ -300,6 +304,7 @@
                                     .topic = edge->desc.topics.own,
                                     .wait_ms = OWN_WAIT_MS,
                                     .fed_timeout_ms = BGAP_EDGE_FED_TIMEOUT_MS,
+                                    .page_kb = OWN_PAGE_KB,
                                     .ops = { .record = _bgap_keys_on_record,
                                              .loaded = _bgap_keys_on_loaded,
                                              .contact = _bgap_keys_on_contact,
