--- a/programs/banyangapd/edge_relay.c
+++ b/programs/banyangapd/edge_relay.c
@@ -72,7 +72,8 @@
 
 /* Sending.  */
 
-/* Calls @visit for each instance that this one feeds in a role.  */
+/* Calls @visit for each instance that this one feeds in a role, with the
+   message for it, if there is one.  */
 static void
 _bgap_relay_each_fed (struct bgap_edge *edge, enum bgap_relay_role role,
                       void (*visit) (struct bgap_edge *edge,
@@ -149,6 +150,8 @@
   uint32_t index = bgap_membership_index (edge->membership, edge->member);
   uint32_t readers = bgap_relay_tree_readers (listed);
   bool is_listed = bgap_membership_has (edge->membership, edge->member);
+  /* One that nobody knows yet reads by itself; one that was known is fed on.
+   */
   edge->was_listed = edge->was_listed || is_listed;
   bool is_reader = is_listed ? index < readers : !edge->was_listed;
   if (is_reader != edge->is_reader)
