--- a/packages/routing/tests/test_hot_key.c
+++ b/packages/routing/tests/test_hot_key.c
@@ -15,9 +15,9 @@
 #define INSTANCES_MAX 87
 #define SLOTS 4u
 #define ACCEPTED_MAX 20u
-#define SERVICE_MS 680
-#define WAY_MS 3
-#define RUN_MS 40000
+#define SERVICE_MS INT64_C (680)
+#define WAY_MS INT64_C (3)
+#define RUN_MS INT64_C (40000)
 
 /* What a dispatch waits for.  */
 enum call_state
@@ -181,7 +181,7 @@
 {
   static struct hot_key k;
   const uint32_t counts[] = { 8, 12, 40, INSTANCES_MAX };
-  const uint32_t capacity = RUN_MS / SERVICE_MS * SLOTS;
+  const uint32_t capacity = (uint32_t)(RUN_MS / SERVICE_MS) * SLOTS;
   for (size_t i = 0; i < sizeof counts / sizeof *counts; i++)
     for (uint64_t seed = 1; seed <= 3; seed++)
       {
--- a/packages/store/tests/test_feed_codec.c
+++ b/packages/store/tests/test_feed_codec.c
@@ -216,6 +216,7 @@
   change (&pair);
   encode (&pair, 6, &second);
   assert_int_equal (bgap_feed_topic (second.data, 3), -1);
+  assert_true (second.size > 0);
   for (size_t size = 0; size < second.size; size++)
     {
       enum bgap_status status
@@ -226,7 +227,7 @@
     }
   for (int i = 0; i < 3000; i++)
     {
-      char *copy = malloc (second.size);
+      char *copy = malloc (second.size + 1);
       assert_non_null (copy);
       memcpy (copy, second.data, second.size);
       copy[bgap_random_below (&pair.random, second.size)]
