Answer requests that are at a server when their instance ends

Change: 0.5 s before the process would be killed, attempts are given up and their callers get a 502, which says that the request may have run.

Test: the stop of an instance with a waiting request and two at a server; the second half failed first, as there was no way to give attempts up.

--- a/packages/routing/include/banyangap/routing/router.h
+++ b/packages/routing/include/banyangap/routing/router.h
@@ -375,6 +375,12 @@
  */
 void bgap_router_refuse_waiting (struct bgap_router *router, int64_t now_ms);
 
+/**
+ * bgap_router_give_up_attempts() - answer the requests that are at a server as
+ * possibly run, since the process ends now and their callers would get nothing
+ */
+void bgap_router_give_up_attempts (struct bgap_router *router, int64_t now_ms);
+
 /**
  * bgap_router_idle() - no request and no outcome to be appended is left
  */
--- a/packages/routing/src/router.c
+++ b/packages/routing/src/router.c
@@ -198,6 +198,24 @@
     }
 }
 
+void
+bgap_router_give_up_attempts (struct bgap_router *router, int64_t now_ms)
+{
+  struct bgap_router_state *state = router->state;
+  uint32_t id = bgap_pool_next (&state->requests, BGAP_INVALID_ID);
+  while (id != BGAP_INVALID_ID)
+    {
+      struct bgap_router_request *request
+          = bgap_pool_get (&state->requests, id);
+      id = bgap_pool_next (&state->requests, id);
+      if (request->state != BGAP_REQUEST_IN_FLIGHT || request->once_won)
+        continue;
+      bgap_router_cancel_attempt (state, now_ms, request);
+      request->maybe_ran = true;
+      bgap_router_finish (state, now_ms, request, BGAP_REASON_SHUTDOWN);
+    }
+}
+
 bool
 bgap_router_idle (const struct bgap_router *router)
 {
--- a/packages/routing/tests/test_shared.c
+++ b/packages/routing/tests/test_shared.c
@@ -125,8 +125,8 @@
   assert_false (bgap_retry_budget_take (&budget));
 }
 
-/* Stop of an instance. Guards against a request that waits until the process
-   ends and gets no answer at all.  */
+/* Stop of an instance. Guards against a request that waits, or is at a server,
+   until the process ends and gets no answer at all.  */
 static void
 test_waiting_requests_are_refused_at_the_end (void **state)
 {
@@ -136,8 +136,8 @@
   desc.queue_per_server = 0;
   fixture_setup (&f, &desc);
   add_server (&f, "a", "z1");
-  fixture_request (&f, NULL);
-  fixture_request (&f, NULL);
+  struct bgap_request_id first = fixture_request (&f, NULL);
+  struct bgap_request_id second = fixture_request (&f, NULL);
   fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   struct bgap_request_id waiting = fixture_request (&f, NULL);
@@ -146,6 +146,12 @@
   bgap_router_refuse_waiting (&f.router, f.now_ms);
   fixture_expect_finish (&f, waiting, BGAP_OUTCOME_NOT_RUN, 503);
   fixture_expect_none (&f);
+  bgap_router_give_up_attempts (&f.router, f.now_ms);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_CANCEL_ATTEMPT);
+  fixture_expect_finish (&f, first, BGAP_OUTCOME_UNKNOWN, 502);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_CANCEL_ATTEMPT);
+  fixture_expect_finish (&f, second, BGAP_OUTCOME_UNKNOWN, 502);
+  fixture_expect_none (&f);
   fixture_shutdown (&f);
 }
 
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -44,6 +44,10 @@
    requests need more time at a server, and other instances can serve them.  */
 #define STOP_REFUSE_MS 1500
 
+/* So long before it is killed, it gives up what is still at a server: an
+   answer that says so is more than a connection that ends.  */
+#define STOP_GIVE_UP_MS 500
+
 static struct bgap_event_kind event_start = { .name = "start" };
 static struct bgap_event_kind event_stop = { .name = "stop" };
 static struct bgap_event_kind event_reload = { .name = "reload" };
@@ -244,6 +248,11 @@
       bgap_router_leave (&edge->router);
       bgap_router_refuse_waiting (&edge->router, now_ms);
     }
+  if (since_ms >= edge->settings.grace_ms - STOP_GIVE_UP_MS)
+    {
+      bgap_router_give_up_attempts (&edge->router, now_ms);
+      bgap_router_refuse_waiting (&edge->router, now_ms);
+    }
   /* Responses that have been written may still be on their way.  */
   if (!edge->frontend_stopped
       && since_ms < edge->settings.grace_ms - STOP_MARGIN_MS)
