Read and log the rate limits that servers state

A value that is no single decimal number is logged and ignored. No request is sent or held back differently.

--- a/packages/registry/include/banyangap/registry/wire.h
+++ b/packages/registry/include/banyangap/registry/wire.h
@@ -38,6 +38,16 @@
   uint32_t key;
 };
 
+/**
+ * enum bgap_wire_limit - whether a response states a rate limit
+ */
+enum bgap_wire_limit
+{
+  BGAP_WIRE_LIMIT_NONE,
+  BGAP_WIRE_LIMIT_STATED,
+  BGAP_WIRE_LIMIT_MALFORMED /* not one decimal number */
+};
+
 /**
  * struct bgap_wire_response - fields from the head of a server's response
  * @id_matches: it has the id of the request that was sent
@@ -49,6 +59,9 @@
  * @has_load: whether @running, @waiting and @slots are set
  * @running, @waiting, @slots: requests that run and wait in the server, and
  *   how many it runs at a time
+ * @limit: whether @limit_per_s is set
+ * @limit_per_s: requests per second that the server accepts from all
+ *   instances together
  * @server: id of the server, empty if unknown
  */
 struct bgap_wire_response
@@ -62,6 +75,8 @@
   uint32_t running;
   uint32_t waiting;
   uint32_t slots;
+  enum bgap_wire_limit limit;
+  double limit_per_s;
   char server[BGAP_REGISTRY_NAME_SIZE];
 };
 
--- a/packages/routing/include/banyangap/routing/router.h
+++ b/packages/routing/include/banyangap/routing/router.h
@@ -301,6 +301,16 @@
                               struct bgap_server_id server_id,
                               const struct bgap_server_load *load);
 
+/**
+ * bgap_router_server_rate_limit() - record the rate limit that a server stated
+ * in an answer
+ * @per_s: requests per second that it accepts from all instances together; 0
+ *   if it stated none
+ */
+void bgap_router_server_rate_limit (struct bgap_router *router, int64_t now_ms,
+                                    struct bgap_server_id server_id,
+                                    double per_s);
+
 /**
  * bgap_router_server_drain() - set or clear one of the drain signals of a
  * server
@@ -437,6 +447,7 @@
  * Return: BGAP_OK or BGAP_ERR_NOT_FOUND.
  */
 enum bgap_status bgap_router_server_status (const struct bgap_router *router,
+                                            int64_t now_ms,
                                             struct bgap_server_id server_id,
                                             struct bgap_server_status *status);
 
--- a/packages/routing/include/banyangap/routing/server.h
+++ b/packages/routing/include/banyangap/routing/server.h
@@ -18,6 +18,7 @@
 #include "banyangap/routing/attempt.h"
 #include "banyangap/routing/response_time.h"
 #include "banyangap/routing/service.h"
+#include "banyangap/routing/window_count.h"
 
 /* Duration of the slow start: a new server process reaches its full limit
    after this time.  */
@@ -74,6 +75,9 @@
  * @window: limit for @in_flight in sixteenths of an attempt; lowered when the
  *   server sheds
  * @drain_signals: bit set of enum bgap_drain_signal
+ * @rate_limit_per_s: requests per second that it accepts from all instances
+ *   together, as it has stated last; 0 for no limit
+ * @dispatched: recent attempts of this instance
  * @removed: no longer configured; freed after its last attempt
  */
 struct bgap_server
@@ -110,6 +114,8 @@
   bool shared;
   uint32_t queue_allowance;
   int64_t drain_grace_ms;
+  double rate_limit_per_s;
+  struct bgap_window_count dispatched;
   bool local;
   bool lost;
   bool removed;
@@ -202,7 +208,7 @@
 /**
  * bgap_server_on_dispatch() - count the start of an attempt
  */
-void bgap_server_on_dispatch (struct bgap_server *server);
+void bgap_server_on_dispatch (struct bgap_server *server, int64_t now_ms);
 
 /**
  * bgap_server_on_latency() - update the smoothed response time
--- a/packages/routing/include/banyangap/routing/service.h
+++ b/packages/routing/include/banyangap/routing/service.h
@@ -139,6 +139,8 @@
   uint32_t in_flight_all; /* with those that peers reported */
   uint32_t quota;         /* connections this instance may open */
   double latency_ms; /* of requests that did not wait for a slot; 0: unknown */
+  double rate_limit_per_s; /* of all instances together; 0: none */
+  uint32_t sent_recently;  /* by this instance within BGAP_WINDOW_MS */
   bool draining;
   bool ejected;
   bool lost;
--- a/packages/routing/src/router_server.c
+++ b/packages/routing/src/router_server.c
@@ -304,8 +304,19 @@
   _bgap_server_changed (state, now_ms, server);
 }
 
+void
+bgap_router_server_rate_limit (struct bgap_router *router, int64_t now_ms,
+                               struct bgap_server_id server_id, double per_s)
+{
+  struct bgap_router_server *server
+      = bgap_router_server (router->state, server_id.id);
+  (void)now_ms;
+  if (server != NULL)
+    server->server.rate_limit_per_s = per_s;
+}
+
 enum bgap_status
-bgap_router_server_status (const struct bgap_router *router,
+bgap_router_server_status (const struct bgap_router *router, int64_t now_ms,
                            struct bgap_server_id server_id,
                            struct bgap_server_status *status)
 {
@@ -322,6 +333,8 @@
     .in_flight_all = server->in_flight + server->in_flight_peers,
     .quota = server->quota,
     .latency_ms = server->latency_ms,
+    .rate_limit_per_s = server->rate_limit_per_s,
+    .sent_recently = bgap_window_count_get (&server->dispatched, now_ms),
     .draining = bgap_server_draining (server),
     .ejected = server->ejected_until_ms > 0,
     .lost = server->lost,
--- a/packages/routing/src/server.c
+++ b/packages/routing/src/server.c
@@ -268,9 +268,10 @@
 /* Attempts.  */
 
 void
-bgap_server_on_dispatch (struct bgap_server *server)
+bgap_server_on_dispatch (struct bgap_server *server, int64_t now_ms)
 {
   server->in_flight++;
+  bgap_window_count_add (&server->dispatched, now_ms);
 }
 
 void
@@ -348,6 +349,7 @@
   server->ejections = 0;
   server->ejected_until_ms = 0;
   server->has_load = false;
+  server->rate_limit_per_s = 0;
   server->slots_reported = 0;
   server->window = server->slots * WINDOW_ONE;
   bgap_server_set_drain (server, now_ms, BGAP_DRAIN_REPORT, false);
--- a/packages/routing/tests/test_hot_key.c
+++ b/packages/routing/tests/test_hot_key.c
@@ -92,7 +92,7 @@
                          now_ms + 2 * ONE_WAY_MS };
   k->queued += accepted;
   k->refused += !accepted;
-  bgap_server_on_dispatch (&instance->server);
+  bgap_server_on_dispatch (&instance->server, now_ms);
 }
 
 static void
--- a/packages/routing/tests/test_server.c
+++ b/packages/routing/tests/test_server.c
@@ -11,8 +11,8 @@
 status_of (struct fixture *f, struct bgap_server_id id)
 {
   struct bgap_server_status status = { 0 };
-  assert_int_equal (bgap_router_server_status (&f->router, id, &status),
-                    BGAP_OK);
+  assert_int_equal (
+      bgap_router_server_status (&f->router, f->now_ms, id, &status), BGAP_OK);
   return status;
 }
 
--- a/programs/banyangapd/edge_attempt.c
+++ b/programs/banyangapd/edge_attempt.c
@@ -71,6 +71,7 @@
   struct bgap_edge_server *server = exchange->server;
   server->refused_connections = 0;
   server->attempt_broken_ms = 0;
+  bgap_edge_on_limit (edge, server, response);
   if (response->has_load)
     bgap_router_server_load (
         &edge->router, bgap_now_ms (), server->router_id,
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -48,7 +48,7 @@
   };
   struct bgap_server_status status;
   if (bgap_router_server_status (
-          &edge->router,
+          &edge->router, bgap_now_ms (),
           bgap_router_find_server (&edge->router, service->id, entry->id),
           &status)
       == BGAP_OK)
--- a/programs/banyangapd/edge_private.h
+++ b/programs/banyangapd/edge_private.h
@@ -13,6 +13,7 @@
  *   edge_relay.c     forwards records that a relay has read from the store
  *   edge_request.c   passes callers' requests to the router
  *   edge_attempt.c   sends attempts to servers and handles their responses
+ *   edge_limits.c    rate limits that servers state
  *   edge_report.c    readiness, metrics and dumps
  */
 
@@ -245,6 +246,7 @@
   int64_t internal_synced_ms;
   int64_t servers_synced_ms;
   int64_t housekeeping_ms;
+  int64_t limits_logged_ms;
   int64_t stopping_ms;
   int64_t timer_at_ms;
   bool frontend_stopped;
@@ -506,6 +508,27 @@
                          const struct bgap_router_action *action);
 void bgap_edge_cancel_attempt (struct bgap_edge_exchange *exchange);
 
+/* edge_limits.c */
+
+/**
+ * bgap_edge_on_limit() - pass the rate limit that a server's response states,
+ * or its end, to the router
+ */
+void bgap_edge_on_limit (struct bgap_edge *edge,
+                         const struct bgap_edge_server *server,
+                         const struct bgap_wire_response *response);
+
+/**
+ * bgap_edge_log_limits() - log how much of each rate limit this instance uses,
+ * if a line is due
+ */
+void bgap_edge_log_limits (struct bgap_edge *edge, int64_t now_ms);
+
+/**
+ * bgap_edge_limited_servers() - number of servers with a rate limit
+ */
+uint32_t bgap_edge_limited_servers (const struct bgap_edge *edge);
+
 /* edge_report.c */
 enum bgap_status bgap_edge_open_reports (struct bgap_edge *edge,
                                          struct bgap_error *err);
--- a/programs/banyangapd/exchange.c
+++ b/programs/banyangapd/exchange.c
@@ -259,8 +259,8 @@
                          const struct bgap_router_action *action)
 {
   struct bgap_server_status status = { 0 };
-  if (bgap_router_server_status (&exchange->requests->router, action->server,
-                                 &status)
+  if (bgap_router_server_status (&exchange->requests->router, bgap_now_ms (),
+                                 action->server, &status)
       != BGAP_OK)
     return NULL;
   return bgap_upstreams_find (exchange->requests->desc.upstreams, status.name);
