--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -54,13 +54,14 @@
 
 class QuietHandler(http.server.BaseHTTPRequestHandler):
     protocol_version = "HTTP/1.1"
+    more_headers = ()
 
     def log_message(self, format, *args):
         pass
 
     def reply(self, status, body=b"", headers=()):
         self.send_response(status)
-        for name, value in headers:
+        for name, value in [*headers, *self.more_headers]:
             self.send_header(name, value)
         self.send_header("Content-Length", str(len(body)))
         self.end_headers()
@@ -254,6 +255,8 @@
         self.keyed = keyed
         self.lock = threading.Lock()
         self.work_s = 0.01
+        self.rate_limit = None  # requests per second that it states in its answers
+        self.arrivals = []  # times of requests, executed or not
         self.executed = []  # (time, request id, key, body)
         self.leases = []    # [first key, last key, granted at, expires at, fencing token]
         self.tokens = {}    # newest fencing token of each (first key, last key)
@@ -333,6 +336,10 @@
             handler.close_connection = True
             return
         body = handler.body()
+        if self.rate_limit is not None:
+            handler.more_headers = [("Server-Limit", "%g" % self.rate_limit)]
+        else:
+            handler.more_headers = ()
         expected = handler.headers.get("Expected-Instance")
         if expected is not None and expected != self.name:
             handler.reply(421, headers=[("Instance-Id", self.name)])
@@ -381,6 +388,7 @@
         key = handler.headers.get("Shard-Key")
         request_id = handler.headers["Attempt-Id"]
         with self.lock:
+            self.arrivals.append(time.time())
             if self.keyed and not self.holds_key(int(key)):
                 handler.reply(421, headers=[("Not-Executed", "1"),
                                             ("Instance-Id", self.name)])
--- /dev/null
+++ b/tests/process/test_rate_limit.py
@@ -0,0 +1,96 @@
+"""Servers that state a rate limit for all instances together."""
+
+import concurrent.futures
+import time
+import unittest
+
+from platform_standin import Platform, route, service
+
+WINDOW_S = 4
+CALLERS = 12
+INSTANCES = 4
+
+
+def most_in_a_window(arrivals, since):
+    """Largest number of arrivals within WINDOW_S, of those after since."""
+    times = sorted(at for at in arrivals if at >= since)
+    return max((sum(first <= at < first + WINDOW_S for at in times) for first in times),
+               default=0)
+
+
+class RateLimitTest(unittest.TestCase):
+
+    def call_all_instances(self, platform, path, duration_s, keys=(None,)):
+        """Sends requests to all instances as fast as they are answered. Returns the statuses."""
+        until = time.time() + duration_s
+
+        def call(number):
+            statuses = []
+            while time.time() < until:
+                key = keys[len(statuses) % len(keys)]
+                response = platform.request(number % INSTANCES, "GET", path, key=key)
+                statuses.append(response.status)
+            return statuses
+        with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
+            return [status for statuses in pool.map(call, range(CALLERS)) for status in statuses]
+
+    def check_limit(self, backend, since):
+        """The sum over all instances stays within one and a half times the limit and 5 requests,
+        and most of the limit is used, as there are more requests than it allows."""
+        allowed = 1.5 * backend.rate_limit * WINDOW_S + 5
+        self.assertLessEqual(most_in_a_window(backend.arrivals, since), allowed, backend.name)
+        served = sum(at >= since for at in backend.arrivals)
+        self.assertGreater(served, 0.7 * backend.rate_limit * (time.time() - since - 0.5),
+                           backend.name)
+
+    def test_instances_share_the_limit_of_a_server(self):
+        """Guards against a limit that is ignored, or kept by each instance by itself, so that all
+        of them together exceed it; and against one that outlives its end."""
+        with Platform() as platform:
+            platform.add_servers("reads", 2)
+            platform.configure([route("/r/", "reads")], [service("reads")])
+            platform.start_instances(INSTANCES)
+            platform.wait(lambda: platform.request(0, "GET", "/r/1").status == 200, 5, "served")
+            limited = list(platform.backends.values())
+            for backend, limit in zip(limited, (5, 8)):
+                backend.rate_limit = limit
+            for number in range(INSTANCES):
+                platform.request(number, "GET", "/r/1")
+            time.sleep(0.5)
+            since = time.time()
+            statuses = self.call_all_instances(platform, "/r/1", 7)
+            self.assertLessEqual(set(statuses), {200, 503})
+            for backend in limited:
+                self.check_limit(backend, since)
+            for backend in limited:
+                backend.rate_limit = None
+            platform.wait(lambda: all(platform.request(number, "GET", "/r/1").status == 200
+                                      for number in range(INSTANCES)), 3, "served")
+            since = time.time()
+            self.assertIn(200, self.call_all_instances(platform, "/r/1", 1))
+            self.assertGreater(sum(at >= since for backend in limited
+                                   for at in backend.arrivals), 100)
+
+    def test_limit_of_a_holder_of_keys(self):
+        """Guards against requests for keys that reach their holder beyond its limit, because they
+        can go nowhere else."""
+        with Platform() as platform:
+            platform.add_servers("archive", 2, keyed=True)
+            platform.configure([route("/a/", "archive")], [service("archive", keyed=True)])
+            platform.start_instances(INSTANCES)
+            keys = range(0, 65536, 4096)
+            platform.wait(lambda: all(platform.holders(key) for key in keys), 10,
+                          "a holder for every key")
+            limited = platform.backends[platform.holders(0)[0]]
+            limited.rate_limit = 4
+            for number in range(INSTANCES):
+                platform.request(number, "GET", "/a/1", key=0)
+            time.sleep(0.5)
+            since = time.time()
+            self.call_all_instances(platform, "/a/1", 7, keys)
+            allowed = 1.5 * limited.rate_limit * WINDOW_S + 5
+            self.assertLessEqual(most_in_a_window(limited.arrivals, since), allowed)
+
+
+if __name__ == "__main__":
+    unittest.main()
