Fix: keep the rate limit of a server over all instances together

Cause: the field was not read, and the router knew no budget that all instances share and that no server enforces. Slots are shared too, but a full server says so; a server with a rate limit runs what it gets. Each instance that kept to the limit by itself, or to its part of it, would have exceeded it with its fellows or left most of it unused. The class: a limit on the sum over the instances that is enforced at each by what it sees itself, or by a number of instances that it believes.

Now one instance, the first by rendezvous hashing over the names of all, hands out permits for the server at the rate of the limit, the most urgent requests first and the instances in turn. A request whose permit comes too late is refused at once.

process.test_rate_limit failed before: 436 requests in 4 s at a server with 5 a second (35 are allowed), 386 at a holder of keys with 4 a second (29). It passes now, as does routing.test_rate_limit: 8 to 300 routers on a simulated clock, limits of 2 to 40 a second, restarts, freezes, cuts and incomplete lists. Each of the nine rules, taken out, fails it (tests/mutations/limit).

--- a/packages/routing/include/banyangap/routing/action.h
+++ b/packages/routing/include/banyangap/routing/action.h
@@ -42,8 +42,12 @@
      bgap_router_on_append_done.  */
   BGAP_ROUTER_ACTION_APPEND,
   /* Send @bytes to all other instances of the zone as a message of kind
-     @peer_kind.  */
+     @peer_kind; one of kind BGAP_ROUTING_MESSAGE_RATE_LIMITS to all that share
+     the servers.  */
   BGAP_ROUTER_ACTION_SEND_PEER,
+  /* Send @bytes to @instance as a message of kind @peer_kind. It may get
+     lost.  */
+  BGAP_ROUTER_ACTION_SEND_INSTANCE,
   BGAP_ROUTER_ACTION_KIND_COUNT
 };
 
@@ -89,7 +93,7 @@
  * @request: DISPATCH, FINISH, RESOLVE
  * @context: context of the request, as passed to bgap_router_request
  * @attempt: DISPATCH, CANCEL_ATTEMPT
- * @service: all kinds except SEND_PEER
+ * @service: all kinds except SEND_PEER and SEND_INSTANCE
  * @server: DISPATCH, CANCEL_ATTEMPT
  * @token: DISPATCH, fencing token of a keyed request
  * @deadline_ms: DISPATCH, milliseconds left for the answer (more than 0);
@@ -108,9 +112,10 @@
  * @streamed: FINISH, a part of the answer may have reached the caller already:
  *   with ANSWERED it is complete, otherwise close the caller's connection
  * @append_id: APPEND, for bgap_router_on_append_done
- * @peer_kind: SEND_PEER, enum bgap_routing_message
- * @bytes: APPEND: the record; SEND_PEER: the message; FINISH with reason
- *   STORED: the body
+ * @instance: SEND_INSTANCE, name of the recipient
+ * @peer_kind: SEND_PEER, SEND_INSTANCE, enum bgap_routing_message
+ * @bytes: APPEND: the record; SEND_PEER, SEND_INSTANCE: the message; FINISH
+ * with reason STORED: the body
  * @size: size of @bytes in bytes
  * @content_type: FINISH with reason STORED, "" if not known
  */
@@ -133,6 +138,7 @@
   int64_t expected_ms;
   bool streamed;
   uint32_t append_id;
+  const char *instance;
   int peer_kind;
   const void *bytes;
   size_t size;
--- a/packages/routing/include/banyangap/routing/balancer.h
+++ b/packages/routing/include/banyangap/routing/balancer.h
@@ -26,6 +26,8 @@
  * @exclude_count: number of @exclude
  * @suspect: the request may crash servers; avoid servers that already run a
  *   suspect request
+ * @without_permits: servers with a rate limit count as having capacity if this
+ *   instance could ask for a permit now
  */
 struct bgap_balancer_query
 {
@@ -34,6 +36,7 @@
   struct bgap_server *const *exclude;
   size_t exclude_count;
   bool suspect;
+  bool without_permits;
 };
 
 /**
--- a/packages/routing/include/banyangap/routing/message.h
+++ b/packages/routing/include/banyangap/routing/message.h
@@ -26,7 +26,10 @@
 enum bgap_routing_message
 {
   BGAP_ROUTING_MESSAGE_SUSPICIONS = 1,
-  BGAP_ROUTING_MESSAGE_LOADS
+  BGAP_ROUTING_MESSAGE_LOADS,
+  BGAP_ROUTING_MESSAGE_PERMITS_WANTED, /* to the issuer of a server */
+  BGAP_ROUTING_MESSAGE_PERMITS,        /* from the issuer */
+  BGAP_ROUTING_MESSAGE_RATE_LIMITS     /* from the issuer, to all instances */
 };
 
 /**
@@ -62,6 +65,26 @@
   uint32_t in_flight;
 };
 
+/**
+ * struct bgap_routing_permits - permits for requests to a server
+ * @server: XXH3 hash of "<service>/<server>"
+ * @count: permits that are wanted or granted
+ * @rank: of the most urgent request that waits, if they are wanted
+ * @wait_ms: time until the issuer will have granted the rest
+ * @limit_thousandths: rate limit of the server in thousandths of a request per
+ *   second, 0 for none
+ * @limit_age_ms: time since the server stated this
+ */
+struct bgap_routing_permits
+{
+  uint64_t server;
+  uint32_t count;
+  uint32_t rank;
+  uint32_t wait_ms;
+  uint64_t limit_thousandths;
+  uint32_t limit_age_ms;
+};
+
 /**
  * bgap_routing_encode_suspicions() - append an encoded message to @out
  *
@@ -107,4 +130,23 @@
                                             size_t *count,
                                             struct bgap_error *err);
 
+/**
+ * bgap_routing_encode_permits() - append an encoded message to @out
+ *
+ * Return: BGAP_OK or BGAP_ERR_NO_MEMORY.
+ */
+enum bgap_status
+bgap_routing_encode_permits (struct bgap_buffer *out,
+                             const struct bgap_routing_permits *permits);
+
+/**
+ * bgap_routing_decode_permits() - decode a message
+ *
+ * Return: BGAP_OK or BGAP_ERR_PROTOCOL.
+ */
+enum bgap_status
+bgap_routing_decode_permits (const void *bytes, size_t size,
+                             struct bgap_routing_permits *permits,
+                             struct bgap_error *err);
+
 #endif
--- a/packages/routing/include/banyangap/routing/router.h
+++ b/packages/routing/include/banyangap/routing/router.h
@@ -119,6 +119,20 @@
   void *context;
 };
 
+/**
+ * struct bgap_router_instance - an instance that sends requests to the same
+ * servers
+ * @name: its option instance
+ * @departed: it has left the list of instances, but may still run
+ * @departed_for_ms: for how long
+ */
+struct bgap_router_instance
+{
+  const char *name;
+  bool departed;
+  int64_t departed_for_ms;
+};
+
 /**
  * struct bgap_router_counts - totals since setup, and gauges
  */
@@ -302,10 +316,24 @@
                               const struct bgap_server_load *load);
 
 /**
- * bgap_router_server_rate_limit() - record the rate limit that a server stated
+ * bgap_router_set_instances() - set the instances among which the rate limits
+ * of servers are shared, this one included
+ *
+ * For each server with a limit one of them hands out permits. Without a list
+ * this instance does so itself, for itself.
+ *
+ * Return: BGAP_OK or BGAP_ERR_NO_MEMORY, then the previous list stays.
+ */
+enum bgap_status
+bgap_router_set_instances (struct bgap_router *router, int64_t now_ms,
+                           const struct bgap_router_instance *instances,
+                           uint32_t count);
+
+/**
+ * bgap_router_server_rate_limit() - apply the rate limit that a server stated
  * in an answer
  * @per_s: requests per second that it accepts from all instances together; 0
- *   if it stated none
+ *   if it stated none. See bgap_rate_limit_clamp() for stated values.
  */
 void bgap_router_server_rate_limit (struct bgap_router *router, int64_t now_ms,
                                     struct bgap_server_id server_id,
--- a/packages/routing/include/banyangap/routing/server.h
+++ b/packages/routing/include/banyangap/routing/server.h
@@ -16,6 +16,7 @@
 #include <stdint.h>
 
 #include "banyangap/routing/attempt.h"
+#include "banyangap/routing/rate_limit.h"
 #include "banyangap/routing/response_time.h"
 #include "banyangap/routing/service.h"
 #include "banyangap/routing/window_count.h"
@@ -75,8 +76,7 @@
  * @window: limit for @in_flight in sixteenths of an attempt; lowered when the
  *   server sheds
  * @drain_signals: bit set of enum bgap_drain_signal
- * @rate_limit_per_s: requests per second that it accepts from all instances
- *   together, as it has stated last; 0 for no limit
+ * @rate_limit: limit that all instances share, with the permits of this one
  * @dispatched: recent attempts of this instance
  * @removed: no longer configured; freed after its last attempt
  */
@@ -114,7 +114,7 @@
   bool shared;
   uint32_t queue_allowance;
   int64_t drain_grace_ms;
-  double rate_limit_per_s;
+  struct bgap_rate_limit rate_limit;
   struct bgap_window_count dispatched;
   bool local;
   bool lost;
@@ -256,7 +256,14 @@
                                       int64_t now_ms, int64_t backoff_ms);
 
 /**
- * bgap_server_full() - whether it can take no further attempt now
+ * bgap_server_busy() - whether its slots and connections allow no further
+ * attempt now
+ */
+bool bgap_server_busy (const struct bgap_server *server, int64_t now_ms);
+
+/**
+ * bgap_server_full() - whether it can take no further attempt now, because it
+ * is busy or its rate limit needs a permit that this instance does not have
  */
 bool bgap_server_full (const struct bgap_server *server, int64_t now_ms);
 
--- a/packages/routing/include/banyangap/routing/service.h
+++ b/packages/routing/include/banyangap/routing/service.h
@@ -141,6 +141,9 @@
   double latency_ms; /* of requests that did not wait for a slot; 0: unknown */
   double rate_limit_per_s; /* of all instances together; 0: none */
   uint32_t sent_recently;  /* by this instance within BGAP_WINDOW_MS */
+  uint32_t permits;        /* for requests to it, at hand */
+  uint32_t permits_asked;  /* asked for and not granted yet */
+  int64_t permit_wait_ms;  /* until one is expected, 0 if not known */
   bool draining;
   bool ejected;
   bool lost;
--- a/packages/routing/src/action_queue.c
+++ b/packages/routing/src/action_queue.c
@@ -31,8 +31,10 @@
 {
   const void *bytes = action->bytes;
   const char *content_type = action->content_type;
+  const char *instance = action->instance;
   action->bytes = NULL;
   action->content_type = NULL;
+  action->instance = NULL;
   if (bytes != NULL && action->size > 0)
     {
       void *copy = malloc (action->size);
@@ -43,7 +45,14 @@
     }
   if (content_type != NULL)
     action->content_type = strdup (content_type);
-  return BGAP_OK;
+  if (instance == NULL)
+    return BGAP_OK;
+  action->instance = strdup (instance);
+  if (action->instance != NULL)
+    return BGAP_OK;
+  free ((void *)action->bytes);
+  free ((char *)action->content_type);
+  return BGAP_ERR_NO_MEMORY;
 }
 
 enum bgap_status
@@ -66,8 +75,10 @@
 {
   free (queue->bytes);
   free (queue->content_type);
+  free (queue->instance);
   queue->bytes = NULL;
   queue->content_type = NULL;
+  queue->instance = NULL;
 }
 
 bool
@@ -82,6 +93,7 @@
   queue->count--;
   queue->bytes = (void *)action->bytes;
   queue->content_type = (char *)action->content_type;
+  queue->instance = (char *)action->instance;
   return true;
 }
 
--- a/packages/routing/src/action_queue.h
+++ b/packages/routing/src/action_queue.h
@@ -20,6 +20,7 @@
  * struct bgap_action_queue - the queue; zeroed means empty
  * @bytes: of the action taken last, owned
  * @content_type: of the action taken last, owned
+ * @instance: of the action taken last, owned
  */
 struct bgap_action_queue
 {
@@ -29,6 +30,7 @@
   uint32_t capacity;
   void *bytes;
   char *content_type;
+  char *instance;
 };
 
 /**
--- a/packages/routing/src/balancer.c
+++ b/packages/routing/src/balancer.c
@@ -22,11 +22,16 @@
 
 static bool
 _bgap_balancer_has_capacity (const struct bgap_balancer *balancer,
-                             int64_t now_ms, const struct bgap_server *server)
+                             int64_t now_ms,
+                             const struct bgap_balancer_query *query,
+                             const struct bgap_server *server)
 {
-  if (balancer->ops->limited)
-    return !bgap_server_full (server, now_ms);
-  return server->in_flight < server->quota;
+  if (!balancer->ops->limited)
+    return server->in_flight < server->quota;
+  if (query->without_permits)
+    return !bgap_server_busy (server, now_ms)
+           && bgap_rate_limit_asked (&server->rate_limit, now_ms) == 0;
+  return !bgap_server_full (server, now_ms);
 }
 
 static bool
@@ -58,7 +63,7 @@
       if (zone != ZONE_ANY && server->local != (zone == ZONE_LOCAL))
         continue;
       if (!bgap_balancer_usable (balancer, now_ms, server)
-          || !_bgap_balancer_has_capacity (balancer, now_ms, server))
+          || !_bgap_balancer_has_capacity (balancer, now_ms, query, server))
         continue;
       if (avoid && _bgap_balancer_avoided (query, server))
         continue;
--- a/packages/routing/src/message.c
+++ b/packages/routing/src/message.c
@@ -187,3 +187,51 @@
     }
   return _bgap_message_end (&reader, complete, err);
 }
+
+/* Permits.  */
+
+#define PERMITS_FIELDS 6u
+
+enum bgap_status
+bgap_routing_encode_permits (struct bgap_buffer *out,
+                             const struct bgap_routing_permits *permits)
+{
+  const uint64_t values[2 + PERMITS_FIELDS] = { MESSAGE_VERSION,
+                                                1,
+                                                permits->server,
+                                                permits->count,
+                                                permits->rank,
+                                                permits->wait_ms,
+                                                permits->limit_thousandths,
+                                                permits->limit_age_ms };
+  return _bgap_message_encode (out, values, 2 + PERMITS_FIELDS);
+}
+
+enum bgap_status
+bgap_routing_decode_permits (const void *bytes, size_t size,
+                             struct bgap_routing_permits *permits,
+                             struct bgap_error *err)
+{
+  struct message_reader reader = _bgap_message_reader (bytes, size);
+  uint64_t values[PERMITS_FIELDS] = { 0 };
+  size_t count = 0;
+  enum bgap_status status
+      = _bgap_message_read_header (&reader, 1, &count, err);
+  bool complete = status == BGAP_OK && count == 1;
+  for (size_t i = 0; complete && i < PERMITS_FIELDS; i++)
+    {
+      bool is_wide = i == 0 || i == 4;
+      complete = _bgap_message_read (
+          &reader, is_wide ? UINT64_MAX : UINT32_MAX, &values[i]);
+    }
+  status = _bgap_message_end (&reader, complete, err);
+  *permits = (struct bgap_routing_permits){
+    .server = values[0],
+    .count = (uint32_t)values[1],
+    .rank = (uint32_t)values[2],
+    .wait_ms = (uint32_t)values[3],
+    .limit_thousandths = values[4],
+    .limit_age_ms = (uint32_t)values[5],
+  };
+  return status;
+}
--- a/packages/routing/src/router.c
+++ b/packages/routing/src/router.c
@@ -98,6 +98,9 @@
   state->desc.zone = state->zone;
   state->random.state = state->desc.seed;
   enum bgap_status status = _bgap_router_setup_pools (state);
+  state->issuer = bgap_permit_issuer_new ();
+  if (status == BGAP_OK && state->issuer == NULL)
+    status = BGAP_ERR_NO_MEMORY;
   const struct bgap_quarantine_desc quarantine
       = { .capacity = desc->quarantine_max };
   if (status == BGAP_OK)
@@ -150,6 +153,8 @@
   free (state->timer_positions);
   free (state->queue_positions);
   free (state->peers);
+  free (state->instances);
+  bgap_permit_issuer_free (state->issuer);
   free (state);
   router->state = NULL;
 }
--- a/packages/routing/src/router_dispatch.c
+++ b/packages/routing/src/router_dispatch.c
@@ -6,7 +6,8 @@
 {
   if (service->desc.policy->limited)
     return bgap_server_full (server, now_ms);
-  return server->in_flight >= server->quota;
+  return server->in_flight >= server->quota
+         || bgap_rate_limit_blocks (&server->rate_limit, now_ms);
 }
 
 /* Sends a request in state NEW.  */
@@ -144,6 +145,8 @@
       bgap_router_finish (state, now_ms, request, BGAP_REASON_NO_SERVER);
       return;
     }
+  bgap_router_want_any_permits (state, now_ms, service,
+                                bgap_router_rank (service, now_ms, request));
   if (service->queue.count == 0)
     {
       struct bgap_router_server *server
@@ -185,6 +188,8 @@
       _bgap_router_dispatch (state, now_ms, request, server);
     }
   service->dispatching = false;
+  bgap_router_want_any_permits (state, now_ms, service,
+                                top != NULL ? top->major : 0);
 }
 
 void
@@ -220,4 +225,8 @@
       _bgap_router_dispatch (state, now_ms, request, server);
     }
   service->dispatching = false;
+  if (service->desc.keyed)
+    bgap_router_want_permits (state, now_ms, &server->server,
+                              server->queue.count,
+                              top != NULL ? top->major : 0);
 }
--- a/packages/routing/src/router_estimate.c
+++ b/packages/routing/src/router_estimate.c
@@ -1,3 +1,5 @@
+#include <math.h>
+
 #include "router_state.h"
 
 /* Shares of the recent answers that a request has to be faster than to be
@@ -54,7 +56,8 @@
   uint32_t waiting = before > server->slots ? before - server->slots : 0;
   double load_ms = own_ms * waiting / server->slots;
   double seen_ms = bgap_response_mean_get (&server->wait_mean, now_ms, 0);
-  return seen_ms > load_ms ? seen_ms : load_ms;
+  double permit_ms = bgap_rate_limit_wait_ms (&server->rate_limit, now_ms, 1);
+  return fmax (fmax (seen_ms, load_ms), permit_ms);
 }
 
 double
@@ -62,8 +65,10 @@
                          const struct bgap_server *server, int64_t now_ms)
 {
   double median_ms = bgap_router_median_ms (service, now_ms);
-  if (server == NULL || median_ms <= 0)
+  if (server == NULL)
     return median_ms;
+  if (median_ms <= 0)
+    return bgap_rate_limit_wait_ms (&server->rate_limit, now_ms, 1);
   double own_ms
       = bgap_response_mean_get (&server->free_mean, now_ms, median_ms);
   double wait_ms = _bgap_estimate_server_wait_ms (server, now_ms, own_ms);
@@ -102,9 +107,9 @@
    Other instances use the slots too, so that the measured rate is better than
    any calculation from their number.  */
 static double
-_bgap_estimate_wait_ms (struct bgap_router_service *service,
-                        const struct bgap_router_server *holder,
-                        int64_t now_ms, double median_ms, uint32_t ahead)
+_bgap_estimate_slot_wait_ms (struct bgap_router_service *service,
+                             const struct bgap_router_server *holder,
+                             int64_t now_ms, double median_ms, uint32_t ahead)
 {
   const struct bgap_router_rate *rate
       = holder != NULL ? &holder->rate : &service->rate;
@@ -120,6 +125,17 @@
   return capacity > 0 ? median_ms * ahead / capacity : 0;
 }
 
+static double
+_bgap_estimate_wait_ms (struct bgap_router_service *service,
+                        const struct bgap_router_server *holder,
+                        int64_t now_ms, double median_ms, uint32_t ahead)
+{
+  if (holder != NULL && holder->server.rate_limit.per_s > 0)
+    return bgap_rate_limit_wait_ms (&holder->server.rate_limit, now_ms, ahead);
+  return _bgap_estimate_slot_wait_ms (service, holder, now_ms, median_ms,
+                                      ahead);
+}
+
 bool
 bgap_router_wait_misses_deadline (struct bgap_router_service *service,
                                   const struct bgap_router_server *holder,
@@ -128,8 +144,9 @@
 {
   if (!service->desc.policy->limited)
     return false;
+  bool has_limit = holder != NULL && holder->server.rate_limit.per_s > 0;
   double median_ms = bgap_router_median_ms (service, now_ms);
-  if (median_ms <= 0)
+  if (median_ms <= 0 && !has_limit)
     return false;
   double own_ms = holder != NULL ? bgap_response_mean_get (
                       &holder->server.free_mean, now_ms, median_ms)
--- a/packages/routing/src/router_peer.c
+++ b/packages/routing/src/router_peer.c
@@ -139,6 +139,11 @@
                                          size, err);
   else if (kind == BGAP_ROUTING_MESSAGE_LOADS)
     status = _bgap_router_on_loads (state, from, bytes, size, err);
+  else if (kind == BGAP_ROUTING_MESSAGE_PERMITS_WANTED
+           || kind == BGAP_ROUTING_MESSAGE_PERMITS
+           || kind == BGAP_ROUTING_MESSAGE_RATE_LIMITS)
+    status
+        = bgap_router_on_permits (state, now_ms, from, kind, bytes, size, err);
   else
     status = bgap_error_set (err, BGAP_ERR_PROTOCOL, "unknown message kind %d",
                              kind);
--- a/packages/routing/src/router_queue.c
+++ b/packages/routing/src/router_queue.c
@@ -1,3 +1,5 @@
+#include <math.h>
+
 #include "router_state.h"
 
 #define QUEUE_PER_SLOT 4u
@@ -112,7 +114,15 @@
   int64_t left_ms = request->deadline_at_ms - now_ms;
   double queue_ms
       = service->rate.per_ms > 0 ? service->waiting / service->rate.per_ms : 0;
-  int64_t wait_ms = (int64_t)(queue_ms + service->response_ms);
+  const struct bgap_router_server *holder
+      = service->desc.keyed ? bgap_router_server (state, request->holder)
+                            : NULL;
+  double permit_ms
+      = holder != NULL ? bgap_rate_limit_wait_ms (
+            &holder->server.rate_limit, now_ms, holder->queue.count + 1)
+                       : 0;
+  int64_t wait_ms
+      = (int64_t)(fmax (queue_ms, permit_ms) + service->response_ms);
   if (wait_ms < RETRY_AFTER_MIN_MS)
     wait_ms = RETRY_AFTER_MIN_MS;
   if (wait_ms > left_ms / RETRY_AFTER_DIVISOR)
--- a/packages/routing/src/router_request.c
+++ b/packages/routing/src/router_request.c
@@ -75,6 +75,7 @@
   else
     {
       bgap_retry_budget_on_request (&service->budget);
+      bgap_window_count_add (&service->arrivals, now_ms);
       if (service->desc.repeat_never && !request->idempotent)
         bgap_router_begin_idempotency (state, now_ms, request, desc);
       else
--- a/packages/routing/src/router_server.c
+++ b/packages/routing/src/router_server.c
@@ -304,17 +304,6 @@
   _bgap_server_changed (state, now_ms, server);
 }
 
-void
-bgap_router_server_rate_limit (struct bgap_router *router, int64_t now_ms,
-                               struct bgap_server_id server_id, double per_s)
-{
-  struct bgap_router_server *server
-      = bgap_router_server (router->state, server_id.id);
-  (void)now_ms;
-  if (server != NULL)
-    server->server.rate_limit_per_s = per_s;
-}
-
 enum bgap_status
 bgap_router_server_status (const struct bgap_router *router, int64_t now_ms,
                            struct bgap_server_id server_id,
@@ -333,8 +322,12 @@
     .in_flight_all = server->in_flight + server->in_flight_peers,
     .quota = server->quota,
     .latency_ms = server->latency_ms,
-    .rate_limit_per_s = server->rate_limit_per_s,
+    .rate_limit_per_s = server->rate_limit.per_s,
     .sent_recently = bgap_window_count_get (&server->dispatched, now_ms),
+    .permits = bgap_rate_limit_permits (&server->rate_limit, now_ms),
+    .permits_asked = bgap_rate_limit_asked (&server->rate_limit, now_ms),
+    .permit_wait_ms
+    = (int64_t)bgap_rate_limit_wait_ms (&server->rate_limit, now_ms, 1),
     .draining = bgap_server_draining (server),
     .ejected = server->ejected_until_ms > 0,
     .lost = server->lost,
--- a/packages/routing/src/router_state.h
+++ b/packages/routing/src/router_state.h
@@ -17,6 +17,8 @@
 #include "banyangap/base/random.h"
 #include "banyangap/routing/balancer.h"
 #include "banyangap/routing/idempotency.h"
+#include "banyangap/routing/message.h"
+#include "banyangap/routing/permit_issuer.h"
 #include "banyangap/routing/quarantine.h"
 #include "banyangap/routing/response_time.h"
 #include "banyangap/routing/retry_budget.h"
@@ -162,6 +164,8 @@
  * @all_times: response times of all requests
  * @response_ms: smoothed response time of all requests
  * @rate: rate at which waiting requests are served
+ * @arrivals: recent requests
+ * @has_limits: some of its servers may have a rate limit
  * @dispatching: a queue of the service is being dispatched; prevents recursion
  */
 struct bgap_router_service
@@ -182,6 +186,8 @@
   double response_ms;
   struct bgap_router_rate rate;
   struct bgap_idempotency idempotency;
+  struct bgap_window_count arrivals;
+  bool has_limits;
   bool dispatching;
 };
 
@@ -193,6 +199,23 @@
   char name[BGAP_ROUTING_NAME_SIZE];
 };
 
+/**
+ * struct bgap_router_peer_instance - an instance that may issue permits
+ * @departed: it has left the list of instances, at @departed_ms
+ */
+struct bgap_router_peer_instance
+{
+  char name[BGAP_ROUTING_NAME_SIZE];
+  bool departed;
+  int64_t departed_ms;
+};
+
+/**
+ * struct bgap_router_state - the router
+ * @instances: all instances, as bgap_router_set_instances() has set them
+ * @issuer: permits that this instance hands out
+ * @issuing: they are being handed out; prevents recursion
+ */
 struct bgap_router_state
 {
   struct bgap_router_desc desc;
@@ -210,6 +233,11 @@
   struct bgap_action_queue actions;
   struct bgap_quarantine quarantine;
   struct bgap_router_peer *peers;
+  struct bgap_router_peer_instance *instances;
+  uint32_t instance_count;
+  uint32_t instance_capacity;
+  struct bgap_permit_issuer *issuer;
+  bool issuing;
   struct bgap_router_counts counts;
   int64_t loads_due_ms;
   bool shutting_down;
@@ -492,6 +520,48 @@
 void bgap_router_free_server (struct bgap_router_state *state,
                               struct bgap_router_server *server);
 
+/* router_limit.c: rate limits of servers and permits.  */
+
+/**
+ * bgap_router_want_permits() - ask for permits for requests to a server,
+ * unless it has no limit or was asked just before
+ * @wanted: requests that wait for a permit
+ * @rank: rank of the most urgent of them
+ */
+void bgap_router_want_permits (struct bgap_router_state *state, int64_t now_ms,
+                               struct bgap_server *server, uint32_t wanted,
+                               int64_t rank);
+
+/**
+ * bgap_router_want_any_permits() - ask for permits at the servers that would
+ * get the next requests of a service without keys
+ */
+void bgap_router_want_any_permits (struct bgap_router_state *state,
+                                   int64_t now_ms,
+                                   struct bgap_router_service *service,
+                                   int64_t rank);
+
+/**
+ * bgap_router_issue_permits() - send the permits that are due
+ */
+void bgap_router_issue_permits (struct bgap_router_state *state,
+                                int64_t now_ms);
+
+/**
+ * bgap_router_on_permits() - handle a message on permits
+ *
+ * Return: BGAP_OK or BGAP_ERR_PROTOCOL.
+ */
+enum bgap_status bgap_router_on_permits (struct bgap_router_state *state,
+                                         int64_t now_ms, const char *from,
+                                         int kind, const void *bytes,
+                                         size_t size, struct bgap_error *err);
+
+/**
+ * bgap_router_tick_limits() - send the permits that have become due
+ */
+void bgap_router_tick_limits (struct bgap_router_state *state, int64_t now_ms);
+
 /* router_peer.c: messages to and from peers.  */
 
 /**
--- a/packages/routing/src/router_tick.c
+++ b/packages/routing/src/router_tick.c
@@ -49,10 +49,12 @@
           bgap_router_update_rate (&server->rate, server->queue.count, now_ms);
           if (!bgap_server_ejected (&server->server, now_ms))
             server->server.ejected_until_ms = 0;
-          if (server->queue.count > 0)
+          if (server->queue.count > 0
+              || bgap_rate_limit_asked (&server->server.rate_limit, now_ms)
+                     > 0)
             bgap_router_dispatch_holder_queue (state, now_ms, server);
         }
-      if (service->queue.count > 0)
+      if (service->queue.count > 0 || service->has_limits)
         bgap_router_dispatch_queue (state, now_ms, service);
     }
 }
@@ -66,6 +68,7 @@
          && top->major <= now_ms)
     _bgap_router_on_timer (state, now_ms,
                            bgap_router_open_request (state, top->id));
+  bgap_router_tick_limits (state, now_ms);
   _bgap_router_tick_services (state, now_ms, wall_ms);
   if (state->desc.load_interval_ms > 0 && now_ms >= state->loads_due_ms)
     {
@@ -85,6 +88,7 @@
   if (state->desc.load_interval_ms > 0
       && state->loads_due_ms - now_ms < wait_ms)
     wait_ms = state->loads_due_ms - now_ms;
+  wait_ms = bgap_permit_issuer_wait_ms (state->issuer, now_ms, wait_ms);
   for (uint32_t id = bgap_pool_next (&state->services, BGAP_INVALID_ID);
        id != BGAP_INVALID_ID; id = bgap_pool_next (&state->services, id))
     {
--- a/packages/routing/src/server.c
+++ b/packages/routing/src/server.c
@@ -129,7 +129,7 @@
 }
 
 bool
-bgap_server_full (const struct bgap_server *server, int64_t now_ms)
+bgap_server_busy (const struct bgap_server *server, int64_t now_ms)
 {
   if (server->shared)
     return now_ms < server->backoff_until_ms
@@ -140,6 +140,13 @@
          || server->in_flight >= bgap_server_limit (server, now_ms);
 }
 
+bool
+bgap_server_full (const struct bgap_server *server, int64_t now_ms)
+{
+  return bgap_rate_limit_blocks (&server->rate_limit, now_ms)
+         || bgap_server_busy (server, now_ms);
+}
+
 /* Drain and ejection.  */
 
 bool
@@ -271,6 +278,7 @@
 bgap_server_on_dispatch (struct bgap_server *server, int64_t now_ms)
 {
   server->in_flight++;
+  bgap_rate_limit_take (&server->rate_limit, now_ms);
   bgap_window_count_add (&server->dispatched, now_ms);
 }
 
@@ -349,7 +357,7 @@
   server->ejections = 0;
   server->ejected_until_ms = 0;
   server->has_load = false;
-  server->rate_limit_per_s = 0;
+  bgap_rate_limit_reset (&server->rate_limit, now_ms);
   server->slots_reported = 0;
   server->window = server->slots * WINDOW_ONE;
   bgap_server_set_drain (server, now_ms, BGAP_DRAIN_REPORT, false);
--- a/packages/routing/tests/fuzz/fuzz_message.c
+++ b/packages/routing/tests/fuzz/fuzz_message.c
@@ -35,12 +35,32 @@
   bgap_buffer_shutdown (&copy);
 }
 
+static void
+_bgap_fuzz_permits (const uint8_t *data, size_t size)
+{
+  struct bgap_routing_permits permits;
+  struct bgap_routing_permits again;
+  struct bgap_buffer copy = { 0 };
+  if (bgap_routing_decode_permits (data, size, &permits, NULL) != BGAP_OK)
+    return;
+  if (bgap_routing_encode_permits (&copy, &permits) != BGAP_OK
+      || bgap_routing_decode_permits (copy.data, copy.size, &again, NULL)
+             != BGAP_OK
+      || again.server != permits.server || again.count != permits.count
+      || again.rank != permits.rank || again.wait_ms != permits.wait_ms
+      || again.limit_thousandths != permits.limit_thousandths
+      || again.limit_age_ms != permits.limit_age_ms)
+    abort ();
+  bgap_buffer_shutdown (&copy);
+}
+
 int
 LLVMFuzzerTestOneInput (const uint8_t *data, size_t size)
 {
   struct bgap_routing_load loads[ITEMS];
   size_t count = ITEMS;
   _bgap_fuzz_suspicions (data, size);
+  _bgap_fuzz_permits (data, size);
   bgap_routing_decode_loads (data, size, loads, &count, NULL);
   struct bgap_quarantine quarantine;
   const struct bgap_quarantine_desc desc = { .capacity = 4 };
--- a/packages/store/include/banyangap/store/membership.h
+++ b/packages/store/include/banyangap/store/membership.h
@@ -139,6 +139,13 @@
 bgap_membership_departed_at (const struct bgap_membership *membership,
                              uint32_t index);
 
+/**
+ * bgap_membership_departed_ms() - when a departed member left the list
+ * @index: below bgap_membership_departed()
+ */
+int64_t bgap_membership_departed_ms (const struct bgap_membership *membership,
+                                     uint32_t index);
+
 /**
  * bgap_membership_listed_ms() - when the list was last read, 0 for never
  */
--- a/packages/store/src/membership.c
+++ b/packages/store/src/membership.c
@@ -341,6 +341,13 @@
   return membership->departed[index].name;
 }
 
+int64_t
+bgap_membership_departed_ms (const struct bgap_membership *membership,
+                             uint32_t index)
+{
+  return membership->departed[index].since_ms;
+}
+
 int64_t
 bgap_membership_listed_ms (const struct bgap_membership *membership)
 {
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -89,7 +89,13 @@
       _bgap_edge_resolve (edge, action);
       return;
     case BGAP_ROUTER_ACTION_SEND_PEER:
-      bgap_edge_publish_router_message (edge, action);
+      if (action->peer_kind == BGAP_ROUTING_MESSAGE_RATE_LIMITS)
+        bgap_edge_send_limits (edge, action);
+      else
+        bgap_edge_publish_router_message (edge, action);
+      return;
+    case BGAP_ROUTER_ACTION_SEND_INSTANCE:
+      bgap_edge_send_permits (edge, action);
       return;
     case BGAP_ROUTER_ACTION_APPEND:
     case BGAP_ROUTER_ACTION_KIND_COUNT:
@@ -208,6 +214,7 @@
               bgap_membership_is_first (edge->membership));
   bgap_edge_update_successors (edge);
   bgap_edge_update_relay (edge);
+  bgap_edge_update_instances (edge);
   bgap_edge_apply_limits (edge);
   bgap_edge_run_actions (edge);
 }
--- a/programs/banyangapd/edge_peers.c
+++ b/programs/banyangapd/edge_peers.c
@@ -42,6 +42,9 @@
     valid = _bgap_peers_on_keys (edge, bytes, size);
   else if (kind == BGAP_EDGE_MESSAGE_RELAY)
     valid = bgap_edge_on_relay (edge, bytes, size);
+  else if (kind == BGAP_EDGE_MESSAGE_ROUTER
+           || kind == BGAP_EDGE_MESSAGE_LIMITS)
+    valid = bgap_edge_on_permits (edge, from, kind, bytes, size);
   if (!valid)
     bgap_event (&event_bad_message, "from=%.64s kind=%u bytes=%zu", from, kind,
                 size);
--- a/programs/banyangapd/edge_private.h
+++ b/programs/banyangapd/edge_private.h
@@ -26,6 +26,7 @@
 #include "banyangap/keyrange/granter.h"
 #include "banyangap/peer/peer.h"
 #include "banyangap/routing/balancer.h"
+#include "banyangap/routing/message.h"
 #include "banyangap/routing/router.h"
 #include "banyangap/store/follower.h"
 #include "banyangap/store/membership.h"
@@ -65,6 +66,8 @@
 /* Kinds of messages between instances.  */
 #define BGAP_EDGE_MESSAGE_KEYS 1
 #define BGAP_EDGE_MESSAGE_RELAY 3
+#define BGAP_EDGE_MESSAGE_ROUTER 4 /* to one instance */
+#define BGAP_EDGE_MESSAGE_LIMITS 5 /* to all instances */
 
 /* Number of topics whose records are relayed.  */
 #define BGAP_EDGE_RELAY_TOPICS 3
@@ -86,6 +89,7 @@
  */
 struct bgap_edge_member
 {
+  char name[BGAP_REGISTRY_NAME_SIZE];
   char address[BGAP_INSTANCE_ADDRESS_SIZE];
   char zone[BGAP_REGISTRY_NAME_SIZE];
 };
@@ -471,6 +475,27 @@
 bool bgap_edge_on_relay (struct bgap_edge *edge, const void *bytes,
                          size_t size);
 
+/**
+ * bgap_edge_broadcast() - send a message to all instances, through the relays
+ * @kind: BGAP_EDGE_MESSAGE_LIMITS
+ */
+void bgap_edge_broadcast (struct bgap_edge *edge, uint8_t kind,
+                          const struct bgap_buffer *bytes);
+
+/**
+ * bgap_edge_forward_broadcast() - as a relay, forward a message that
+ * bgap_edge_broadcast() has sent to the subscribers
+ */
+void bgap_edge_forward_broadcast (struct bgap_edge *edge, uint8_t kind,
+                                  const struct bgap_buffer *bytes);
+
+/**
+ * bgap_edge_send_to() - send a message to a member of the group; it may get
+ * lost
+ */
+void bgap_edge_send_to (struct bgap_edge *edge, const char *member,
+                        uint8_t kind, const struct bgap_buffer *bytes);
+
 /**
  * bgap_edge_report_gap() - log that a follower lacks records which its relay
  * has, or that it has caught up
@@ -518,6 +543,34 @@
                          const struct bgap_edge_server *server,
                          const struct bgap_wire_response *response);
 
+/**
+ * bgap_edge_update_instances() - tell the router the instances among which
+ * rate limits are shared, after a change of the group
+ */
+void bgap_edge_update_instances (struct bgap_edge *edge);
+
+/**
+ * bgap_edge_send_permits() - send a router's message to another instance
+ */
+void bgap_edge_send_permits (struct bgap_edge *edge,
+                             const struct bgap_router_action *action);
+
+/**
+ * bgap_edge_send_limits() - send a router's message on a rate limit to all
+ * other instances
+ */
+void bgap_edge_send_limits (struct bgap_edge *edge,
+                            const struct bgap_router_action *action);
+
+/**
+ * bgap_edge_on_permits() - handle a message of another instance's router
+ * @kind: BGAP_EDGE_MESSAGE_ROUTER or BGAP_EDGE_MESSAGE_LIMITS
+ *
+ * Return: false if it is malformed.
+ */
+bool bgap_edge_on_permits (struct bgap_edge *edge, const char *from,
+                           uint8_t kind, const void *bytes, size_t size);
+
 /**
  * bgap_edge_log_limits() - log how much of each rate limit this instance uses,
  * if a line is due
--- a/programs/banyangapd/edge_relay.c
+++ b/programs/banyangapd/edge_relay.c
@@ -33,8 +33,10 @@
   const char *at = strchr (member, '@');
   const char *hash = at != NULL ? strchr (at, '#') : NULL;
   if (hash == NULL || (size_t)(hash - at) > sizeof out->address
+      || (size_t)(at - member) >= sizeof out->name
       || strlen (hash) > sizeof out->zone)
     return false;
+  snprintf (out->name, sizeof out->name, "%.*s", (int)(at - member), member);
   snprintf (out->address, sizeof out->address, "%.*s", (int)(hash - at - 1),
             at + 1);
   snprintf (out->zone, sizeof out->zone, "%s", hash + 1);
@@ -74,9 +76,9 @@
 static void
 _bgap_relay_each_subscriber (struct bgap_edge *edge, enum bgap_relay_role role,
                              void (*visit) (struct bgap_edge *edge,
-                                            const char *member,
+                                            const char *member, uint8_t kind,
                                             const struct bgap_buffer *bytes),
-                             const struct bgap_buffer *bytes)
+                             uint8_t kind, const struct bgap_buffer *bytes)
 {
   const struct bgap_relay_tree tree = _bgap_relay_tree (edge);
   uint32_t count = bgap_membership_listed (edge->membership);
@@ -88,7 +90,7 @@
     {
       const char *member = bgap_membership_at (edge->membership, i);
       if (bgap_relay_tree_forwards (&tree, own, i, member, role))
-        visit (edge, member, bytes);
+        visit (edge, member, kind, bytes);
     }
   /* An instance that the store refuses still depends on the messages of the
      others.  */
@@ -96,16 +98,17 @@
     {
       const char *member = bgap_membership_departed_at (edge->membership, i);
       if (bgap_relay_tree_forwards (&tree, own, UINT32_MAX, member, role))
-        visit (edge, member, bytes);
+        visit (edge, member, kind, bytes);
     }
 }
 
 static void
-_bgap_relay_connect (struct bgap_edge *edge, const char *member,
+_bgap_relay_connect (struct bgap_edge *edge, const char *member, uint8_t kind,
                      const struct bgap_buffer *bytes)
 {
   struct bgap_error err = { 0 };
   struct bgap_edge_member parsed;
+  (void)kind;
   (void)bytes;
   if (!bgap_edge_member_parse (member, &parsed))
     return;
@@ -113,22 +116,48 @@
     bgap_event (&event_relay, "peer=%s reason=\"%s\"", member, err.message);
 }
 
+void
+bgap_edge_send_to (struct bgap_edge *edge, const char *member, uint8_t kind,
+                   const struct bgap_buffer *bytes)
+{
+  _bgap_relay_connect (edge, member, kind, NULL);
+  /* Messages may get lost: an instance that misses a record reads the store
+     itself, and one that gets no permits asks again.  */
+  (void)bgap_peer_send (edge->peer, member, kind, bytes->data, bytes->size);
+}
+
 static void
-_bgap_relay_send_to (struct bgap_edge *edge, const char *member,
+_bgap_relay_send_to (struct bgap_edge *edge, const char *member, uint8_t kind,
                      const struct bgap_buffer *bytes)
 {
-  _bgap_relay_connect (edge, member, NULL);
   edge->relay_bytes_sent += bytes->size;
-  /* An instance that misses a message reads the store itself.  */
-  (void)bgap_peer_send (edge->peer, member, BGAP_EDGE_MESSAGE_RELAY,
-                        bytes->data, bytes->size);
+  bgap_edge_send_to (edge, member, kind, bytes);
 }
 
 static void
 _bgap_relay_send (struct bgap_edge *edge, const struct bgap_buffer *bytes,
                   enum bgap_relay_role role)
 {
-  _bgap_relay_each_subscriber (edge, role, _bgap_relay_send_to, bytes);
+  _bgap_relay_each_subscriber (edge, role, _bgap_relay_send_to,
+                               BGAP_EDGE_MESSAGE_RELAY, bytes);
+}
+
+void
+bgap_edge_broadcast (struct bgap_edge *edge, uint8_t kind,
+                     const struct bgap_buffer *bytes)
+{
+  _bgap_relay_each_subscriber (edge, BGAP_RELAY_ROLE_GRANTER,
+                               bgap_edge_send_to, kind, bytes);
+}
+
+void
+bgap_edge_forward_broadcast (struct bgap_edge *edge, uint8_t kind,
+                             const struct bgap_buffer *bytes)
+{
+  uint32_t listed = bgap_membership_listed (edge->membership);
+  if (edge->is_relay && bgap_relay_tree_relays (listed) > 1)
+    _bgap_relay_each_subscriber (edge, BGAP_RELAY_ROLE_RELAY,
+                                 bgap_edge_send_to, kind, bytes);
 }
 
 /* Messages that are sent before a connection is open are lost. Relays and the
@@ -139,10 +168,10 @@
 {
   if (edge->is_relay)
     _bgap_relay_each_subscriber (edge, BGAP_RELAY_ROLE_RELAY,
-                                 _bgap_relay_connect, NULL);
+                                 _bgap_relay_connect, 0, NULL);
   if (bgap_membership_is_first (edge->membership))
     _bgap_relay_each_subscriber (edge, BGAP_RELAY_ROLE_GRANTER,
-                                 _bgap_relay_connect, NULL);
+                                 _bgap_relay_connect, 0, NULL);
 }
 
 void
--- /dev/null
+++ b/tests/mutations/simulation.sh
@@ -0,0 +1,48 @@
+#!/usr/bin/env bash
+# Checks that a simulation detects the removal of each of its rules. Applies
+# each patch to a copy of the tree, builds the test and runs it until it fails.
+#   tests/mutations/simulation.sh SET            all patches of a set
+#   tests/mutations/simulation.sh SET NAME...    only the named patches
+#   RUNS=N   maximum number of runs of a mutation of keyrange (default 600)
+# Sets: keyrange (keyrange_test_world), limit (routing_test_rate_limit).
+# Prints one line per mutation; the exit status is 1 if one was not detected.
+set -euo pipefail
+cd "$(dirname "$0")/../.."
+runs=${RUNS:-600}
+set=${1:?name of the set}
+shift
+case $set in
+keyrange) package=keyrange test=keyrange_test_world ;;
+limit) package=routing test=routing_test_rate_limit ;;
+*) echo "unknown set $set" >&2 && exit 2 ;;
+esac
+work=$(mktemp -d)
+trap 'rm -rf "$work"' EXIT
+mkdir "$work/tree"
+git ls-files -z --cached --others --exclude-standard |
+  xargs -0 cp --parents -t "$work/tree" 2>/dev/null
+(cd "$work/tree" && git init -q . 2>/dev/null &&
+  cmake -S . -B build -G Ninja >/dev/null)
+
+names=("$@")
+[ ${#names[@]} -gt 0 ] || for patch in tests/mutations/$set/*.patch; do
+  name=${patch##*/}
+  names+=("${name%.patch}")
+done
+
+status=0
+for name in "${names[@]}"; do
+  patch="$work/tree/tests/mutations/$set/$name.patch"
+  (cd "$work/tree" && git apply "$patch" &&
+    cmake --build build --target $test >/dev/null)
+  if (cd "$work/tree" &&
+      BGAP_WORLD_RUNS=$runs build/packages/$package/$test \
+        >"$work/log" 2>&1); then
+    echo "$name: NOT FOUND within $runs runs"
+    status=1
+  else
+    echo "$name: $(grep -m 1 -oE 'seed [0-9]+: .*' "$work/log" || grep -m 1 'FAILED' "$work/log")"
+  fi
+  (cd "$work/tree" && git apply -R "$patch")
+done
+exit "$status"
