Log the timeline of the store, and that it was restored

The logs could not tell the hypotheses on the restored store apart: not that the store was restored, nor from which offsets an instance meant to read on. Each answer's timeline is decoded now, event=store state=restored states the offsets, and bgap_store_timeline shows whether instances differ.

--- a/packages/logservice/include/banyangap/logservice/http_client.h
+++ b/packages/logservice/include/banyangap/logservice/http_client.h
@@ -24,11 +24,15 @@
 
 #include "banyangap/base/status.h"
 
+struct evkeyvalq;
+
 /**
  * struct bgap_http_response - outcome of a call
  * @status: HTTP status, or 0 if there is no complete response
  * @sent: whether any byte of the request may have been sent
  * @too_large: the body exceeded the limit of the client; @status is 0
+ * @headers: its fields, valid during the completion function; NULL if @status
+ *   is 0
  * @body: @size bytes, valid during the completion function
  * @message: human-readable reason if @status is 0
  */
@@ -37,6 +41,7 @@
   int status;
   bool sent;
   bool too_large;
+  const struct evkeyvalq *headers;
   const char *body;
   size_t size;
   const char *message;
--- a/packages/logservice/src/http_client.c
+++ b/packages/logservice/src/http_client.c
@@ -289,7 +289,10 @@
   if (call->failure != NULL)
     response.size = 0;
   else
-    response.status = status;
+    {
+      response.status = status;
+      response.headers = evhttp_request_get_input_headers (call->request);
+    }
   response.message = call->failure;
 
   /* The request owns the body, so it is freed after the completion
--- a/packages/store/include/banyangap/store/store.h
+++ b/packages/store/include/banyangap/store/store.h
@@ -13,6 +13,10 @@
  *
  * An accepted call completes exactly once, from the event loop. Calls have a
  * time-out of their own.
+ *
+ * Each answer states the timeline of the store: a number that rises when the
+ * store is restored from a copy, see timeline_guard.h. It is 0 if there was no
+ * answer, or a store without timelines.
  */
 
 #include <stdbool.h>
@@ -102,6 +106,7 @@
 struct bgap_store_page
 {
   enum bgap_store_outcome outcome;
+  uint64_t timeline;
   const struct bgap_store_record *records;
   size_t count;
   uint64_t end;
@@ -144,6 +149,7 @@
 struct bgap_store_appended
 {
   enum bgap_store_outcome outcome;
+  uint64_t timeline;
   uint64_t offset;
   uint64_t end;
   const char *message;
@@ -173,6 +179,7 @@
 struct bgap_store_joined
 {
   enum bgap_store_outcome outcome;
+  uint64_t timeline;
   int64_t generation;
   bool is_first;
 };
@@ -197,6 +204,7 @@
 struct bgap_store_members
 {
   enum bgap_store_outcome outcome;
+  uint64_t timeline;
   const char (*names)[BGAP_STORE_MEMBER_SIZE];
   size_t count;
 };
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -205,6 +205,20 @@
     bgap_edge_store_answered (edge);
 }
 
+static void
+_bgap_edge_on_restored (void *context, uint64_t timeline, uint64_t previous)
+{
+  struct bgap_edge *edge = context;
+  bgap_event (
+      &event_store,
+      "state=restored timeline=%llu previous=%llu config_next=%llu "
+      "servers_next=%llu internal_next=%llu",
+      (unsigned long long)timeline, (unsigned long long)previous,
+      (unsigned long long)bgap_follower_next_offset (edge->config),
+      (unsigned long long)bgap_follower_next_offset (edge->registrations),
+      (unsigned long long)bgap_follower_next_offset (edge->internal));
+}
+
 static void
 _bgap_edge_on_members (void *context)
 {
@@ -393,7 +407,16 @@
 static enum bgap_status
 _bgap_edge_open_store (struct bgap_edge *edge, struct bgap_error *err)
 {
-  enum bgap_status status
+  enum bgap_status status = bgap_timeline_guard_setup (
+      &edge->guard,
+      &(struct bgap_timeline_guard_desc){ .store = edge->desc.store,
+                                          .restored = _bgap_edge_on_restored,
+                                          .context = edge },
+      err);
+  if (status != BGAP_OK)
+    return status;
+  edge->desc.store = bgap_timeline_guard_ops (edge->guard);
+  status
       = bgap_membership_setup (&edge->membership,
                                &(struct bgap_membership_desc){
                                    .base = edge->base,
@@ -476,6 +499,7 @@
   bgap_follower_shutdown (edge->registrations);
   bgap_follower_shutdown (edge->internal);
   bgap_membership_shutdown (edge->membership);
+  bgap_timeline_guard_shutdown (edge->guard);
   bgap_peer_shutdown (edge->peer);
   bgap_admin_shutdown (edge->ready);
   bgap_admin_shutdown (edge->operators);
--- a/programs/banyangapd/edge_private.h
+++ b/programs/banyangapd/edge_private.h
@@ -31,6 +31,7 @@
 #include "banyangap/store/follower.h"
 #include "banyangap/store/membership.h"
 #include "banyangap/store/relay_subscriber.h"
+#include "banyangap/store/timeline_guard.h"
 #include "edge.h"
 #include "edge_metrics.h"
 
@@ -186,6 +187,7 @@
  * @member: its name in the group, see struct bgap_edge_member
  * @table: configuration in force, NULL if none was read yet
  * @ready, @operators: HTTP servers for readiness probes and for operators
+ * @guard: the store's calls pass through it
  * @config, @registrations, @internal: followers of the store's topics
  * @servers: hash table by handle in the router
  * @incarnation: random number that tells this run of the process from another
@@ -220,6 +222,7 @@
   struct bgap_admin *ready;
   struct bgap_admin *operators;
   struct bgap_counters counters;
+  struct bgap_timeline_guard *guard;
   struct bgap_follower *config;
   struct bgap_follower *registrations;
   struct bgap_follower *internal;
--- a/programs/banyangapd/edge_report.c
+++ b/programs/banyangapd/edge_report.c
@@ -143,6 +143,8 @@
                       now_ms - edge->config_synced_ms);
   _bgap_report_value (&out, "bgap_registrations_age_ms", "",
                       now_ms - edge->servers_synced_ms);
+  _bgap_report_value (&out, "bgap_store_timeline", "",
+                      (int64_t)bgap_timeline_guard_current (edge->guard));
   _bgap_report_value (&out, "bgap_servers_with_rate_limit", "",
                       bgap_edge_limited_servers (edge));
   _bgap_report_value (&out, "bgap_instances", "",
