--- a/packages/keyrange/tests/world.c
+++ b/packages/keyrange/tests/world.c
@@ -34,6 +34,8 @@
  * @incarnation: of the instance that sent the message; replies to an earlier
  *   incarnation are lost
  * @append_at: offset of the appended record
+ * @timeline: of the store, as the sender of an append knows it
+ * @answer_timeline: of the store that answers
  * @lost: the response is lost
  */
 struct event
@@ -49,6 +51,8 @@
   enum bgap_granter_result result;
   enum bgap_granter_append_result append_result;
   uint64_t append_at;
+  uint64_t timeline;
+  uint64_t answer_timeline;
   struct bgap_assignment assignment;
   bool lost;
 };
@@ -89,6 +93,7 @@
   struct bgap_granter *granter;
   uint64_t incarnation;
   uint32_t records_read;
+  uint64_t timeline;
   int64_t paused_until_ms;
   int64_t store_cut_until_ms;
   int64_t server_cut_until_ms[WORLD_SERVERS];
@@ -112,7 +117,9 @@
   struct event events[EVENTS_MAX];
   uint32_t event_count;
   struct bgap_assignment records[RECORDS_MAX];
+  int64_t record_ms[RECORDS_MAX]; /* when each was appended */
   uint32_t record_count;
+  uint64_t timeline;
   uint64_t highest_token[WORLD_KEYS];
   int highest_server[WORLD_KEYS];
   char violation[256];
@@ -167,6 +174,7 @@
   w->desc = *desc;
   w->random.state = desc->seed;
   w->now_ms = 1000;
+  w->timeline = 1;
   for (int i = 0; i < WORLD_INSTANCES; i++)
     start_instance (w, i);
   for (int i = 0; i < WORLD_SERVERS; i++)
@@ -336,6 +344,7 @@
   if (ok)
     {
       w->records[w->record_count] = event->assignment;
+      w->record_ms[w->record_count] = w->now_ms;
       event->assignment = (struct bgap_assignment){ 0 };
       w->record_count++;
     }
@@ -377,10 +386,36 @@
   apply_append (w, event);
   bgap_assignment_shutdown (&event->assignment);
   answer.append_result = event->append_result;
+  answer.answer_timeline = w->timeline;
   answer.at_ms = w->now_ms + 5;
   add_event (w, &answer);
 }
 
+/* The instance learns of a restore. Of the records of the copy it reads the
+   newest one.  */
+static void
+see_timeline (struct instance *instance, const struct world *w,
+              uint64_t timeline)
+{
+  if (timeline <= instance->timeline)
+    return;
+  instance->timeline = timeline;
+  instance->records_read = w->record_count > 0 ? w->record_count - 1 : 0;
+}
+
+static void
+append_answered (struct world *w, const struct event *event)
+{
+  struct instance *instance = &w->instances[event->instance];
+  enum bgap_granter_append_result result = event->append_result;
+  see_timeline (instance, w, event->answer_timeline);
+  /* The record is in another timeline than the one that it was made for.  */
+  if (result == BGAP_GRANTER_APPENDED
+      && event->timeline != event->answer_timeline)
+    result = BGAP_GRANTER_APPEND_UNKNOWN;
+  bgap_granter_on_append (instance->granter, w->now_ms, result);
+}
+
 /* Handles an event; returns false if the instance is paused and cannot receive
    the reply yet.  */
 static bool
@@ -412,8 +447,7 @@
       if (w->now_ms < instance->paused_until_ms)
         return false;
       if (instance->incarnation == event->incarnation)
-        bgap_granter_on_append (instance->granter, w->now_ms,
-                                event->append_result);
+        append_answered (w, event);
       return true;
     }
   return true;
@@ -450,6 +484,7 @@
     return;
   instance->next_read_ms = w->now_ms + random_between (w, 20, 400);
   int64_t sent_ms = w->now_ms - random_between (w, 1, DELAY_MAX_MS);
+  see_timeline (instance, w, w->timeline);
   while (instance->records_read < w->record_count)
     bgap_granter_on_assignment (instance->granter, w->now_ms,
                                 &w->records[instance->records_read++]);
@@ -523,6 +558,7 @@
         {
           event.kind = EVENT_APPEND_ARRIVES;
           event.append_at = instance->records_read;
+          event.timeline = instance->timeline;
           bgap_assignment_decode (&event.assignment, action.bytes, action.size,
                                   NULL);
         }
@@ -587,6 +623,19 @@
   start_instance (w, i);
 }
 
+void
+world_restore_store (struct world *w, int64_t age_ms, int64_t down_ms)
+{
+  while (w->record_count > 0
+         && w->record_ms[w->record_count - 1] > w->now_ms - age_ms)
+    bgap_assignment_shutdown (&w->records[--w->record_count]);
+  w->timeline++;
+  w->totals.restores++;
+  for (int i = 0; i < WORLD_INSTANCES; i++)
+    if (w->instances[i].store_cut_until_ms < w->now_ms + down_ms)
+      world_cut_store (w, i, down_ms);
+}
+
 static void
 run_servers (struct world *w)
 {
@@ -629,6 +678,9 @@
         = w->now_ms + random_between (w, 200, 12000);
   if (chance (w, 2))
     world_restart_instance (w, i);
+  if (w->desc.restores && chance (w, 1))
+    world_restore_store (w, random_between (w, 1000, 12000),
+                         random_between (w, 200, 3000));
 }
 
 /* Invariants.  */
--- a/packages/keyrange/tests/world.h
+++ b/packages/keyrange/tests/world.h
@@ -17,6 +17,8 @@
  *   single servers, which then does not answer or is refused.
  * - Servers crash, become unresponsive, drain, and restart without state.
  * - Calls and appends lose their responses and take effect late.
+ * - The store is away for a moment and comes back from a copy that is some
+ *   seconds old.
  */
 
 #include <stdbool.h>
@@ -33,17 +35,20 @@
  * struct world_desc - options
  * @seed: of the random number generator
  * @no_faults: inject no random faults
+ * @restores: the random faults include restores of the store
  */
 struct world_desc
 {
   uint64_t seed;
   bool no_faults;
+  bool restores;
 };
 
 /**
  * struct world_totals - totals of a run
  * @moves, @takeovers: as counted by the granters
  * @deaths: servers that were killed
+ * @restores: restores of the store
  * @held_ms: key-milliseconds with a holder, out of @all_ms
  */
 struct world_totals
@@ -51,6 +56,7 @@
   uint64_t moves;
   uint64_t takeovers;
   uint64_t deaths;
+  uint64_t restores;
   uint64_t held_ms;
   uint64_t all_ms;
 };
@@ -78,6 +84,10 @@
                        int64_t for_ms);
 void world_restart_instance (struct world *world, int instance);
 
+/* The store is away for @down_ms and comes back as it was @age_ms ago.  */
+void world_restore_store (struct world *world, int64_t age_ms,
+                          int64_t down_ms);
+
 /* Index of the active granter, or -1.  */
 int world_granter (const struct world *world);
 
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -88,6 +88,8 @@
     def __init__(self):
         self.changed = threading.Condition()
         self.topics = {}
+        self.times = {}  # when each record of a topic was appended
+        self.era = 1     # rises with each restore
         self.members = {}
         self.partitions = 24
         self.assignment = {}
@@ -117,12 +119,28 @@
         self.fault_until = time.time() + duration_s
         self.fault = fault
 
+    def restore(self, age_s, down_s):
+        """Is away for down_s, then as it was age_s before now. Returns when it is back."""
+        copied_at = time.time() - age_s
+        self.inject_fault("silent", down_s)
+        with self.changed:
+            self.changed.notify_all()
+        time.sleep(down_s)
+        with self.changed:
+            for topic, times in self.times.items():
+                kept = sum(at < copied_at for at in times)
+                del self.topics[topic][kept:]
+                del times[kept:]
+            self.era += 1
+            self.fault = None
+
     def append(self, topic, key, value, expected_offset=None):
         with self.changed:
             records = self.topics.setdefault(topic, [])
             if expected_offset is not None and expected_offset != len(records):
                 return None
             records.append((key, value))
+            self.times.setdefault(topic, []).append(time.time())
             self.changed.notify_all()
             return len(records) - 1
 
@@ -138,7 +156,7 @@
         body = handler.body() if handler.command == "POST" else b""
         if self.fault is not None and time.time() < self.fault_until:
             if self.fault == "busy":
-                handler.reply(503)
+                handler.reply(503, headers=[("Store-Era", str(self.era))])
                 return
             if self.fault == "lost":
                 self.serve(handler, url, query, body, respond=False)
@@ -149,6 +167,7 @@
         self.serve(handler, url, query, body)
 
     def serve(self, handler, url, query, body, respond=True):
+        handler.more_headers = [("Store-Era", str(self.era))]
         if not respond:
             handler.reply = lambda *args, **named: None
             handler.close_connection = True
@@ -172,6 +191,9 @@
         deadline = time.time() + int(query.get("waitMs", 0)) / 1000
         time.sleep(self.read_delay_s)
         with self.changed:
+            if start > len(self.topics.get(query["topic"], [])):
+                handler.reply_json(410, {"firstOffset": 0})
+                return
             if not self.wakes_readers and len(self.topics.get(query["topic"], [])) <= start:
                 self.changed.wait_for(lambda: self.fault is not None,
                                       max(0, deadline - time.time()))
