Fix: tie the offsets of the store to its timeline

Relayed records were taken for old ones, too.

Cause: an offset was taken to name a record for ever: as the position to read on from, as the order of relayed pages, as the base of a delta, as the condition of an append. After a restore the same offset names another record.

Each call to the store passes a guard that compares the timeline of the answer with that of the call. When it is a new one, followers load their topic anew, relays and their subscribers forget what they have kept, and the group's generation is forgotten. Messages between instances name the timeline, so that an instance learns of it from the others as well, and ignores what is older. Configurations are ordered by their own version, as before. (Messages of relays have a new kind, since their header grew.)

--- a/packages/store/include/banyangap/store/follower.h
+++ b/packages/store/include/banyangap/store/follower.h
@@ -176,12 +176,14 @@
 
 /**
  * struct bgap_relay_page - records that a relay has read
+ * @timeline: timeline of the store
  * @from: offset from which the relay has read
  * @next: offset after the last record read
  * @sent_ms: when the relay sent the read, on the clock of this instance
  */
 struct bgap_relay_page
 {
+  uint64_t timeline;
   uint64_t from;
   uint64_t next;
   int64_t sent_ms;
@@ -210,6 +212,18 @@
  */
 void bgap_follower_reload (struct bgap_follower *follower);
 
+/**
+ * bgap_follower_restored() - the store was restored from a copy: offsets name
+ * other records now, and the newest record of each key is reported again
+ */
+void bgap_follower_restored (struct bgap_follower *follower);
+
+/**
+ * bgap_follower_is_loading() - whether a load is due or running; the next
+ * offset is then not known
+ */
+bool bgap_follower_is_loading (const struct bgap_follower *follower);
+
 /**
  * bgap_follower_restart() - abandon a waiting read and start a new one
  *
--- a/packages/store/include/banyangap/store/membership.h
+++ b/packages/store/include/banyangap/store/membership.h
@@ -71,6 +71,12 @@
  */
 void bgap_membership_shutdown (struct bgap_membership *membership);
 
+/**
+ * bgap_membership_restored() - the store was restored from a copy, and so was
+ * the group: its generations are given out again
+ */
+void bgap_membership_restored (struct bgap_membership *membership);
+
 /**
  * bgap_membership_leave() - leave the group
  */
--- a/packages/store/include/banyangap/store/relay_codec.h
+++ b/packages/store/include/banyangap/store/relay_codec.h
@@ -52,6 +52,12 @@
                              const struct bgap_store_record *records,
                              size_t count);
 
+/**
+ * bgap_relay_history_clear() - forget all records, because the store was
+ * restored from a copy and offsets name other records now
+ */
+void bgap_relay_history_clear (struct bgap_relay_history *history);
+
 /**
  * bgap_relay_encode() - append a message to @out and add its records to
  * @history
@@ -85,6 +91,11 @@
  */
 int bgap_relay_message_topic (const void *bytes, size_t size);
 
+/**
+ * bgap_relay_message_timeline() - timeline of a message, 0 if it is too short
+ */
+uint64_t bgap_relay_message_timeline (const void *bytes, size_t size);
+
 /**
  * bgap_relay_decode() - decode a message and add its records to @history
  * @message: must be freed with bgap_relay_message_shutdown(), also on errors
--- a/packages/store/include/banyangap/store/timeline_guard.h
+++ b/packages/store/include/banyangap/store/timeline_guard.h
@@ -12,7 +12,13 @@
  *     .store = &store, .restored = on_restored, .context = me }, &err);
  *   const struct bgap_store_ops *ops = bgap_timeline_guard_ops (guard);
  *   ...   call the store through ops
+ *   bgap_timeline_guard_learn (guard, timeline_of_another_instance);
  *   bgap_timeline_guard_shutdown (guard);
+ *
+ * An answer from an earlier timeline than the newest one, and the answer to a
+ * read that was sent in one, is reported as refused. An append that was made
+ * for an earlier timeline than the one that answers is reported as unknown:
+ * its condition may hold for another record than the one that was meant.
  */
 
 #include "banyangap/store/store.h"
@@ -55,6 +61,13 @@
 const struct bgap_store_ops *
 bgap_timeline_guard_ops (const struct bgap_timeline_guard *guard);
 
+/**
+ * bgap_timeline_guard_learn() - another instance has seen @timeline; calls
+ * restored if it is newer
+ */
+void bgap_timeline_guard_learn (struct bgap_timeline_guard *guard,
+                                uint64_t timeline);
+
 /**
  * bgap_timeline_guard_current() - newest timeline that was seen, 0 for none
  */
--- a/packages/store/src/follower.c
+++ b/packages/store/src/follower.c
@@ -100,6 +100,21 @@
   bgap_follower_arm (follower, 0);
 }
 
+void
+bgap_follower_restored (struct bgap_follower *follower)
+{
+  follower->gap_since_ms = 0;
+  follower->gap_end = 0;
+  follower->relayed_ms = 0;
+  bgap_follower_reload (follower);
+}
+
+bool
+bgap_follower_is_loading (const struct bgap_follower *follower)
+{
+  return follower->state == LOADING;
+}
+
 void
 bgap_follower_restart (struct bgap_follower *follower)
 {
--- a/packages/store/src/membership.c
+++ b/packages/store/src/membership.c
@@ -258,6 +258,13 @@
   free (membership);
 }
 
+void
+bgap_membership_restored (struct bgap_membership *membership)
+{
+  membership->generation = 0;
+  membership->listed_generation = 0;
+}
+
 void
 bgap_membership_leave (struct bgap_membership *membership)
 {
--- a/packages/store/src/relay_codec.c
+++ b/packages/store/src/relay_codec.c
@@ -6,8 +6,8 @@
 
 #include "delta.h"
 
-/* Header of a message: topic, from, next, age of the read.  */
-#define HEADER_SIZE (1 + 8 + 8 + 4)
+/* Header of a message: topic, timeline, from, next, age of the read.  */
+#define HEADER_SIZE (1 + 8 + 8 + 8 + 4)
 
 /* Header of a record: offset, size of the key, size of the value, size of the
    encoded value, and base: 0 if the value is sent in full, else 1 plus the
@@ -50,16 +50,22 @@
 }
 
 void
-bgap_relay_history_shutdown (struct bgap_relay_history *history)
+bgap_relay_history_clear (struct bgap_relay_history *history)
 {
   struct past_record *past;
   struct past_record *next;
-  if (history == NULL)
-    return;
   HASH_ITER (hh, history->records, past, next)
   {
     _bgap_relay_history_remove (history, past);
   }
+}
+
+void
+bgap_relay_history_shutdown (struct bgap_relay_history *history)
+{
+  if (history == NULL)
+    return;
+  bgap_relay_history_clear (history);
   free (history);
 }
 
@@ -195,9 +201,10 @@
 {
   unsigned char header[HEADER_SIZE];
   header[0] = topic;
-  _bgap_relay_put (header + 1, page->from, 8);
-  _bgap_relay_put (header + 9, page->next, 8);
-  _bgap_relay_put (header + 17, (uint64_t)age_ms, 4);
+  _bgap_relay_put (header + 1, page->timeline, 8);
+  _bgap_relay_put (header + 9, page->from, 8);
+  _bgap_relay_put (header + 17, page->next, 8);
+  _bgap_relay_put (header + 25, (uint64_t)age_ms, 4);
   enum bgap_status status = bgap_buffer_append (out, header, sizeof header);
   for (size_t i = 0; i < page->count && status == BGAP_OK; i++)
     status = _bgap_relay_put_record (history, &page->records[i], out);
@@ -316,6 +323,13 @@
   return size >= HEADER_SIZE ? *(const unsigned char *)bytes : -1;
 }
 
+uint64_t
+bgap_relay_message_timeline (const void *bytes, size_t size)
+{
+  const unsigned char *header = bytes;
+  return size >= HEADER_SIZE ? _bgap_relay_get (header + 1, 8) : 0;
+}
+
 enum bgap_status
 bgap_relay_decode (struct bgap_relay_history *history, const void *bytes,
                    size_t size, struct bgap_relay_message *message,
@@ -331,9 +345,10 @@
   message->memory = calloc (BGAP_RELAY_RECORDS_MAX, sizeof *message->memory);
   if (message->records == NULL || message->memory == NULL)
     return bgap_error_set (err, BGAP_ERR_NO_MEMORY, "out of memory");
-  message->page.from = _bgap_relay_get (header + 1, 8);
-  message->page.next = _bgap_relay_get (header + 9, 8);
-  message->age_ms = (int64_t)_bgap_relay_get (header + 17, 4);
+  message->page.timeline = bgap_relay_message_timeline (bytes, size);
+  message->page.from = _bgap_relay_get (header + 9, 8);
+  message->page.next = _bgap_relay_get (header + 17, 8);
+  message->age_ms = (int64_t)_bgap_relay_get (header + 25, 4);
   message->page.records = message->records;
   struct bgap_bytes rest = { header + HEADER_SIZE, size - HEADER_SIZE };
   enum bgap_status status = BGAP_OK;
--- a/packages/store/src/timeline_guard.c
+++ b/packages/store/src/timeline_guard.c
@@ -5,11 +5,13 @@
 
 /**
  * struct guarded_call - a call in progress
+ * @timeline: newest one that was seen when it was sent
  */
 struct guarded_call
 {
   LIST_ENTRY (guarded_call) next;
   struct bgap_timeline_guard *guard;
+  uint64_t timeline;
   union
   {
     void (*page) (void *user, const struct bgap_store_page *page);
@@ -35,6 +37,7 @@
   if (call == NULL)
     return NULL;
   call->guard = guard;
+  call->timeline = guard->timeline;
   call->user = user;
   LIST_INSERT_HEAD (&guard->calls, call, next);
   return call;
@@ -58,8 +61,9 @@
   return status;
 }
 
-static void
-_bgap_guard_see (struct bgap_timeline_guard *guard, uint64_t timeline)
+void
+bgap_timeline_guard_learn (struct bgap_timeline_guard *guard,
+                           uint64_t timeline)
 {
   uint64_t previous = guard->timeline;
   if (timeline <= previous)
@@ -69,38 +73,71 @@
     guard->desc.restored (guard->desc.context, timeline, previous);
 }
 
+/* Whether an answer is from an earlier timeline.  */
+static bool
+_bgap_guard_is_past (const struct guarded_call *call, uint64_t timeline)
+{
+  return timeline != 0 && timeline < call->guard->timeline;
+}
+
+/* Whether a call was made for an earlier timeline than the one that has
+   answered.  */
+static bool
+_bgap_guard_is_misplaced (const struct guarded_call *call, uint64_t timeline)
+{
+  return timeline != 0 && call->timeline != 0 && call->timeline != timeline;
+}
+
 /* Answers.  */
 
 static void
 _bgap_guard_on_page (void *user, const struct bgap_store_page *page)
 {
+  static const struct bgap_store_page refused
+      = { .outcome = BGAP_STORE_REFUSED,
+          .message = "the store was restored meanwhile" };
   const struct guarded_call call = _bgap_guard_end (user);
-  _bgap_guard_see (call.guard, page->timeline);
-  call.done.page (call.user, page);
+  bgap_timeline_guard_learn (call.guard, page->timeline);
+  if (_bgap_guard_is_past (&call, page->timeline)
+      || _bgap_guard_is_misplaced (&call, page->timeline))
+    call.done.page (call.user, &refused);
+  else
+    call.done.page (call.user, page);
 }
 
 static void
 _bgap_guard_on_appended (void *user, const struct bgap_store_appended *result)
 {
   const struct guarded_call call = _bgap_guard_end (user);
-  _bgap_guard_see (call.guard, result->timeline);
-  call.done.appended (call.user, result);
+  struct bgap_store_appended checked = *result;
+  bgap_timeline_guard_learn (call.guard, result->timeline);
+  if (checked.outcome == BGAP_STORE_OK
+      && (_bgap_guard_is_past (&call, result->timeline)
+          || _bgap_guard_is_misplaced (&call, result->timeline)))
+    checked.outcome = BGAP_STORE_UNKNOWN;
+  call.done.appended (call.user, &checked);
 }
 
 static void
 _bgap_guard_on_joined (void *user, const struct bgap_store_joined *result)
 {
   const struct guarded_call call = _bgap_guard_end (user);
-  _bgap_guard_see (call.guard, result->timeline);
-  call.done.joined (call.user, result);
+  struct bgap_store_joined checked = *result;
+  bgap_timeline_guard_learn (call.guard, result->timeline);
+  if (_bgap_guard_is_past (&call, result->timeline))
+    checked.outcome = BGAP_STORE_REFUSED;
+  call.done.joined (call.user, &checked);
 }
 
 static void
 _bgap_guard_on_members (void *user, const struct bgap_store_members *members)
 {
   const struct guarded_call call = _bgap_guard_end (user);
-  _bgap_guard_see (call.guard, members->timeline);
-  call.done.members (call.user, members);
+  struct bgap_store_members checked = *members;
+  bgap_timeline_guard_learn (call.guard, members->timeline);
+  if (_bgap_guard_is_past (&call, members->timeline))
+    checked.outcome = BGAP_STORE_REFUSED;
+  call.done.members (call.user, &checked);
 }
 
 /* Calls.  */
--- a/packages/store/tests/test_feed_codec.c
+++ b/packages/store/tests/test_feed_codec.c
@@ -14,6 +14,9 @@
 /* Size of the assignment of a service with some dozens of key ranges.  */
 #define VALUE_SIZE 4000
 
+/* Size of a message without records.  */
+#define HEADER_SIZE 29u
+
 /**
  * struct pair - both ends of a relay connection
  */
@@ -257,8 +260,10 @@
     {
       enum bgap_status status = bgap_relay_decode (
           pair.subscriber, second.data, size, &message, NULL);
-      if (size > 0 && size != 21)
-        assert_int_equal (status, BGAP_ERR_PROTOCOL);
+      /* What ends after the header is a message without records.  */
+      assert_int_equal (status,
+                        size == HEADER_SIZE ? BGAP_OK : BGAP_ERR_PROTOCOL);
+      assert_int_equal (message.page.count, 0);
       bgap_relay_message_shutdown (&message);
     }
   for (int i = 0; i < 3000; i++)
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -205,6 +205,9 @@
     bgap_edge_store_answered (edge);
 }
 
+/* The store has come back from a copy. Offsets name other records now, and the
+   group is that of the copy. Registrations that are missing count as expired
+   in an outage: live servers register again.  */
 static void
 _bgap_edge_on_restored (void *context, uint64_t timeline, uint64_t previous)
 {
@@ -217,6 +220,12 @@
       (unsigned long long)bgap_follower_next_offset (edge->config),
       (unsigned long long)bgap_follower_next_offset (edge->registrations),
       (unsigned long long)bgap_follower_next_offset (edge->internal));
+  bgap_server_view_store_failed (edge->view, bgap_now_ms ());
+  bgap_edge_relay_restored (edge);
+  bgap_follower_restored (edge->config);
+  bgap_follower_restored (edge->registrations);
+  bgap_follower_restored (edge->internal);
+  bgap_membership_restored (edge->membership);
 }
 
 static void
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -149,7 +149,8 @@
                    const struct bgap_granter_action *action)
 {
   struct append *append = calloc (1, sizeof *append);
-  if (append != NULL)
+  /* Until a load has ended, the offset at which to append is not known.  */
+  if (append != NULL && !bgap_follower_is_loading (edge->internal))
     {
       append->edge = edge;
       append->service = service;
@@ -157,8 +158,8 @@
       if (_bgap_keys_send_append (append, action) == BGAP_OK)
         return;
       bgap_buffer_shutdown (&append->value);
-      free (append);
     }
+  free (append);
   bgap_granter_on_append (service->granter, bgap_now_ms (),
                           BGAP_GRANTER_NOT_APPENDED);
 }
--- a/programs/banyangapd/edge_private.h
+++ b/programs/banyangapd/edge_private.h
@@ -66,9 +66,9 @@
 
 /* Kinds of messages between instances.  */
 #define BGAP_EDGE_MESSAGE_KEYS 1
-#define BGAP_EDGE_MESSAGE_RELAY 3
 #define BGAP_EDGE_MESSAGE_ROUTER 4 /* to one instance */
 #define BGAP_EDGE_MESSAGE_LIMITS 5 /* to all instances */
+#define BGAP_EDGE_MESSAGE_RELAY 6  /* 3 was without timelines */
 
 /* Number of topics whose records are relayed.  */
 #define BGAP_EDGE_RELAY_TOPICS 3
@@ -499,6 +499,12 @@
 void bgap_edge_send_to (struct bgap_edge *edge, const char *member,
                         uint8_t kind, const struct bgap_buffer *bytes);
 
+/**
+ * bgap_edge_relay_restored() - forget what is known of records that were read
+ * before the store was restored from a copy
+ */
+void bgap_edge_relay_restored (struct bgap_edge *edge);
+
 /**
  * bgap_edge_report_gap() - log that a follower lacks records which its relay
  * has, or that it has caught up
--- a/programs/banyangapd/edge_relay.c
+++ b/programs/banyangapd/edge_relay.c
@@ -228,8 +228,10 @@
                        const struct bgap_relay_page *feed)
 {
   struct bgap_buffer bytes = { 0 };
+  struct bgap_relay_page page = *feed;
   int64_t age_ms = bgap_now_ms () - feed->sent_ms;
-  if (bgap_relay_encode (edge->histories[topic], (uint8_t)topic, feed, age_ms,
+  page.timeline = bgap_timeline_guard_current (edge->guard);
+  if (bgap_relay_encode (edge->histories[topic], (uint8_t)topic, &page, age_ms,
                          &bytes)
       == BGAP_OK)
     _bgap_relay_send (edge, &bytes,
@@ -374,14 +376,34 @@
               (unsigned long long)counts.reads_abandoned);
 }
 
+void
+bgap_edge_relay_restored (struct bgap_edge *edge)
+{
+  for (int i = 0; i < BGAP_EDGE_RELAY_TOPICS; i++)
+    {
+      bgap_relay_history_clear (edge->histories[i]);
+      bgap_relay_subscriber_shutdown (&edge->subscribers[i]);
+    }
+}
+
 bool
 bgap_edge_on_relay (struct bgap_edge *edge, const void *bytes, size_t size)
 {
   struct bgap_error err = { 0 };
   int head = bgap_relay_message_topic (bytes, size);
   unsigned topic = (unsigned)head & ~FORWARDED;
+  uint64_t timeline = bgap_relay_message_timeline (bytes, size);
   if (head < 0 || topic >= BGAP_EDGE_RELAY_TOPICS)
     return false;
+  bgap_timeline_guard_learn (edge->guard, timeline);
+  if (timeline < bgap_timeline_guard_current (edge->guard))
+    {
+      bgap_event (&event_bad_message,
+                  "topic=%u bytes=%zu reason=\"timeline %llu of the store is "
+                  "over\"",
+                  topic, size, (unsigned long long)timeline);
+      return true;
+    }
   if (head == BGAP_EDGE_INTERNAL)
     _bgap_relay_forward (edge, bytes, size);
   enum bgap_status status = bgap_relay_subscriber_on_message (
