Fix: let no record of a restored store undo what was granted since

Cause: a record was believed over the grants that had been made. The granter in office read a record that was older than its own, took it for the assignment in force, and moved keys from where the lost records had put them, without a release or a wait, with tokens that had been given out before. The class: the store's log was taken for the whole history.

An assignment now names the timeline for which it was made. One of an earlier timeline names nobody who may grant. The granter in office goes on with the assignment that it knows and renews all leases at once; it changes nothing before it has written its whole assignment again, and writes it when the servers that answer have confirmed that they know no higher token. Its view of the store does not become younger meanwhile, since what took its office away may be lost. Ranges that were not confirmed are granted to nobody until the leases of an unknown granter have ended. Without a granter in office another instance takes over, and waits as long for all keys. Tokens begin with the number of the timeline.

--- a/packages/keyrange/include/banyangap/keyrange/assignment.h
+++ b/packages/keyrange/include/banyangap/keyrange/assignment.h
@@ -38,6 +38,8 @@
  * @started_ms: start time of the holder's process, 0 if unknown
  * @token: fencing token, which rises with each change of the holder
  * @moving: @server is being asked to release the keys; requests wait
+ * @unconfirmed: another server than @server may have a lease on the keys, see
+ *   unconfirmed_ms of the assignment
  */
 struct bgap_key_range
 {
@@ -47,6 +49,7 @@
   int64_t started_ms;
   uint64_t token;
   bool moving;
+  bool unconfirmed;
 };
 
 /**
@@ -56,14 +59,20 @@
  * @released: the granter has stepped down and sends no more grants
  * @former_leases_ms: if @released, how long after this record leases of
  *   earlier granters can still be valid, 0 if none are
+ * @unconfirmed_ms: how long after this record other servers can have leases on
+ *   the ranges that are unconfirmed
  * @token: highest fencing token in use
+ * @timeline: timeline of the store for which the record was made, 0 if its
+ *   author did not say; in a later timeline it names nobody who may grant
  */
 struct bgap_assignment
 {
+  uint64_t timeline;
   char granter[BGAP_KEYRANGE_NAME_SIZE];
   uint64_t incarnation;
   bool released;
   int64_t former_leases_ms;
+  int64_t unconfirmed_ms;
   uint64_t token;
   struct bgap_key_range *ranges;
   uint32_t count;
--- a/packages/keyrange/include/banyangap/keyrange/granter.h
+++ b/packages/keyrange/include/banyangap/keyrange/granter.h
@@ -36,6 +36,15 @@
  *   after the time in which the former granter can have renewed its leases.
  *   That time is bounded, because a granter stops granting when its view of
  *   the store is older than view_age_max_ms.
+ * - When the store was restored from a copy, its records may be older than the
+ *   grants that were made. A record of an earlier timeline names nobody who
+ *   may grant. The granter in office goes on with the assignment that it
+ *   knows, until its view of the earlier timeline is too old. It makes no
+ *   change before it has written its whole assignment again, and writes that
+ *   when the servers have confirmed that they know no higher token. An
+ *   instance that takes over instead grants nothing before all leases have
+ *   ended that it cannot know of.
+ * - Fencing tokens of a later timeline are above all of the earlier ones.
  *
  * Times are in milliseconds on a clock that counts suspended time.
  */
@@ -252,6 +261,14 @@
  */
 void bgap_granter_shutdown (struct bgap_granter *granter);
 
+/**
+ * bgap_granter_on_timeline() - the store answers from @timeline. After a
+ * restore, call it before anything of the new timeline; the records of the
+ * copy follow with bgap_granter_on_assignment()
+ */
+void bgap_granter_on_timeline (struct bgap_granter *granter, int64_t now_ms,
+                               uint64_t timeline);
+
 /**
  * bgap_granter_on_loaded() - all records of the store have been read; without
  * an earlier bgap_granter_on_assignment the store has no assignment
@@ -260,8 +277,10 @@
 
 /**
  * bgap_granter_on_assignment() - a record has been read
+ *
+ * Return: false if it is of an earlier timeline and older than what is known.
  */
-void bgap_granter_on_assignment (struct bgap_granter *granter, int64_t now_ms,
+bool bgap_granter_on_assignment (struct bgap_granter *granter, int64_t now_ms,
                                  const struct bgap_assignment *assignment);
 
 /**
--- a/packages/keyrange/src/assignment.c
+++ b/packages/keyrange/src/assignment.c
@@ -80,7 +80,8 @@
                             const struct bgap_key_range *b)
 {
   return a->token == b->token && a->started_ms == b->started_ms
-         && a->moving == b->moving && strcmp (a->server, b->server) == 0;
+         && a->moving == b->moving && a->unconfirmed == b->unconfirmed
+         && strcmp (a->server, b->server) == 0;
 }
 
 /* Merges neighbours that differ only in their keys.  */
--- a/packages/keyrange/src/assignment_codec.c
+++ b/packages/keyrange/src/assignment_codec.c
@@ -11,9 +11,13 @@
    value must be an error, and would stop all moves.  */
 #define FORMER_LEASES_MAX_MS 60000
 
-/* Elements of a range: first, last, server, start, token, moving.  */
+/* Elements of a range: first, last, server, start, token, flags.  */
 #define RANGE_FIELDS 6
 
+/* Flags of a range.  */
+#define FLAG_MOVING 1
+#define FLAG_UNCONFIRMED 2
+
 enum bgap_status
 bgap_assignment_encode (const struct bgap_assignment *assignment,
                         struct bgap_buffer *out)
@@ -22,17 +26,19 @@
       out,
       "{\"schema\":%d,\"granter\":\"%s\",\"life\":\"%016" PRIx64
       "\",\"released\":%s,\"foreign_ms\":%" PRId64 ",\"fence\":%" PRIu64
-      ",\"ranges\":[",
+      ",\"timeline\":%" PRIu64 ",\"unconfirmed_ms\":%" PRId64 ",\"ranges\":[",
       SCHEMA, assignment->granter, assignment->incarnation,
       assignment->released ? "true" : "false", assignment->former_leases_ms,
-      assignment->token);
+      assignment->token, assignment->timeline, assignment->unconfirmed_ms);
   for (uint32_t i = 0; i < assignment->count && status == BGAP_OK; i++)
     {
       const struct bgap_key_range *range = &assignment->ranges[i];
       status = bgap_buffer_printf (
           out, "%s[%u,%u,\"%s\",%" PRId64 ",%" PRIu64 ",%d]", i > 0 ? "," : "",
           range->first, range->last, range->server, range->started_ms,
-          range->token, range->moving ? 1 : 0);
+          range->token,
+          (range->moving ? FLAG_MOVING : 0)
+              | (range->unconfirmed ? FLAG_UNCONFIRMED : 0));
     }
   return status == BGAP_OK ? bgap_buffer_printf (out, "]}") : status;
 }
@@ -65,6 +71,7 @@
   json_int_t first = json_integer_value (json_array_get (item, 0));
   json_int_t last = json_integer_value (json_array_get (item, 1));
   json_int_t token = json_integer_value (json_array_get (item, 4));
+  json_int_t flags = json_integer_value (json_array_get (item, 5));
   if (first != next || last < first || last >= BGAP_KEY_COUNT || token < 0
       || (uint64_t)token > token_max)
     return bgap_error_set (
@@ -75,7 +82,8 @@
     .last = (uint32_t)last,
     .started_ms = json_integer_value (json_array_get (item, 3)),
     .token = (uint64_t)token,
-    .moving = json_integer_value (json_array_get (item, 5)) != 0,
+    .moving = (flags & FLAG_MOVING) != 0,
+    .unconfirmed = (flags & FLAG_UNCONFIRMED) != 0,
   };
   if (!_bgap_assignment_copy_name (
           range->server, json_string_value (json_array_get (item, 2))))
@@ -110,6 +118,20 @@
   return BGAP_OK;
 }
 
+/* Reads a member that records of earlier versions do not have.  */
+static enum bgap_status
+_bgap_assignment_decode_optional (const json_t *root, const char *name,
+                                  int64_t *value, struct bgap_error *err)
+{
+  *value = 0;
+  if (json_object_get (root, name) == NULL)
+    return BGAP_OK;
+  enum bgap_status status = bgap_json_int (root, name, value, err);
+  if (status == BGAP_OK && *value < 0)
+    status = bgap_error_set (err, BGAP_ERR_PROTOCOL, "%s is negative", name);
+  return status;
+}
+
 static enum bgap_status
 _bgap_assignment_decode_head (struct bgap_assignment *out, const json_t *root,
                               struct bgap_error *err)
@@ -117,6 +139,8 @@
   int64_t schema = 0;
   int64_t token = 0;
   int64_t former_leases_ms = 0;
+  int64_t timeline = 0;
+  int64_t unconfirmed_ms = 0;
   const char *granter = "";
   const char *incarnation = "";
   enum bgap_status status = bgap_json_int (root, "schema", &schema, err);
@@ -127,6 +151,12 @@
     status = bgap_json_int (root, "fence", &token, err);
   if (status == BGAP_OK)
     status = bgap_json_int (root, "foreign_ms", &former_leases_ms, err);
+  if (status == BGAP_OK)
+    status
+        = _bgap_assignment_decode_optional (root, "timeline", &timeline, err);
+  if (status == BGAP_OK)
+    status = _bgap_assignment_decode_optional (root, "unconfirmed_ms",
+                                               &unconfirmed_ms, err);
   if (status == BGAP_OK)
     status = bgap_json_string (root, "granter", &granter, err);
   if (status == BGAP_OK)
@@ -134,12 +164,15 @@
   if (status != BGAP_OK)
     return status;
   if (!json_is_array (json_object_get (root, "ranges")) || token < 0
-      || former_leases_ms < 0 || former_leases_ms > FORMER_LEASES_MAX_MS
+      || unconfirmed_ms > FORMER_LEASES_MAX_MS || former_leases_ms < 0
+      || former_leases_ms > FORMER_LEASES_MAX_MS
       || sscanf (incarnation, "%" SCNx64, &out->incarnation) != 1
       || !_bgap_assignment_copy_name (out->granter, granter))
     return bgap_error_set (err, BGAP_ERR_PROTOCOL,
                            "a field of the assignment is malformed");
   out->token = (uint64_t)token;
+  out->timeline = (uint64_t)timeline;
+  out->unconfirmed_ms = unconfirmed_ms;
   out->former_leases_ms = former_leases_ms;
   out->released = json_is_true (json_object_get (root, "released"));
   return BGAP_OK;
--- a/packages/keyrange/src/granter.c
+++ b/packages/keyrange/src/granter.c
@@ -130,9 +130,9 @@
   g->loaded = true;
 }
 
-static bool
-_bgap_granter_is_own (const struct bgap_granter *g,
-                      const struct bgap_assignment *assignment)
+bool
+bgap_granter_is_own (const struct bgap_granter *g,
+                     const struct bgap_assignment *assignment)
 {
   return assignment->incarnation == g->desc.incarnation
          && strcmp (assignment->granter, g->instance) == 0;
@@ -171,11 +171,14 @@
   g->rebalanced_ms = now_ms;
 }
 
-void
+bool
 bgap_granter_on_assignment (struct bgap_granter *g, int64_t now_ms,
                             const struct bgap_assignment *assignment)
 {
+  if (bgap_restore_is_past (g, assignment))
+    return bgap_restore_on_past_record (g, now_ms, assignment);
   bool was_active = g->active;
+  bool records_lost = bgap_restore_records_lost (g);
   bool had_granter = g->known;
   bool was_released = g->known && g->current.released;
   int64_t former_leases_ms = was_released ? g->current.former_leases_ms : 0;
@@ -185,25 +188,32 @@
     {
       /* Without the record nothing may be granted.  */
       g->active = false;
-      return;
+      return true;
     }
   g->holders_changed = same_granter;
   g->current_read_ms = now_ms;
   g->known = true;
   g->superseded = false;
   g->granter_lost = false;
-  g->active = _bgap_granter_is_own (g, assignment) && !assignment->released;
+  g->overwritten = false;
+  g->active = bgap_granter_is_own (g, assignment) && !assignment->released;
   bgap_plan_resolved (g);
   if (g->active && !was_active)
-    _bgap_granter_activated (g, now_ms, had_granter, was_released,
-                             former_leases_ms);
+    _bgap_granter_activated (g, now_ms, had_granter && !records_lost,
+                             was_released, former_leases_ms);
+  bgap_restore_on_record (g, now_ms, was_active, records_lost);
   g->counts.token = assignment->token;
+  return true;
 }
 
 void
 bgap_granter_on_view (struct bgap_granter *g, int64_t now_ms, int64_t sent_ms)
 {
   (void)now_ms;
+  /* Whether another instance had taken over before the restore cannot be seen
+     in what was restored.  */
+  if (g->active && bgap_restore_records_lost (g))
+    return;
   if (sent_ms > g->view_ms)
     g->view_ms = sent_ms;
 }
@@ -247,13 +257,16 @@
       g->aged_ms = now_ms;
       bgap_balance_age_counts (g);
     }
+  if (g->active && !is_current && bgap_restore_records_lost (g))
+    g->active = false;
   if (g->superseded && now_ms - g->superseded_ms >= SUPERSEDED_RETRY_MS)
     g->is_successor = true;
   if (now_ms - g->last_pass_ms < g->current.count / PASS_RANGES_PER_MS)
     return;
   g->last_pass_ms = now_ms;
   bgap_plan_run (g, now_ms);
-  if (g->active && is_current && !g->stepping_down && !g->superseded)
+  bool is_leaving = g->stepping_down && !bgap_restore_records_lost (g);
+  if (g->active && is_current && !is_leaving && !g->superseded)
     bgap_calls_renew (g, now_ms);
   bgap_calls_drop_releases (g, now_ms);
   bgap_leases_prune (g, now_ms);
--- a/packages/keyrange/src/granter_calls.c
+++ b/packages/keyrange/src/granter_calls.c
@@ -153,6 +153,7 @@
   if (!bgap_granter_emit (g, &action))
     return;
   lease->call = action.call;
+  lease->call_sent_ms = now_ms;
   lease->call_lease_ms = lease_ms;
   lease->call_end_ms
       = bgap_leases_end_ms (now_ms + g->desc.call_timeout_ms, lease_ms);
@@ -262,6 +263,16 @@
   return (a->until_ms > b->until_ms) - (a->until_ms < b->until_ms);
 }
 
+/* Ranges that were moving when the store was restored stay with their holder
+   until the assignment is written again, and have to be confirmed, too.  */
+static bool
+_bgap_calls_is_granted (const struct bgap_granter *g,
+                        const struct bgap_key_range *range)
+{
+  return range->server[0] != '\0'
+         && (!range->moving || bgap_restore_records_lost (g));
+}
+
 /* Lists the grants that are due. Returns their number.  */
 static uint32_t
 _bgap_calls_list_due (struct bgap_granter *g, int64_t now_ms)
@@ -275,7 +286,7 @@
     {
       const struct bgap_key_range *range = &g->current.ranges[i];
       struct bgap_due_grant due = { .range = i };
-      if (range->server[0] != '\0' && !range->moving
+      if (_bgap_calls_is_granted (g, range)
           && _bgap_calls_is_due (g, now_ms, range, &due))
         g->due[count++] = due;
     }
@@ -423,6 +434,7 @@
   if (end_ms > lease->end_ms)
     lease->end_ms = end_ms;
   lease->held_until_ms = now_ms + lease->call_lease_ms;
+  lease->confirmed_ms = lease->call_sent_ms;
   lease->unanswered = 0;
   bgap_leases_confirm_token (g, now_ms, lease->first, lease->last,
                              lease->server, lease->started_ms, lease->token,
@@ -435,8 +447,9 @@
 {
   const struct bgap_key_range *range
       = bgap_assignment_find (&g->current, lease->first);
-  return range != NULL && !range->moving && range->first == lease->first
-         && range->last == lease->last && range->token == lease->token
+  return range != NULL && _bgap_calls_is_granted (g, range)
+         && range->first == lease->first && range->last == lease->last
+         && range->token == lease->token
          && strcmp (range->server, lease->server) == 0;
 }
 
@@ -457,11 +470,13 @@
     case BGAP_GRANTER_FENCED:
       /* The refusal proves nothing if the range has been changed since the
          call.  */
-      if (_bgap_calls_is_current (g, lease))
-        {
-          g->superseded = true;
-          g->superseded_ms = now_ms;
-        }
+      if (!_bgap_calls_is_current (g, lease))
+        break;
+      g->superseded = true;
+      g->superseded_ms = now_ms;
+      /* The record of the granter that has taken over may be lost.  */
+      if (bgap_restore_records_lost (g))
+        g->active = false;
       break;
     case BGAP_GRANTER_LOST:
       if (sent_end_ms > lease->unanswered_end_ms)
--- a/packages/keyrange/src/granter_leases.c
+++ b/packages/keyrange/src/granter_leases.c
@@ -264,6 +264,21 @@
   return BGAP_OK;
 }
 
+enum bgap_status
+bgap_leases_add_unknown (struct bgap_granter *g, uint32_t first, uint32_t last,
+                         int64_t end_ms)
+{
+  struct bgap_key_lease *lease = bgap_leases_add (
+      g, &(struct bgap_key_range){ .first = first,
+                                   .last = last,
+                                   .server = BGAP_KEYRANGE_UNKNOWN_SERVER });
+  if (lease == NULL)
+    return BGAP_ERR_NO_MEMORY;
+  lease->from_former_granter = true;
+  lease->end_ms = end_ms;
+  return BGAP_OK;
+}
+
 void
 bgap_leases_prune (struct bgap_granter *g, int64_t now_ms)
 {
--- a/packages/keyrange/src/granter_plan.c
+++ b/packages/keyrange/src/granter_plan.c
@@ -60,8 +60,10 @@
 static void
 _bgap_plan_propose (struct bgap_granter *g, int64_t now_ms)
 {
+  bgap_restore_state_unconfirmed (g, now_ms);
   memcpy (g->proposal.granter, g->instance, sizeof g->proposal.granter);
   g->proposal.incarnation = g->desc.incarnation;
+  g->proposal.timeline = g->timeline;
   bgap_buffer_shutdown (&g->proposal_text);
   if (_bgap_plan_block_changes (g) != BGAP_OK
       || bgap_assignment_encode (&g->proposal, &g->proposal_text) != BGAP_OK)
@@ -112,13 +114,14 @@
     return;
   g->proposal.released = false;
   g->proposal.former_leases_ms = 0;
-  g->proposal.token++;
+  g->proposal.token = bgap_restore_next_token (g);
   for (uint32_t i = 0; i < g->proposal.count; i++)
     g->proposal.ranges[i].token = g->proposal.token;
   if (!g->known
       && !bgap_balance_place (g, now_ms, &g->proposal, 0, BGAP_KEY_COUNT - 1,
                               g->proposal.token))
     return;
+  bgap_restore_mark_unconfirmed (g);
   _bgap_plan_propose (g, now_ms);
 }
 
@@ -165,6 +168,8 @@
   bool is_same_process
       = target != NULL && target->desc.started_ms == range->started_ms;
   bool is_leaving = target == NULL || target->gone || target->desc.draining;
+  if (bgap_restore_is_unconfirmed (g, now_ms, range))
+    return;
   struct bgap_key_range value = *range;
   value.token = g->proposal.token;
   if (has_holder && !is_leaving && !is_same_process)
@@ -199,10 +204,11 @@
 }
 
 static bool
-_bgap_plan_is_stable (const struct bgap_granter *g)
+_bgap_plan_is_stable (const struct bgap_granter *g, int64_t now_ms)
 {
   for (uint32_t i = 0; i < g->current.count; i++)
-    if (g->current.ranges[i].moving || g->current.ranges[i].server[0] == '\0')
+    if (g->current.ranges[i].moving || g->current.ranges[i].server[0] == '\0'
+        || bgap_restore_is_unconfirmed (g, now_ms, &g->current.ranges[i]))
       return false;
   return true;
 }
@@ -228,11 +234,11 @@
   bool changed = false;
   if (bgap_assignment_copy (&g->proposal, &g->current) != BGAP_OK)
     return;
-  g->proposal.token++;
+  g->proposal.token = bgap_restore_next_token (g);
   for (uint32_t i = 0; i < g->current.count; i++)
     _bgap_plan_range (g, now_ms, &g->current.ranges[i], &changed);
   if (!changed && now_ms - g->rebalanced_ms >= g->desc.rebalance_interval_ms
-      && _bgap_plan_is_stable (g))
+      && _bgap_plan_is_stable (g, now_ms))
     {
       g->rebalanced_ms = now_ms;
       changed = bgap_merge_neighbours (&g->proposal, g->proposal.token);
@@ -244,8 +250,8 @@
             || changed;
     }
   /* The next record settles a proposal without a response, whatever it
-     contains.  */
-  if (!changed && !g->unresolved)
+     contains, and replaces one of an earlier timeline.  */
+  if (!changed && !g->unresolved && !g->overwritten)
     return;
   _bgap_plan_count_moves (g);
   _bgap_plan_propose (g, now_ms);
@@ -275,6 +281,13 @@
     }
   if (now_ms < g->propose_after_ms)
     return;
+  bool records_lost = bgap_restore_records_lost (g);
+  if (g->active && records_lost)
+    {
+      if (bgap_restore_is_confirmed (g, now_ms))
+        _bgap_plan_take_over (g, now_ms);
+      return;
+    }
   if (g->active && g->stepping_down)
     {
       _bgap_plan_step_down (g, now_ms);
@@ -295,6 +308,8 @@
                  && strcmp (g->current.granter, g->instance) == 0;
   bool is_vacant = !g->known || g->current.released || g->granter_lost
                    || g->superseded || was_own;
+  if (records_lost)
+    is_vacant = bgap_restore_is_vacant (g, now_ms, is_vacant);
   if (g->loaded && (g->is_successor || was_own) && settled && is_vacant
       && !g->stepping_down)
     _bgap_plan_take_over (g, now_ms);
--- /dev/null
+++ b/packages/keyrange/src/granter_restore.c
@@ -0,0 +1,216 @@
+#include <string.h>
+
+#include "granter_state.h"
+
+/* Time after a restore of the store within which the granter in office writes
+   its assignment again, even if some servers have not confirmed their leases,
+   and for which it waits at least for those that do not answer.  */
+#define CONFIRM_MAX_MS 4000
+#define CONFIRM_MIN_MS 1500
+
+/* Time after a restore after which no granter in office remains if it is not
+   in the list of instances, and if it is.  */
+#define VACANT_MISSING_MS 1500
+#define VACANT_LISTED_MS 7000
+
+/* Each timeline of the store has as many tokens.  */
+#define TOKENS_PER_TIMELINE_BITS 32
+
+/* Number of the timeline of a store that was never restored.  */
+#define FIRST_TIMELINE 1u
+
+bool
+bgap_restore_is_past (const struct bgap_granter *g,
+                      const struct bgap_assignment *assignment)
+{
+  return assignment->timeline != 0 && assignment->timeline < g->timeline;
+}
+
+bool
+bgap_restore_records_lost (const struct bgap_granter *g)
+{
+  return g->known ? bgap_restore_is_past (g, &g->current)
+                  : g->timeline > FIRST_TIMELINE;
+}
+
+uint64_t
+bgap_restore_next_token (const struct bgap_granter *g)
+{
+  uint64_t restores
+      = g->timeline > FIRST_TIMELINE ? g->timeline - FIRST_TIMELINE : 0;
+  uint64_t base = restores << TOKENS_PER_TIMELINE_BITS;
+  return g->current.token >= base ? g->current.token + 1 : base + 1;
+}
+
+void
+bgap_granter_on_timeline (struct bgap_granter *g, int64_t now_ms,
+                          uint64_t timeline)
+{
+  if (timeline <= g->timeline)
+    return;
+  g->timeline = timeline;
+  g->timeline_since_ms = now_ms;
+  g->loaded = false;
+  /* A proposal for the earlier timeline has no effect in this one.  */
+  bgap_plan_resolved (g);
+  /* Moving ranges are granted to their holders again; the response to an
+     earlier release would say that they have given them up.  */
+  g->release_count = 0;
+  for (uint32_t i = 0; g->active && i < g->lease_count; i++)
+    g->leases[i].renew_at_ms = now_ms;
+}
+
+/* Records.  */
+
+/* Whether a record of an earlier timeline is newer than the known one.  */
+static bool
+_bgap_restore_is_newer (const struct bgap_granter *g,
+                        const struct bgap_assignment *assignment)
+{
+  const struct bgap_assignment *known = &g->current;
+  if (!g->known || assignment->timeline != known->timeline)
+    return !g->known || assignment->timeline > known->timeline;
+  if (assignment->token != known->token)
+    return assignment->token > known->token;
+  return assignment->released && !known->released;
+}
+
+bool
+bgap_restore_on_past_record (struct bgap_granter *g, int64_t now_ms,
+                             const struct bgap_assignment *assignment)
+{
+  if (!_bgap_restore_is_newer (g, assignment))
+    {
+      g->overwritten = !bgap_restore_records_lost (g);
+      return false;
+    }
+  if (!bgap_granter_is_own (g, assignment) || assignment->released)
+    g->active = false;
+  if (bgap_assignment_copy (&g->current, assignment) != BGAP_OK)
+    g->active = false;
+  g->known = true;
+  g->holders_changed = false;
+  g->current_read_ms = now_ms;
+  g->counts.token = g->current.token;
+  return true;
+}
+
+/* When all leases have ended that a granter can have granted whose records are
+   lost. It renews them until its view of the earlier timeline is too old. How
+   many ranges it had, and thus how long its leases were, is not known.  */
+static int64_t
+_bgap_restore_unknown_end_ms (const struct bgap_granter *g)
+{
+  return bgap_leases_end_ms (g->timeline_since_ms + g->desc.view_age_max_ms
+                                 + g->desc.call_timeout_ms,
+                             g->desc.lease_max_ms);
+}
+
+/* Waits for the leases that unknown servers may have on unconfirmed ranges. */
+static void
+_bgap_restore_hold_unconfirmed (struct bgap_granter *g)
+{
+  for (uint32_t i = 0; i < g->current.count; i++)
+    {
+      const struct bgap_key_range *range = &g->current.ranges[i];
+      if (range->unconfirmed
+          && bgap_leases_add_unknown (g, range->first, range->last,
+                                      g->unconfirmed_until_ms)
+                 != BGAP_OK)
+        g->active = false;
+    }
+}
+
+void
+bgap_restore_on_record (struct bgap_granter *g, int64_t now_ms,
+                        bool was_active, bool records_lost)
+{
+  if (g->active && was_active && !records_lost)
+    return;
+  if (g->active && records_lost)
+    g->unconfirmed_until_ms = _bgap_restore_unknown_end_ms (g);
+  else
+    g->unconfirmed_until_ms = now_ms + g->current.unconfirmed_ms;
+  if (!g->active)
+    return;
+  if (records_lost && !was_active)
+    g->former_leases_until_ms = g->unconfirmed_until_ms;
+  _bgap_restore_hold_unconfirmed (g);
+}
+
+/* The granter in office.  */
+
+/* Whether the holder of a range has confirmed since the restore that it knows
+   no higher token.  */
+static bool
+_bgap_restore_has_confirmed (struct bgap_granter *g,
+                             const struct bgap_key_range *range)
+{
+  const struct bgap_key_lease *lease = bgap_leases_find (g, range);
+  return lease != NULL && lease->confirmed_ms >= g->timeline_since_ms;
+}
+
+bool
+bgap_restore_is_confirmed (struct bgap_granter *g, int64_t now_ms)
+{
+  int64_t since_ms = now_ms - g->timeline_since_ms;
+  if (!g->loaded)
+    return false;
+  for (uint32_t i = 0; since_ms < CONFIRM_MAX_MS && i < g->current.count; i++)
+    {
+      const struct bgap_key_range *range = &g->current.ranges[i];
+      const struct bgap_grant_target *target
+          = bgap_grant_targets_find (g, range->server);
+      bool may_answer = target != NULL && !target->gone && !target->dead
+                        && target->desc.started_ms == range->started_ms;
+      if (!may_answer || _bgap_restore_has_confirmed (g, range))
+        continue;
+      if (target->unanswered == 0 || since_ms < CONFIRM_MIN_MS)
+        return false;
+    }
+  return true;
+}
+
+bool
+bgap_restore_is_vacant (const struct bgap_granter *g, int64_t now_ms,
+                        bool is_missing)
+{
+  return now_ms - g->timeline_since_ms
+         >= (is_missing ? VACANT_MISSING_MS : VACANT_LISTED_MS);
+}
+
+/* Unconfirmed ranges.  */
+
+void
+bgap_restore_mark_unconfirmed (struct bgap_granter *g)
+{
+  if (!bgap_restore_records_lost (g))
+    return;
+  for (uint32_t i = 0; i < g->proposal.count; i++)
+    {
+      const struct bgap_key_range *known
+          = bgap_assignment_find (&g->current, g->proposal.ranges[i].first);
+      /* An instance that was not in office knows of no lease.  */
+      g->proposal.ranges[i].unconfirmed
+          = !g->active || known == NULL
+            || !_bgap_restore_has_confirmed (g, known);
+    }
+}
+
+void
+bgap_restore_state_unconfirmed (struct bgap_granter *g, int64_t now_ms)
+{
+  int64_t until_ms = bgap_restore_records_lost (g)
+                         ? _bgap_restore_unknown_end_ms (g)
+                         : g->unconfirmed_until_ms;
+  g->proposal.unconfirmed_ms = until_ms > now_ms ? until_ms - now_ms : 0;
+  for (uint32_t i = 0; until_ms <= now_ms && i < g->proposal.count; i++)
+    g->proposal.ranges[i].unconfirmed = false;
+}
+
+bool
+bgap_restore_is_unconfirmed (const struct bgap_granter *g, int64_t now_ms,
+                             const struct bgap_key_range *range)
+{
+  return range->unconfirmed && now_ms < g->unconfirmed_until_ms;
+}
--- a/packages/keyrange/src/granter_state.h
+++ b/packages/keyrange/src/granter_state.h
@@ -3,10 +3,12 @@
 
 /*
  * Internals of the granter, shared by the granter_*.c files. Each file calls
- * only those further down, except for bgap_plan_blocks:
+ * only those further down, except for bgap_plan_blocks, bgap_plan_resolved and
+ * bgap_restore_records_lost:
  *
  *   granter.c             events
  *   granter_plan.c        changes of the assignment
+ *   granter_restore.c     what remains known when the store was restored
  *   granter_balance.c     placement of keys and load balancing
  *   granter_merge.c       reduction of the number of ranges
  *   granter_calls.c       grants and releases
@@ -29,7 +31,10 @@
  *   clock, 0 if none was answered
  * @unanswered: grants without a response since the last answered one
  * @renew_at_ms: when to renew
+ * @confirmed_ms: when the last grant that was answered had been sent, 0 if
+ *   none was
  * @call: grant that is in flight, 0 for none
+ * @call_sent_ms: when it was sent
  * @call_end_ms: expiry if that grant takes effect without a response
  * @call_lease_ms: duration of the lease in that grant
  */
@@ -47,7 +52,9 @@
   int64_t held_until_ms;
   uint32_t unanswered;
   int64_t renew_at_ms;
+  int64_t confirmed_ms;
   uint32_t call;
+  int64_t call_sent_ms;
   int64_t call_end_ms;
   int64_t call_lease_ms;
 };
@@ -113,6 +120,12 @@
  * @active: it names this process as the granter
  * @holders_changed: it changed holders, and not only the granter
  * @is_successor: this instance takes over when the granter is lost
+ * @timeline: timeline of the store, 0 if it has none or has not answered yet
+ * @timeline_since_ms: when it was first seen
+ * @unconfirmed_until_ms: until then other servers can have leases on the
+ * ranges of @current that are unconfirmed
+ * @overwritten: a record of an earlier timeline was appended after @current;
+ *   @current has to be written again
  * @stepping_down: grants no more, until a record says so
  * @superseded: a server has refused a grant of this granter
  * @proposal: record that is being appended
@@ -149,6 +162,10 @@
   bool active;
   bool is_successor;
   bool granter_lost;
+  uint64_t timeline;
+  int64_t timeline_since_ms;
+  int64_t unconfirmed_until_ms;
+  bool overwritten;
   bool stepping_down;
   bool superseded;
   int64_t superseded_ms;
@@ -200,8 +217,19 @@
   struct bgap_granter_counts counts;
 };
 
+/* granter.c: events.  */
+
+/**
+ * bgap_granter_is_own() - whether a record was written by this process
+ */
+bool bgap_granter_is_own (const struct bgap_granter *g,
+                          const struct bgap_assignment *assignment);
+
 /* granter_leases.c: expiry of leases.  */
 
+/* Server of a lease whose holder is not known.  */
+#define BGAP_KEYRANGE_UNKNOWN_SERVER "?"
+
 /**
  * bgap_leases_end_ms() - latest expiry of a lease of @lease_ms that starts at
  * @arrival_ms, at a server whose clock is slow
@@ -283,6 +311,14 @@
  */
 enum bgap_status bgap_leases_take_over (struct bgap_granter *g);
 
+/**
+ * bgap_leases_add_unknown() - record that any server may have a lease on the
+ * keys until @end_ms
+ */
+enum bgap_status bgap_leases_add_unknown (struct bgap_granter *g,
+                                          uint32_t first, uint32_t last,
+                                          int64_t end_ms);
+
 /**
  * bgap_leases_prune() - drop expired leases
  */
@@ -384,4 +420,78 @@
 bool bgap_plan_blocks (const struct bgap_granter *g, uint32_t first,
                        uint32_t last);
 
+/* granter_restore.c: what remains known when the store was restored.  */
+
+/**
+ * bgap_restore_is_past() - whether a record is of an earlier timeline than the
+ * store's
+ */
+bool bgap_restore_is_past (const struct bgap_granter *g,
+                           const struct bgap_assignment *assignment);
+
+/**
+ * bgap_restore_records_lost() - whether the last granter may have granted
+ * leases by records that are lost: the store was restored, and no granter has
+ * written its assignment since
+ */
+bool bgap_restore_records_lost (const struct bgap_granter *g);
+
+/**
+ * bgap_restore_next_token() - fencing token of the next record; each timeline
+ * has its own, above those of the earlier ones
+ */
+uint64_t bgap_restore_next_token (const struct bgap_granter *g);
+
+/**
+ * bgap_restore_on_past_record() - a record of an earlier timeline has been
+ * read. It names nobody who may grant, but it may show that this instance no
+ * longer may
+ *
+ * Return: whether it is newer than the known one.
+ */
+bool bgap_restore_on_past_record (struct bgap_granter *g, int64_t now_ms,
+                                  const struct bgap_assignment *assignment);
+
+/**
+ * bgap_restore_on_record() - a record of the present timeline has been read
+ * @was_active, @records_lost: before it
+ */
+void bgap_restore_on_record (struct bgap_granter *g, int64_t now_ms,
+                             bool was_active, bool records_lost);
+
+/**
+ * bgap_restore_is_confirmed() - whether the granter in office can write its
+ * assignment again: the servers that answer have confirmed that they know no
+ * higher token
+ */
+bool bgap_restore_is_confirmed (struct bgap_granter *g, int64_t now_ms);
+
+/**
+ * bgap_restore_is_vacant() - whether no granter in office remains to write its
+ * assignment
+ * @is_missing: it is not in the list of instances
+ */
+bool bgap_restore_is_vacant (const struct bgap_granter *g, int64_t now_ms,
+                             bool is_missing);
+
+/**
+ * bgap_restore_mark_unconfirmed() - if records are lost, mark the ranges of
+ * the proposal on which a server may have a lease that this instance does not
+ * know of
+ */
+void bgap_restore_mark_unconfirmed (struct bgap_granter *g);
+
+/**
+ * bgap_restore_state_unconfirmed() - state in the proposal how long ranges
+ * remain unconfirmed
+ */
+void bgap_restore_state_unconfirmed (struct bgap_granter *g, int64_t now_ms);
+
+/**
+ * bgap_restore_is_unconfirmed() - whether a range of the current assignment
+ * may have an unknown holder
+ */
+bool bgap_restore_is_unconfirmed (const struct bgap_granter *g, int64_t now_ms,
+                                  const struct bgap_key_range *range);
+
 #endif
--- a/packages/keyrange/tests/world.c
+++ b/packages/keyrange/tests/world.c
@@ -400,6 +400,7 @@
   if (timeline <= instance->timeline)
     return;
   instance->timeline = timeline;
+  bgap_granter_on_timeline (instance->granter, w->now_ms, timeline);
   instance->records_read = w->record_count > 0 ? w->record_count - 1 : 0;
 }
 
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -226,6 +226,10 @@
   bgap_follower_restored (edge->registrations);
   bgap_follower_restored (edge->internal);
   bgap_membership_restored (edge->membership);
+  for (struct bgap_edge_service *service = edge->services; service != NULL;
+       service = service->hh.next)
+    if (service->granter != NULL)
+      bgap_granter_on_timeline (service->granter, bgap_now_ms (), timeline);
 }
 
 static void
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -237,11 +237,15 @@
       return;
     }
   bool was_active = bgap_granter_is_active (service->granter);
-  bgap_granter_on_assignment (service->granter, bgap_now_ms (), &assignment);
+  bgap_granter_on_timeline (service->granter, bgap_now_ms (),
+                            bgap_timeline_guard_current (edge->guard));
+  bool taken = bgap_granter_on_assignment (service->granter, bgap_now_ms (),
+                                           &assignment);
   bgap_event (&event_assignment,
-              "service=%s offset=%llu granter=%s fence=%llu ranges=%u "
-              "released=%d active=%d was_active=%d",
+              "service=%s offset=%llu timeline=%llu taken=%d granter=%s "
+              "fence=%llu ranges=%u released=%d active=%d was_active=%d",
               service->name, (unsigned long long)record->offset,
+              (unsigned long long)assignment.timeline, taken,
               assignment.granter, (unsigned long long)assignment.token,
               assignment.count, assignment.released,
               bgap_granter_is_active (service->granter), was_active);
@@ -296,7 +300,11 @@
   for (struct bgap_edge_service *service = edge->services; service != NULL;
        service = service->hh.next)
     if (service->granter != NULL)
-      bgap_granter_on_loaded (service->granter, bgap_now_ms ());
+      {
+        bgap_granter_on_timeline (service->granter, bgap_now_ms (),
+                                  bgap_timeline_guard_current (edge->guard));
+        bgap_granter_on_loaded (service->granter, bgap_now_ms ());
+      }
   bgap_edge_relay_loaded (edge, BGAP_EDGE_INTERNAL);
 }
 
