Fix: tell subscribers that a missing server has registered again

Cause: a registration that is missing after an outage is kept for a while, and its return was no change for the instance that reads the store, so that its relay told the subscribers nothing. They had taken the server for gone. The class: changes are told relative to a view that the receiver does not share.

The return of a missing server is a change of its own and relayed like the others.

--- a/packages/registry/include/banyangap/registry/server_view.h
+++ b/packages/registry/include/banyangap/registry/server_view.h
@@ -73,6 +73,7 @@
   BGAP_SERVER_CHANGED,
   BGAP_SERVER_RESTARTED, /* a new process under the same id */
   BGAP_SERVER_DRAINING,
+  BGAP_SERVER_RETURNED, /* registered again while it was missing */
   BGAP_SERVER_GONE
 };
 
--- a/packages/registry/src/server_view.c
+++ b/packages/registry/src/server_view.c
@@ -26,7 +26,7 @@
   static const char *const names[] = {
     [BGAP_SERVER_ADDED] = "added",         [BGAP_SERVER_CHANGED] = "changed",
     [BGAP_SERVER_RESTARTED] = "restarted", [BGAP_SERVER_DRAINING] = "draining",
-    [BGAP_SERVER_GONE] = "gone",
+    [BGAP_SERVER_RETURNED] = "returned",   [BGAP_SERVER_GONE] = "gone",
   };
   return names[change];
 }
@@ -119,8 +119,11 @@
       _bgap_view_add (view, entry);
       return;
     }
+  bool was_missing = server->missing_since_ms != 0;
   server->missing_since_ms = 0;
   server->entry = *entry;
+  if (was_missing)
+    _bgap_view_report (view, server, BGAP_SERVER_RETURNED);
   if (old.started_ms != entry->started_ms)
     _bgap_view_report (view, server, BGAP_SERVER_RESTARTED);
   if (entry->draining && !old.draining)
--- a/packages/registry/tests/test_server_view.c
+++ b/packages/registry/tests/test_server_view.c
@@ -134,6 +134,27 @@
   bgap_server_view_free (view);
 }
 
+/* A relay forwards changes only. Guards against its subscribers, which drop a
+   server whose registration has expired and never hear that it has registered
+   again.  */
+static void
+test_return_of_a_missing_server_is_reported (void **state)
+{
+  (void)state;
+  struct report report;
+  struct bgap_server_view *view = view_new (&report);
+  put (view, 0, entry (100, 1));
+  bgap_server_view_store_failed (view, 5000);
+  bgap_server_view_store_answered (view, 5500);
+  bgap_server_view_remove (view, 5600, "i-1");
+  assert_int_equal (report.count, 1);
+  put (view, 6000, entry (100, 2));
+  assert_int_equal (report.last, BGAP_SERVER_RETURNED);
+  put (view, 6900, entry (100, 3));
+  assert_int_equal (report.count, 2);
+  bgap_server_view_free (view);
+}
+
 /* A server shuts down a second after this instance can reach the store again.
    Guards against requests to it for as long as a registration that expired in
    the outage may be missing.  */
@@ -191,6 +212,7 @@
     cmocka_unit_test (test_only_changes_are_reported),
     cmocka_unit_test (test_removed_registration_is_gone_at_once),
     cmocka_unit_test (test_registration_expires_in_an_outage),
+    cmocka_unit_test (test_return_of_a_missing_server_is_reported),
     cmocka_unit_test (test_server_that_leaves_after_an_outage),
     cmocka_unit_test (test_other_address_is_another_server),
     cmocka_unit_test (test_load_removes_what_is_missing),
