Fix: add no server that is gone from the registrations of a copy

A store that is restored from a copy still has the registrations of servers that have left or ended since the copy was made. They were added again, so that requests went to servers that are gone, or to their addresses, which other services may use by then.

The last registration of a server that is gone is remembered for 60 s, which is longer than a copy is old. One that is not newer adds nothing; a server that registers again with a higher number, or a new process, is added.

registry.test_server_view (test_registration_of_a_copy_adds_no_former_server) failed before: the server was in the view again.

--- a/packages/registry/include/banyangap/registry/server_view.h
+++ b/packages/registry/include/banyangap/registry/server_view.h
@@ -86,6 +86,7 @@
  * struct bgap_known_server - a server in the view
  * @entry: newest registration
  * @missing_since_ms: when its registration disappeared, 0 if it is present
+ * @gone_ms: when it was removed from the view
  * @seen: it was put since bgap_server_view_begin_load
  * @user_data: for the user of the view
  */
@@ -93,6 +94,7 @@
 {
   struct bgap_server_entry entry;
   int64_t missing_since_ms;
+  int64_t gone_ms;
   bool seen;
   void *user_data;
   UT_hash_handle hh;
@@ -100,7 +102,7 @@
 
 /**
  * struct bgap_server_view_ops - callbacks
- * @changed: a server has changed; after GONE it is freed
+ * @changed: a server has changed; after GONE it is no longer in the view
  */
 struct bgap_server_view_ops
 {
@@ -127,7 +129,7 @@
  * bgap_server_view_put() - a registration has been read
  *
  * It is ignored if it is older than the known one, or is of an earlier process
- * of the server.
+ * of the server; if the server is gone, also if it is the one that was known.
  */
 void bgap_server_view_put (struct bgap_server_view *view, int64_t now_ms,
                            const struct bgap_server_entry *entry);
--- a/packages/registry/src/server_view.c
+++ b/packages/registry/src/server_view.c
@@ -3,8 +3,13 @@
 #include <stdlib.h>
 #include <string.h>
 
+/* How long the last registration of a server that is gone is remembered:
+   longer than a copy is old from which the store is restored.  */
+#define FORMER_RETENTION_MS 60000
+
 /**
  * struct bgap_server_view - the view
+ * @former: servers that are gone, the one that has been so for longest first
  * @in_outage: the last call to the store failed
  * @had_outage: a call to the store has failed before
  * @recovered_ms: end of the last outage
@@ -14,6 +19,7 @@
 {
   struct bgap_server_view_ops ops;
   struct bgap_known_server *servers;
+  struct bgap_known_server *former;
   bool in_outage;
   bool had_outage;
   int64_t recovered_ms;
@@ -40,18 +46,25 @@
   return view;
 }
 
-void
-bgap_server_view_free (struct bgap_server_view *view)
+static void
+_bgap_view_free_servers (struct bgap_known_server **servers)
 {
   struct bgap_known_server *server;
   struct bgap_known_server *next;
-  if (view == NULL)
-    return;
-  HASH_ITER (hh, view->servers, server, next)
+  HASH_ITER (hh, *servers, server, next)
   {
-    HASH_DEL (view->servers, server);
+    HASH_DEL (*servers, server);
     free (server);
   }
+}
+
+void
+bgap_server_view_free (struct bgap_server_view *view)
+{
+  if (view == NULL)
+    return;
+  _bgap_view_free_servers (&view->servers);
+  _bgap_view_free_servers (&view->former);
   free (view);
 }
 
@@ -63,13 +76,44 @@
   view->ops.changed (view->ops.context, server, change);
 }
 
+static struct bgap_known_server *
+_bgap_view_find_former (const struct bgap_server_view *view, const char *id)
+{
+  struct bgap_known_server *server;
+  HASH_FIND_STR (view->former, id, server);
+  return server;
+}
+
 static void
-_bgap_view_drop (struct bgap_server_view *view,
+_bgap_view_forget (struct bgap_server_view *view,
+                   struct bgap_known_server *former)
+{
+  if (former == NULL)
+    return;
+  HASH_DEL (view->former, former);
+  free (former);
+}
+
+/* Forgets servers that have been gone for a long time.  */
+static void
+_bgap_view_prune_former (struct bgap_server_view *view, int64_t now_ms)
+{
+  while (view->former != NULL
+         && now_ms - view->former->gone_ms >= FORMER_RETENTION_MS)
+    _bgap_view_forget (view, view->former);
+}
+
+static void
+_bgap_view_drop (struct bgap_server_view *view, int64_t now_ms,
                  struct bgap_known_server *server)
 {
   HASH_DEL (view->servers, server);
   _bgap_view_report (view, server, BGAP_SERVER_GONE);
-  free (server);
+  _bgap_view_prune_former (view, now_ms);
+  _bgap_view_forget (view, _bgap_view_find_former (view, server->entry.id));
+  server->gone_ms = now_ms;
+  server->user_data = NULL;
+  HASH_ADD_STR (view->former, entry.id, server);
 }
 
 static void
@@ -96,15 +140,30 @@
   return entry->sequence < known->sequence;
 }
 
+/* Whether a registration is the one with which the server was last known, or
+   an older one: a store that was restored from a copy has it again.  */
+static bool
+_bgap_view_is_former (const struct bgap_server_view *view,
+                      const struct bgap_server_entry *entry)
+{
+  const struct bgap_known_server *former
+      = _bgap_view_find_former (view, entry->id);
+  if (former == NULL)
+    return false;
+  return _bgap_view_is_stale (&former->entry, entry)
+         || (entry->started_ms == former->entry.started_ms
+             && entry->sequence == former->entry.sequence);
+}
+
 void
 bgap_server_view_put (struct bgap_server_view *view, int64_t now_ms,
                       const struct bgap_server_entry *entry)
 {
   struct bgap_known_server *server = bgap_server_view_find (view, entry->id);
-  (void)now_ms;
   if (server == NULL)
     {
-      _bgap_view_add (view, entry);
+      if (!_bgap_view_is_former (view, entry))
+        _bgap_view_add (view, entry);
       return;
     }
   server->seen = true;
@@ -115,7 +174,7 @@
   if (strcmp (old.address, entry->address) != 0
       || strcmp (old.service, entry->service) != 0)
     {
-      _bgap_view_drop (view, server);
+      _bgap_view_drop (view, now_ms, server);
       _bgap_view_add (view, entry);
       return;
     }
@@ -145,7 +204,7 @@
         || (view->had_outage
             && now_ms - view->recovered_ms < BGAP_SERVER_VIEW_RECOVERY_MS);
   if (server->entry.draining || !is_store_recovering)
-    _bgap_view_drop (view, server);
+    _bgap_view_drop (view, now_ms, server);
   else
     server->missing_since_ms = now_ms;
 }
@@ -201,7 +260,7 @@
         && now_ms - view->recovered_ms >= BGAP_SERVER_VIEW_MISSING_MAX_MS
         && view->answered_ms - view->recovered_ms
                >= BGAP_SERVER_VIEW_REREAD_MS)
-      _bgap_view_drop (view, server);
+      _bgap_view_drop (view, now_ms, server);
   }
 }
 
--- a/packages/registry/tests/test_server_view.c
+++ b/packages/registry/tests/test_server_view.c
@@ -190,6 +190,33 @@
   bgap_server_view_free (view);
 }
 
+/* Guards against requests to servers that are gone, after the store was
+   restored from a copy that still has their registrations.  */
+static void
+test_registration_of_a_copy_adds_no_former_server (void **state)
+{
+  (void)state;
+  struct report report;
+  struct bgap_server_view *view = view_new (&report);
+  put (view, 0, entry (100, 7));
+  bgap_server_view_remove (view, 1000, "i-1");
+  put (view, 5000, entry (100, 3));
+  put (view, 5100, entry (100, 7));
+  assert_null (bgap_server_view_find (view, "i-1"));
+  put (view, 5200, entry (90, 20));
+  assert_null (bgap_server_view_find (view, "i-1"));
+  /* It has registered again: its removal was a mistake.  */
+  put (view, 6000, entry (100, 8));
+  assert_int_equal (report.last, BGAP_SERVER_ADDED);
+  bgap_server_view_remove (view, 7000, "i-1");
+  put (view, 8000, entry (700, 1));
+  assert_int_equal (report.last, BGAP_SERVER_ADDED);
+  bgap_server_view_remove (view, 9000, "i-1");
+  put (view, 9100, entry (100, 7));
+  assert_null (bgap_server_view_find (view, "i-1"));
+  bgap_server_view_free (view);
+}
+
 /* Guards against servers that stay in the view although a complete load does
    not contain them.  */
 static void
@@ -215,6 +242,7 @@
     cmocka_unit_test (test_return_of_a_missing_server_is_reported),
     cmocka_unit_test (test_server_that_leaves_after_an_outage),
     cmocka_unit_test (test_other_address_is_another_server),
+    cmocka_unit_test (test_registration_of_a_copy_adds_no_former_server),
     cmocka_unit_test (test_load_removes_what_is_missing),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
