Share the set-up of the granter's tests

More test programs will need it. test_assignment_text covers the timeline and the marks of ranges; a record of the earlier version is still read.

--- a/packages/keyrange/tests/test_granter.c
+++ b/packages/keyrange/tests/test_granter.c
@@ -7,78 +7,7 @@
 
 #include <cmocka.h>
 
-#include "banyangap/keyrange/granter.h"
-
-#define INCARNATION 7
-
-static struct bgap_granter *
-granter_new (void)
-{
-  struct bgap_granter *granter = NULL;
-  struct bgap_error err = { 0 };
-  assert_int_equal (
-      bgap_granter_setup (&granter,
-                          &(struct bgap_granter_desc){
-                              .instance = "n0", .incarnation = INCARNATION },
-                          &err),
-      BGAP_OK);
-  return granter;
-}
-
-static void
-add_server (struct bgap_granter *granter, int64_t now_ms, const char *id,
-            double latency_ms)
-{
-  struct bgap_granter_server server = {
-    .started_ms = 5, .sequence = 1, .slots = 4, .latency_ms = latency_ms
-  };
-  snprintf (server.id, sizeof server.id, "%s", id);
-  bgap_granter_set_server (granter, now_ms, &server);
-}
-
-static struct bgap_assignment
-assignment_of (const char *instance, uint64_t incarnation, uint64_t token)
-{
-  struct bgap_assignment assignment;
-  assert_int_equal (bgap_assignment_setup (&assignment), BGAP_OK);
-  snprintf (assignment.granter, sizeof assignment.granter, "%s", instance);
-  assignment.incarnation = incarnation;
-  assignment.token = token;
-  return assignment;
-}
-
-static void
-set_holder (struct bgap_assignment *assignment, uint32_t first, uint32_t last,
-            const char *server)
-{
-  struct bgap_key_range range
-      = { .started_ms = 5, .token = assignment->token };
-  snprintf (range.server, sizeof range.server, "%s", server);
-  assert_int_equal (bgap_assignment_set (assignment, first, last, &range),
-                    BGAP_OK);
-}
-
-/* Takes all pending actions. Stores a proposal in @proposal and the number of
-   grants in @grants. Returns whether there was a proposal.  */
-static bool
-take_actions (struct bgap_granter *granter, struct bgap_assignment *proposal,
-              uint32_t *grants)
-{
-  struct bgap_granter_action action;
-  bool proposed = false;
-  *grants = 0;
-  while (bgap_granter_next_action (granter, &action))
-    {
-      *grants += action.kind == BGAP_GRANTER_GRANT;
-      if (action.kind != BGAP_GRANTER_APPEND)
-        continue;
-      proposed = true;
-      assert_int_equal (
-          bgap_assignment_decode (proposal, action.bytes, action.size, NULL),
-          BGAP_OK);
-    }
-  return proposed;
-}
+#include "fixture.h"
 
 /* Guards against keys that are not granted after all instances have restarted:
    the granter of the record is alive by name, but is a new process.  */
@@ -446,6 +375,10 @@
   (void)state;
   set_holder (&written, 10, 20, "s0");
   set_holder (&written, 15, 30, "s1");
+  written.timeline = 3;
+  written.unconfirmed_ms = 1234;
+  written.ranges[1].unconfirmed = true;
+  written.ranges[2].moving = true;
   assert_int_equal (bgap_assignment_encode (&written, &text), BGAP_OK);
   assert_int_equal (bgap_assignment_decode (&read, text.data, text.size, &err),
                     BGAP_OK);
@@ -454,6 +387,10 @@
   assert_string_equal (bgap_assignment_find (&read, 14)->server, "s0");
   assert_string_equal (bgap_assignment_find (&read, 15)->server, "s1");
   assert_string_equal (bgap_assignment_find (&read, 31)->server, "");
+  assert_int_equal (read.timeline, 3);
+  assert_int_equal (read.unconfirmed_ms, 1234);
+  assert_true (read.ranges[1].unconfirmed && !read.ranges[1].moving);
+  assert_true (read.ranges[2].moving && !read.ranges[2].unconfirmed);
   text.data[text.size - 3] = '9';
   bgap_assignment_decode (&read, text.data, text.size - 5, &err);
   assert_int_equal (err.status, BGAP_ERR_PROTOCOL);
@@ -462,11 +399,31 @@
   bgap_assignment_shutdown (&read);
 }
 
+/* Guards against records of an earlier version that are refused because they
+   do not state a timeline.  */
+static void
+test_assignment_of_an_earlier_version (void **state)
+{
+  static const char text[]
+      = "{\"schema\":2,\"granter\":\"n0\",\"life\":\"0000000000000007\","
+        "\"released\":false,\"foreign_ms\":0,\"fence\":4,"
+        "\"ranges\":[[0,65535,\"s0\",5,4,1]]}";
+  struct bgap_assignment read = { 0 };
+  struct bgap_error err = { 0 };
+  (void)state;
+  assert_int_equal (
+      bgap_assignment_decode (&read, text, sizeof text - 1, &err), BGAP_OK);
+  assert_int_equal (read.timeline, 0);
+  assert_true (read.ranges[0].moving);
+  bgap_assignment_shutdown (&read);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_assignment_text),
+    cmocka_unit_test (test_assignment_of_an_earlier_version),
     cmocka_unit_test (test_restarted_granter_takes_over),
     cmocka_unit_test (test_grants_of_a_granter_before_the_last_count),
     cmocka_unit_test (test_many_ranges_do_not_overload_a_small_machine),
