Fix: match the result of an append with the proposal it belongs to

A granter could take the refusal of an earlier proposal, which had got no response in time, for that of the one on its way: it then changed its plan although the record was appended, and two servers held a key.

Cause: the response to an append did not name its request. Grants, releases and requests are matched by number or handle; the append was the only call without.

Each append carries a number, and the result of any other one is ignored.

--- a/packages/keyrange/include/banyangap/keyrange/granter.h
+++ b/packages/keyrange/include/banyangap/keyrange/granter.h
@@ -138,7 +138,8 @@
 
 /**
  * struct bgap_granter_action - an action; unused fields are zero
- * @call: identifies the call in bgap_granter_on_reply
+ * @call: GRANT, RELEASE, APPEND; identifies the call in bgap_granter_on_reply
+ *   or bgap_granter_on_append
  * @server: GRANT, RELEASE, LAPSED
  * @first, @last: GRANT, RELEASE, LAPSED; inclusive
  * @token: GRANT, RELEASE, LAPSED; fencing token
@@ -292,8 +293,10 @@
 
 /**
  * bgap_granter_on_append() - an append has ended
+ * @call: from the action
  */
 void bgap_granter_on_append (struct bgap_granter *granter, int64_t now_ms,
+                             uint32_t call,
                              enum bgap_granter_append_result result);
 
 /**
--- a/packages/keyrange/src/granter_plan.c
+++ b/packages/keyrange/src/granter_plan.c
@@ -68,18 +68,21 @@
   if (_bgap_plan_block_changes (g) != BGAP_OK
       || bgap_assignment_encode (&g->proposal, &g->proposal_text) != BGAP_OK)
     return;
+  g->proposal_call = ++g->next_call;
   g->proposing = bgap_granter_emit (
       g, &(struct bgap_granter_action){ .kind = BGAP_GRANTER_APPEND,
+                                        .call = g->proposal_call,
                                         .bytes = g->proposal_text.data,
                                         .size = g->proposal_text.size });
   g->proposed_ms = now_ms;
 }
 
 void
-bgap_granter_on_append (struct bgap_granter *g, int64_t now_ms,
+bgap_granter_on_append (struct bgap_granter *g, int64_t now_ms, uint32_t call,
                         enum bgap_granter_append_result result)
 {
-  if (!g->proposing)
+  /* The result of an earlier proposal says nothing about this one.  */
+  if (!g->proposing || call != g->proposal_call)
     return;
   switch (result)
     {
--- a/packages/keyrange/src/granter_state.h
+++ b/packages/keyrange/src/granter_state.h
@@ -130,6 +130,7 @@
  * @superseded: a server has refused a grant of this granter
  * @proposal: record that is being appended
  * @proposing: it has been sent and was neither read back nor refused
+ * @proposal_call: identifies its append
  * @proposed_ms: when it was sent
  * @propose_after_ms: earliest time of the next one
  * @unresolved: a proposal got no response and may still be appended
@@ -174,6 +175,7 @@
   struct bgap_assignment proposal;
   struct bgap_buffer proposal_text;
   bool proposing;
+  uint32_t proposal_call;
   int64_t proposed_ms;
   int64_t propose_after_ms;
   bool unresolved;
--- a/packages/keyrange/tests/fleet.c
+++ b/packages/keyrange/tests/fleet.c
@@ -246,7 +246,8 @@
 on_append (struct fleet *f, struct event *event)
 {
   struct bgap_granter *granter = f->granters[event->instance];
-  bgap_granter_on_append (granter, f->now_ms, BGAP_GRANTER_APPENDED);
+  bgap_granter_on_append (granter, f->now_ms, event->action.call,
+                          BGAP_GRANTER_APPENDED);
   for (int i = 0; i < INSTANCES; i++)
     bgap_granter_on_assignment (f->granters[i], f->now_ms, &event->assignment);
   bgap_assignment_shutdown (&event->assignment);
--- a/packages/keyrange/tests/test_granter.c
+++ b/packages/keyrange/tests/test_granter.c
@@ -218,7 +218,8 @@
       assert_int_equal (
           bgap_assignment_decode (&read, action.bytes, action.size, NULL),
           BGAP_OK);
-      bgap_granter_on_append (granter, now_ms, BGAP_GRANTER_APPENDED);
+      bgap_granter_on_append (granter, now_ms, action.call,
+                              BGAP_GRANTER_APPENDED);
       bgap_granter_on_assignment (granter, now_ms, &read);
       bgap_assignment_shutdown (&read);
     }
@@ -245,7 +246,6 @@
   bgap_granter_set_successor (granter, 100, true, true);
   bgap_granter_tick (granter, 200);
   assert_true (take_actions (granter, last, &grants));
-  bgap_granter_on_append (granter, 210, BGAP_GRANTER_APPENDED);
   bgap_granter_on_assignment (granter, 210, last);
   bgap_granter_step_down (granter, 300);
   bgap_granter_tick (granter, 300);
--- a/packages/keyrange/tests/test_restored_store.c
+++ b/packages/keyrange/tests/test_restored_store.c
@@ -57,6 +57,24 @@
   assert_true (sum.moves > runs && sum.restores > runs);
 }
 
+/* Guards against what had failed: a refusal of an earlier proposal taken for
+   that of the one on its way (7236).  */
+static void
+test_seeds_that_failed (void **state)
+{
+  static const uint64_t seeds[] = { 7236 };
+  (void)state;
+  for (size_t i = 0; i < sizeof seeds / sizeof *seeds; i++)
+    {
+      struct world *world = world_new (
+          &(struct world_desc){ .seed = seeds[i], .restores = true });
+      if (!world_run (world, RUN_MS))
+        fail_msg ("seed %llu: %s", (unsigned long long)seeds[i],
+                  world_violation (world));
+      world_free (world);
+    }
+}
+
 /* Guards against moves that are undone because the record of the copy is taken
    for the assignment in force: the keys then have the former holder and the
    new one.  */
@@ -85,11 +103,47 @@
     }
 }
 
+/* Guards against a granter that was cut off and lost its office, and that
+   takes the view of a restored store, which lacks the record of its successor,
+   for a sign that it still has it.  */
+static void
+test_former_granter_of_a_lost_record_is_silent (void **state)
+{
+  (void)state;
+  struct world *world
+      = world_new (&(struct world_desc){ .seed = 5, .no_faults = true });
+  assert_true (world_run (world, 6000));
+  int former = world_granter (world);
+  int server = world_busiest (world);
+  assert_true (former >= 0);
+  /* It reaches this server only, and its successor all others.  */
+  for (int i = 0; i < WORLD_INSTANCES; i++)
+    if (i != former)
+      world_cut_server (world, i, server, 30000);
+  for (int s = 0; s < WORLD_SERVERS; s++)
+    if (s != server)
+      world_cut_server (world, former, s, 30000);
+  world_cut_store (world, former, 13200);
+  assert_true (world_run (world, 19000));
+  /* Its successor has moved the keys.  */
+  assert_true (world_all_held (world));
+  assert_int_not_equal (world_busiest (world), server);
+  for (int i = 0; i < WORLD_INSTANCES; i++)
+    if (i != former)
+      world_cut_store (world, i, 3000);
+  world_restore_store (world, 14000, 300);
+  if (!world_run (world, 40000))
+    fail_msg ("%s", world_violation (world));
+  world_free (world);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_moves_since_the_copy_stay),
+    cmocka_unit_test (test_former_granter_of_a_lost_record_is_silent),
+    cmocka_unit_test (test_seeds_that_failed),
     cmocka_unit_test (test_random_faults_and_restores),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/packages/keyrange/tests/world.c
+++ b/packages/keyrange/tests/world.c
@@ -414,7 +414,8 @@
   if (result == BGAP_GRANTER_APPENDED
       && event->timeline != event->answer_timeline)
     result = BGAP_GRANTER_APPEND_UNKNOWN;
-  bgap_granter_on_append (instance->granter, w->now_ms, result);
+  bgap_granter_on_append (instance->granter, w->now_ms, event->action.call,
+                          result);
 }
 
 /* Handles an event; returns false if the instance is paused and cannot receive
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -80,6 +80,7 @@
 {
   struct bgap_edge *edge;
   struct bgap_edge_service *service;
+  uint32_t call;
   int64_t sent_ms;
   struct bgap_store_record record;
   struct bgap_buffer value;
@@ -101,7 +102,8 @@
               append->service->name, bgap_store_outcome_name (result->outcome),
               (unsigned long long)result->offset,
               (long long)(now_ms - append->sent_ms));
-  bgap_granter_on_append (append->service->granter, now_ms, append_result);
+  bgap_granter_on_append (append->service->granter, now_ms, append->call,
+                          append_result);
   if (result->outcome == BGAP_STORE_CONFLICT)
     bgap_follower_restart (edge->internal);
   /* An acknowledged record is at the offset of its condition and need not be
@@ -154,13 +156,14 @@
     {
       append->edge = edge;
       append->service = service;
+      append->call = action->call;
       append->sent_ms = bgap_now_ms ();
       if (_bgap_keys_send_append (append, action) == BGAP_OK)
         return;
       bgap_buffer_shutdown (&append->value);
     }
   free (append);
-  bgap_granter_on_append (service->granter, bgap_now_ms (),
+  bgap_granter_on_append (service->granter, bgap_now_ms (), action->call,
                           BGAP_GRANTER_NOT_APPENDED);
 }
 
