Fix: keep the leases of a granter that writes its assignment again

After a restore, a granter that a server refuses between writing its assignment again and reading it could give keys to a second server (seed 8733 of the simulation with restores).

Cause: whoever takes office forgot the leases it knew, and recorded those of the former granter from the record before. If that record is lost, the leases that this instance has granted itself are all that is known, and they were forgotten.

They are kept when the records of the former granter are lost.

Seed 8733 of keyrange.test_restored_store failed before.

--- a/packages/keyrange/src/granter.c
+++ b/packages/keyrange/src/granter.c
@@ -145,13 +145,11 @@
 static void
 _bgap_granter_activated (struct bgap_granter *g, int64_t now_ms,
                          bool had_granter, bool was_released,
-                         int64_t former_leases_ms)
+                         bool records_lost, int64_t former_leases_ms)
 {
   int64_t view_ms = was_released ? 0 : g->desc.view_age_max_ms;
   g->counts.takeovers++;
   g->activated_ms = now_ms;
-  g->lease_count = 0;
-  g->release_count = 0;
   g->former_leases_until_ms = now_ms;
   if (had_granter)
     {
@@ -166,7 +164,12 @@
       g->former_leases_until_ms
           = own_end_ms > former_end_ms ? own_end_ms : former_end_ms;
     }
-  if (had_granter && bgap_leases_take_over (g) != BGAP_OK)
+  /* Without the former granter's records, the leases that this instance may
+     have granted itself in office are all that is known.  */
+  if (!records_lost)
+    g->lease_count = 0;
+  g->release_count = 0;
+  if (had_granter && !records_lost && bgap_leases_take_over (g) != BGAP_OK)
     g->active = false;
   g->rebalanced_ms = now_ms;
 }
@@ -199,8 +202,8 @@
   g->active = bgap_granter_is_own (g, assignment) && !assignment->released;
   bgap_plan_resolved (g);
   if (g->active && !was_active)
-    _bgap_granter_activated (g, now_ms, had_granter && !records_lost,
-                             was_released, former_leases_ms);
+    _bgap_granter_activated (g, now_ms, had_granter, was_released,
+                             records_lost, former_leases_ms);
   bgap_restore_on_record (g, now_ms, was_active, records_lost);
   g->counts.token = assignment->token;
   return true;
--- a/packages/keyrange/tests/test_restored_store.c
+++ b/packages/keyrange/tests/test_restored_store.c
@@ -58,11 +58,12 @@
 }
 
 /* Guards against what had failed: a refusal of an earlier proposal taken for
-   that of the one on its way (7236).  */
+   that of the one on its way (7236); the leases of a granter forgotten that
+   was refused between writing its assignment again and reading it (8733).  */
 static void
 test_seeds_that_failed (void **state)
 {
-  static const uint64_t seeds[] = { 7236 };
+  static const uint64_t seeds[] = { 7236, 8733 };
   (void)state;
   for (size_t i = 0; i < sizeof seeds / sizeof *seeds; i++)
     {
