Fix: send grants only on connections that the server reads

Cause: a busy server resets its connections and leaves new ones unread for seconds. A grant that was sent over such a connection got no response, and the granter reset the connection; the server's zone was cut off just then, so that the reset did not arrive. The server read the grant 3.2 s after it had been sent, when by the granter's bound its lease had ended and the keys had another holder.

A grant is sent only on a connection on which the server has answered before; a new one is checked first by a call for an id that no server has, which is refused without effect. A call that is not answered on a new connection thus lengthens no lease.

--- a/packages/gateway/include/banyangap/gateway/backend.h
+++ b/packages/gateway/include/banyangap/gateway/backend.h
@@ -256,6 +256,14 @@
 uint32_t bgap_backend_free_connections (const struct bgap_backend *backend,
                                         struct bgap_backend_server_id id);
 
+/**
+ * bgap_backend_idle_connections() - number of open connections without an
+ * attempt; the server has answered on each of them, and the next attempt uses
+ * one
+ */
+uint32_t bgap_backend_idle_connections (const struct bgap_backend *backend,
+                                        struct bgap_backend_server_id id);
+
 /**
  * bgap_backend_send() - start an attempt
  *
--- a/packages/gateway/src/backend.c
+++ b/packages/gateway/src/backend.c
@@ -285,6 +285,15 @@
   return status;
 }
 
+uint32_t
+bgap_backend_idle_connections (const struct bgap_backend *backend,
+                               struct bgap_backend_server_id id)
+{
+  const struct backend_server *server
+      = bgap_pool_get (&backend->servers, id.id);
+  return server != NULL ? server->idle_count : 0;
+}
+
 enum bgap_status
 bgap_backend_send (struct bgap_backend *backend,
                    struct bgap_backend_server_id server,
--- a/packages/gateway/tests/test_backend.c
+++ b/packages/gateway/tests/test_backend.c
@@ -193,9 +193,11 @@
   assert_int_equal (backend_fixture_send (&f, "/silent", 0, &o[0]), BGAP_OK);
   assert_int_equal (backend_fixture_send (&f, "/ok", 0, &o[1]), BGAP_OK);
   assert_int_equal (bgap_backend_free_connections (f.backend, f.id), 0);
+  assert_int_equal (bgap_backend_idle_connections (f.backend, f.id), 0);
   assert_int_equal (backend_fixture_send (&f, "/ok", 0, &o[2]), BGAP_ERR_FULL);
   support_run (f.base, &o[1].ended);
   assert_int_equal (bgap_backend_free_connections (f.backend, f.id), 1);
+  assert_int_equal (bgap_backend_idle_connections (f.backend, f.id), 1);
   assert_int_equal (bgap_backend_set_limit (f.backend, f.id, 1), BGAP_OK);
   assert_int_equal (bgap_backend_free_connections (f.backend, f.id), 0);
   assert_int_equal (backend_fixture_send (&f, "/ok", 0, &o[2]), BGAP_ERR_FULL);
--- a/programs/banyangapd/edge_orders.c
+++ b/programs/banyangapd/edge_orders.c
@@ -9,12 +9,17 @@
    close idle connections after about ten seconds.  */
 #define RELEASE_KEEPALIVE_MS 4000
 
+/* Id that no server has. A call meant for it is refused without effect.  */
+#define NO_SERVER "-"
+
 static struct bgap_event_kind event_order = { .name = "order" };
 
 /**
  * struct bgap_edge_order - a grant or release, waiting or in flight
  * @next: order that waits behind this one
  * @expires_ms: time from which a waiting order is no longer sent
+ * @checking: the order is not sent yet: a call without effect checks that the
+ *   server reads the connection
  * @call: the granter's number of the order
  * @status, @responder, @handover: from the response's head
  * @not_executed: the server refused the order without executing it
@@ -28,6 +33,7 @@
   struct bgap_edge_server *server;
   struct bgap_wire_grant grant;
   bool is_release;
+  bool checking;
   uint32_t call;
   int64_t sent_ms;
   int status;
@@ -97,12 +103,29 @@
   (void)headers;
 }
 
+/* The server reads the connection: the order is sent next.  */
+static void
+_bgap_order_checked (struct bgap_edge_order *order)
+{
+  struct bgap_edge_server *server = order->server;
+  order->checking = false;
+  order->next = server->waiting_orders;
+  server->waiting_orders = order;
+  _bgap_order_send_waiting (server);
+  bgap_edge_run_actions (order->edge);
+}
+
 static void
 _bgap_order_on_complete (void *user, struct bgap_backend_attempt_id id)
 {
   struct bgap_edge_order *order = user;
   enum bgap_granter_result result = BGAP_GRANTER_REJECTED;
   (void)id;
+  if (order->checking)
+    {
+      _bgap_order_checked (order);
+      return;
+    }
   if (order->status == 200)
     result = BGAP_GRANTER_DONE;
   else if (order->status == 409)
@@ -127,12 +150,13 @@
 _bgap_order_on_failed (void *user, struct bgap_backend_attempt_id id,
                        const struct bgap_backend_failure *failure)
 {
+  struct bgap_edge_order *order = user;
   enum bgap_granter_result result = BGAP_GRANTER_LOST;
   (void)id;
-  if (!failure->sent)
+  if (!failure->sent || order->checking)
     result = failure->connection_refused ? BGAP_GRANTER_CLOSED
                                          : BGAP_GRANTER_NOT_SENT;
-  _bgap_order_end (user, result);
+  _bgap_order_end (order, result);
 }
 
 static const struct bgap_backend_ops order_ops = {
@@ -157,6 +181,29 @@
   return server->releases;
 }
 
+/* A server can leave a new connection unread for seconds, and a reset of the
+   connection does not reach it while the network is cut. So a grant is sent
+   only on a connection on which the server has answered before.  */
+static bool
+_bgap_order_needs_check (const struct bgap_edge_order *order,
+                         struct bgap_backend_server_id pool)
+{
+  return !order->is_release
+         && bgap_backend_idle_connections (order->edge->backend, pool) == 0;
+}
+
+static enum bgap_status
+_bgap_order_encode (struct bgap_edge_order *order)
+{
+  const struct bgap_wire_ops *wire = order->edge->desc.wire;
+  bgap_buffer_shutdown (&order->body);
+  if (order->is_release)
+    return wire->encode_release (&order->grant, &order->body);
+  if (order->checking)
+    return wire->encode_grant (&(struct bgap_wire_grant){ 0 }, &order->body);
+  return wire->encode_grant (&order->grant, &order->body);
+}
+
 static enum bgap_status
 _bgap_order_send (struct bgap_edge_order *order)
 {
@@ -166,17 +213,17 @@
   int64_t left_ms = order->expires_ms - bgap_now_ms ();
   if (left_ms <= 0)
     return BGAP_ERR_TIMEOUT;
-  bgap_buffer_shutdown (&order->body);
-  enum bgap_status status
-      = order->is_release ? wire->encode_release (&order->grant, &order->body)
-                          : wire->encode_grant (&order->grant, &order->body);
+  struct bgap_backend_server_id pool = _bgap_order_pool (order);
+  order->checking = _bgap_order_needs_check (order, pool);
+  enum bgap_status status = _bgap_order_encode (order);
   if (status == BGAP_OK)
-    status = wire->write_request (&headers, left_ms, order->server->id);
+    status = wire->write_request (
+        &headers, left_ms, order->checking ? NO_SERVER : order->server->id);
   if (status == BGAP_OK)
     status = bgap_headers_add (&headers, "Content-Type", "application/json");
   if (status == BGAP_OK)
     status = bgap_backend_send (
-        order->edge->backend, _bgap_order_pool (order),
+        order->edge->backend, pool,
         &(struct bgap_backend_request){ .method = "POST",
                                         .target = order->is_release
                                                       ? wire->release_path
