Fix: ignore a granter's own late record of an earlier timeline

Cause: in the copy the condition of that append holds again, so that a record of the earlier timeline is appended after the restore. The granter took it for the newest of its own records. In the earlier timeline it would have been refused.

What a granter in office has not read in the earlier timeline, it has not acted on; it ignores such a record, and writes its assignment again.

keyrange.test_restored_store (test_own_record_of_an_earlier_timeline_has_no_effect) failed before: the record was taken.

--- a/packages/keyrange/src/granter_restore.c
+++ b/packages/keyrange/src/granter_restore.c
@@ -79,12 +79,15 @@
 bgap_restore_on_past_record (struct bgap_granter *g, int64_t now_ms,
                              const struct bgap_assignment *assignment)
 {
-  if (!_bgap_restore_is_newer (g, assignment))
+  bool is_own = bgap_granter_is_own (g, assignment);
+  /* What this granter has not read in the earlier timeline, it has not acted
+     on: the record may have been appended after the restore.  */
+  if ((g->active && is_own) || !_bgap_restore_is_newer (g, assignment))
     {
       g->overwritten = !bgap_restore_records_lost (g);
       return false;
     }
-  if (!bgap_granter_is_own (g, assignment) || assignment->released)
+  if (!is_own)
     g->active = false;
   if (bgap_assignment_copy (&g->current, assignment) != BGAP_OK)
     g->active = false;
--- a/packages/keyrange/tests/test_restored_store.c
+++ b/packages/keyrange/tests/test_restored_store.c
@@ -7,6 +7,7 @@
 
 #include <cmocka.h>
 
+#include "fixture.h"
 #include "world.h"
 
 /* Duration of a run and number of runs; BGAP_WORLD_RUNS sets another number,
@@ -59,11 +60,13 @@
 
 /* Guards against what had failed: a refusal of an earlier proposal taken for
    that of the one on its way (7236); the leases of a granter forgotten that
-   was refused between writing its assignment again and reading it (8733).  */
+   was refused between writing its assignment again and reading it (8733); a
+   proposal for the earlier timeline believed that was appended after the
+   restore (26409).  */
 static void
 test_seeds_that_failed (void **state)
 {
-  static const uint64_t seeds[] = { 7236, 8733 };
+  static const uint64_t seeds[] = { 7236, 8733, 26409 };
   (void)state;
   for (size_t i = 0; i < sizeof seeds / sizeof *seeds; i++)
     {
@@ -138,12 +141,41 @@
   world_free (world);
 }
 
+/* The granter in office proposes a move and gets no response; after a restore
+   the condition of the append holds again, and the record is appended. Guards
+   against a granter that acts on it: in the earlier timeline the append would
+   have been refused, since another instance had taken over.  */
+static void
+test_own_record_of_an_earlier_timeline_has_no_effect (void **state)
+{
+  struct bgap_granter *granter = granter_new ();
+  struct bgap_assignment known = assignment_of ("n0", INCARNATION, 3);
+  struct bgap_assignment late = assignment_of ("n0", INCARNATION, 4);
+  (void)state;
+  known.timeline = late.timeline = 1;
+  set_holder (&known, 0, BGAP_KEY_COUNT - 1, "s0");
+  set_holder (&late, 0, BGAP_KEY_COUNT - 1, "s1");
+  add_server (granter, 100, "s0", 0);
+  add_server (granter, 100, "s1", 0);
+  bgap_granter_on_timeline (granter, 100, 1);
+  bgap_granter_on_loaded (granter, 100);
+  assert_true (bgap_granter_on_assignment (granter, 100, &known));
+  bgap_granter_on_timeline (granter, 500, 2);
+  assert_false (bgap_granter_on_assignment (granter, 510, &late));
+  assert_true (bgap_granter_is_active (granter));
+  assert_string_equal (bgap_granter_holder (granter, 520, 0)->server, "s0");
+  bgap_assignment_shutdown (&known);
+  bgap_assignment_shutdown (&late);
+  bgap_granter_shutdown (granter);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_moves_since_the_copy_stay),
     cmocka_unit_test (test_former_granter_of_a_lost_record_is_silent),
+    cmocka_unit_test (test_own_record_of_an_earlier_timeline_has_no_effect),
     cmocka_unit_test (test_seeds_that_failed),
     cmocka_unit_test (test_random_faults_and_restores),
   };
