Fix: give no fencing token out twice after a restore

Cause: the next token was one above that of the newest known record. A record of the earlier timeline that is appended late can be the newest one in the copy, and hides the record by which another instance has taken over.

A token is the number of the timeline and the offset of its record, or one above the last known token if that is higher. Records that an instance does not know have lower offsets.

keyrange.test_restored_store (test_token_is_above_that_of_a_hidden_record) fails without the offset.

--- a/packages/keyrange/include/banyangap/keyrange/granter.h
+++ b/packages/keyrange/include/banyangap/keyrange/granter.h
@@ -44,7 +44,8 @@
  *   when the servers have confirmed that they know no higher token. An
  *   instance that takes over instead grants nothing before all leases have
  *   ended that it cannot know of.
- * - Fencing tokens of a later timeline are above all of the earlier ones.
+ * - Fencing tokens rise with the timeline and with the offset of the record,
+ * so that they are above those of records that this instance has not seen.
  *
  * Times are in milliseconds on a clock that counts suspended time.
  */
@@ -270,6 +271,13 @@
 void bgap_granter_on_timeline (struct bgap_granter *granter, int64_t now_ms,
                                uint64_t timeline);
 
+/**
+ * bgap_granter_set_next_offset() - records are appended at @offset, until this
+ * is called again; call it whenever a record of the topic has been read
+ */
+void bgap_granter_set_next_offset (struct bgap_granter *granter,
+                                   uint64_t offset);
+
 /**
  * bgap_granter_on_loaded() - all records of the store have been read; without
  * an earlier bgap_granter_on_assignment the store has no assignment
--- a/packages/keyrange/src/granter.c
+++ b/packages/keyrange/src/granter.c
@@ -123,6 +123,12 @@
   free (g);
 }
 
+void
+bgap_granter_set_next_offset (struct bgap_granter *g, uint64_t offset)
+{
+  g->next_offset = offset;
+}
+
 void
 bgap_granter_on_loaded (struct bgap_granter *g, int64_t now_ms)
 {
--- a/packages/keyrange/src/granter_restore.c
+++ b/packages/keyrange/src/granter_restore.c
@@ -38,8 +38,10 @@
 {
   uint64_t restores
       = g->timeline > FIRST_TIMELINE ? g->timeline - FIRST_TIMELINE : 0;
-  uint64_t base = restores << TOKENS_PER_TIMELINE_BITS;
-  return g->current.token >= base ? g->current.token + 1 : base + 1;
+  /* Records of the timeline that this instance does not know have lower
+     offsets.  */
+  uint64_t token = (restores << TOKENS_PER_TIMELINE_BITS) + g->next_offset + 1;
+  return g->current.token >= token ? g->current.token + 1 : token;
 }
 
 void
--- a/packages/keyrange/src/granter_state.h
+++ b/packages/keyrange/src/granter_state.h
@@ -122,6 +122,7 @@
  * @is_successor: this instance takes over when the granter is lost
  * @timeline: timeline of the store, 0 if it has none or has not answered yet
  * @timeline_since_ms: when it was first seen
+ * @next_offset: offset at which the next record is appended
  * @unconfirmed_until_ms: until then other servers can have leases on the
  * ranges of @current that are unconfirmed
  * @overwritten: a record of an earlier timeline was appended after @current;
@@ -165,6 +166,7 @@
   bool granter_lost;
   uint64_t timeline;
   int64_t timeline_since_ms;
+  uint64_t next_offset;
   int64_t unconfirmed_until_ms;
   bool overwritten;
   bool stepping_down;
@@ -439,8 +441,8 @@
 bool bgap_restore_records_lost (const struct bgap_granter *g);
 
 /**
- * bgap_restore_next_token() - fencing token of the next record; each timeline
- * has its own, above those of the earlier ones
+ * bgap_restore_next_token() - fencing token of the next record: it rises with
+ * the timeline and the offset of the record
  */
 uint64_t bgap_restore_next_token (const struct bgap_granter *g);
 
--- a/packages/keyrange/tests/test_restored_store.c
+++ b/packages/keyrange/tests/test_restored_store.c
@@ -62,11 +62,12 @@
    that of the one on its way (7236); the leases of a granter forgotten that
    was refused between writing its assignment again and reading it (8733); a
    proposal for the earlier timeline believed that was appended after the
-   restore (26409).  */
+   restore (26409); a token given out again by an instance that starts when a
+   late record of an earlier timeline hides the newest one (38164).  */
 static void
 test_seeds_that_failed (void **state)
 {
-  static const uint64_t seeds[] = { 7236, 8733, 26409 };
+  static const uint64_t seeds[] = { 7236, 8733, 26409, 38164 };
   (void)state;
   for (size_t i = 0; i < sizeof seeds / sizeof *seeds; i++)
     {
@@ -169,6 +170,49 @@
   bgap_granter_shutdown (granter);
 }
 
+/* The token of the record by which an instance takes over that starts after a
+   restore, when the newest record is one of the earlier timeline and the next
+   one is appended at @offset.  */
+static uint64_t
+takeover_token (uint64_t offset)
+{
+  struct bgap_granter *granter = granter_new ();
+  struct bgap_assignment past = assignment_of ("n1", INCARNATION + 1, 3);
+  struct bgap_assignment proposal = { 0 };
+  bool proposed = false;
+  uint32_t grants;
+  past.timeline = 1;
+  set_holder (&past, 0, BGAP_KEY_COUNT - 1, "s0");
+  add_server (granter, 100, "s0", 0);
+  bgap_granter_on_timeline (granter, 100, 2);
+  bgap_granter_set_next_offset (granter, offset);
+  bgap_granter_on_assignment (granter, 100, &past);
+  bgap_granter_on_loaded (granter, 100);
+  bgap_granter_set_successor (granter, 100, true, true);
+  for (int64_t now_ms = 110; !proposed && now_ms < 20000; now_ms += 100)
+    {
+      bgap_granter_on_view (granter, now_ms, now_ms - 1);
+      bgap_granter_tick (granter, now_ms);
+      proposed = take_actions (granter, &proposal, &grants);
+    }
+  assert_true (proposed);
+  uint64_t token = proposal.token;
+  bgap_assignment_shutdown (&past);
+  bgap_assignment_shutdown (&proposal);
+  bgap_granter_shutdown (granter);
+  return token;
+}
+
+/* A record of the earlier timeline is appended after that by which an instance
+   has taken over, and hides it from the next one that starts. Guards against a
+   token that is given out again.  */
+static void
+test_token_is_above_that_of_a_hidden_record (void **state)
+{
+  (void)state;
+  assert_true (takeover_token (22) > takeover_token (20));
+}
+
 int
 main (void)
 {
@@ -176,6 +220,7 @@
     cmocka_unit_test (test_moves_since_the_copy_stay),
     cmocka_unit_test (test_former_granter_of_a_lost_record_is_silent),
     cmocka_unit_test (test_own_record_of_an_earlier_timeline_has_no_effect),
+    cmocka_unit_test (test_token_is_above_that_of_a_hidden_record),
     cmocka_unit_test (test_seeds_that_failed),
     cmocka_unit_test (test_random_faults_and_restores),
   };
--- a/packages/keyrange/tests/world.c
+++ b/packages/keyrange/tests/world.c
@@ -583,6 +583,8 @@
       read_store (w, i);
       read_registrations (w, i);
       choose_successor (w, i);
+      bgap_granter_set_next_offset (w->instances[i].granter,
+                                    w->instances[i].records_read);
       bgap_granter_tick (w->instances[i].granter, w->now_ms);
       carry_out (w, i);
     }
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -190,6 +190,8 @@
   const struct bgap_granter_rebalance *balance
       = bgap_granter_last_rebalance (service->granter);
   uint32_t first = balance->first;
+  bgap_granter_set_next_offset (service->granter,
+                                bgap_follower_next_offset (edge->internal));
   bgap_granter_tick (service->granter, bgap_now_ms ());
   if (balance->first != first)
     bgap_event (&event_balance,
