Fix: wait for the longest lease that a former granter can have granted

A key was given to another server 1.4 s before the lease of the first one ended.

Two faults with one cause, a former granter's leases taken for shorter than they were: - A server that confirmed the new granter's token was taken to have lost the lease that it had. A granter that takes over probes a busy server with short leases; a server keeps the longer one. - The duration of former leases was calculated by the number of ranges of today; there were more.

A record states the longest lease that is in force or can be granted before the next record, and whoever takes over waits for leases of that duration; a record without it counts as the longest of all. A confirmed token ends no lease, it only keeps older grants out.

The servers of the simulation keep the longer lease now.

--- a/packages/keyrange/include/banyangap/keyrange/assignment.h
+++ b/packages/keyrange/include/banyangap/keyrange/assignment.h
@@ -59,6 +59,8 @@
  * @released: the granter has stepped down and sends no more grants
  * @former_leases_ms: if @released, how long after this record leases of
  *   earlier granters can still be valid, 0 if none are
+ * @lease_ms: longest lease that is in force, or can be granted before the next
+ *   record; 0 if its author did not say
  * @unconfirmed_ms: how long after this record other servers can have leases on
  *   the ranges that are unconfirmed
  * @token: highest fencing token in use
@@ -72,6 +74,7 @@
   uint64_t incarnation;
   bool released;
   int64_t former_leases_ms;
+  int64_t lease_ms;
   int64_t unconfirmed_ms;
   uint64_t token;
   struct bgap_key_range *ranges;
--- a/packages/keyrange/src/assignment_codec.c
+++ b/packages/keyrange/src/assignment_codec.c
@@ -26,10 +26,12 @@
       out,
       "{\"schema\":%d,\"granter\":\"%s\",\"life\":\"%016" PRIx64
       "\",\"released\":%s,\"foreign_ms\":%" PRId64 ",\"fence\":%" PRIu64
-      ",\"timeline\":%" PRIu64 ",\"unconfirmed_ms\":%" PRId64 ",\"ranges\":[",
+      ",\"timeline\":%" PRIu64 ",\"lease_ms\":%" PRId64
+      ",\"unconfirmed_ms\":%" PRId64 ",\"ranges\":[",
       SCHEMA, assignment->granter, assignment->incarnation,
       assignment->released ? "true" : "false", assignment->former_leases_ms,
-      assignment->token, assignment->timeline, assignment->unconfirmed_ms);
+      assignment->token, assignment->timeline, assignment->lease_ms,
+      assignment->unconfirmed_ms);
   for (uint32_t i = 0; i < assignment->count && status == BGAP_OK; i++)
     {
       const struct bgap_key_range *range = &assignment->ranges[i];
@@ -140,6 +142,7 @@
   int64_t token = 0;
   int64_t former_leases_ms = 0;
   int64_t timeline = 0;
+  int64_t lease_ms = 0;
   int64_t unconfirmed_ms = 0;
   const char *granter = "";
   const char *incarnation = "";
@@ -154,6 +157,9 @@
   if (status == BGAP_OK)
     status
         = _bgap_assignment_decode_optional (root, "timeline", &timeline, err);
+  if (status == BGAP_OK)
+    status
+        = _bgap_assignment_decode_optional (root, "lease_ms", &lease_ms, err);
   if (status == BGAP_OK)
     status = _bgap_assignment_decode_optional (root, "unconfirmed_ms",
                                                &unconfirmed_ms, err);
@@ -164,6 +170,7 @@
   if (status != BGAP_OK)
     return status;
   if (!json_is_array (json_object_get (root, "ranges")) || token < 0
+      || lease_ms > FORMER_LEASES_MAX_MS
       || unconfirmed_ms > FORMER_LEASES_MAX_MS || former_leases_ms < 0
       || former_leases_ms > FORMER_LEASES_MAX_MS
       || sscanf (incarnation, "%" SCNx64, &out->incarnation) != 1
@@ -172,6 +179,7 @@
                            "a field of the assignment is malformed");
   out->token = (uint64_t)token;
   out->timeline = (uint64_t)timeline;
+  out->lease_ms = lease_ms;
   out->unconfirmed_ms = unconfirmed_ms;
   out->former_leases_ms = former_leases_ms;
   out->released = json_is_true (json_object_get (root, "released"));
--- a/packages/keyrange/src/granter.c
+++ b/packages/keyrange/src/granter.c
@@ -144,40 +144,76 @@
          && strcmp (assignment->granter, g->instance) == 0;
 }
 
-/* Prepares this instance for granting. Which grants the former granter sent
-   last is unknown. If it has recorded that it stepped down, only its last
+/**
+ * struct bgap_former_granter - what the record before a takeover says
+ * @known: there is such a record
+ * @released: the former granter has stepped down
+ * @leases_ms: if @released, how long leases of earlier granters can be valid
+ * @lease_ms: longest lease that it can have granted
+ */
+struct bgap_former_granter
+{
+  bool known;
+  bool released;
+  int64_t leases_ms;
+  int64_t lease_ms;
+};
+
+static struct bgap_former_granter
+_bgap_granter_former (const struct bgap_granter *g)
+{
+  struct bgap_former_granter former = {
+    .known = g->known,
+    .released = g->known && g->current.released,
+    .lease_ms = g->current.lease_ms,
+  };
+  if (former.released)
+    former.leases_ms = g->current.former_leases_ms;
+  if (former.lease_ms == 0)
+    former.lease_ms = g->desc.lease_max_ms;
+  return former;
+}
+
+/* Until when leases of former granters can be valid. Which grants the last one
+   sent is unknown. If it has recorded that it stepped down, only its last
    calls count, and those of earlier granters whose leases it was still waiting
    for.  */
+static int64_t
+_bgap_granter_former_end_ms (const struct bgap_granter *g, int64_t now_ms,
+                             const struct bgap_former_granter *former)
+{
+  int64_t view_ms = former->released ? 0 : g->desc.view_age_max_ms;
+  int64_t end_ms = bgap_leases_end_ms (
+      now_ms + view_ms + g->desc.call_timeout_ms, former->lease_ms);
+  int64_t earlier_ms = bgap_leases_end_ms (now_ms, former->leases_ms);
+  if (former->leases_ms > 0 && earlier_ms > end_ms)
+    end_ms = earlier_ms;
+  return end_ms;
+}
+
+/* Prepares this instance for granting.  */
 static void
 _bgap_granter_activated (struct bgap_granter *g, int64_t now_ms,
-                         bool had_granter, bool was_released,
-                         bool records_lost, int64_t former_leases_ms)
+                         const struct bgap_former_granter *former,
+                         bool records_lost)
 {
-  int64_t view_ms = was_released ? 0 : g->desc.view_age_max_ms;
   g->counts.takeovers++;
   g->activated_ms = now_ms;
+  g->rebalanced_ms = now_ms;
   g->former_leases_until_ms = now_ms;
-  if (had_granter)
-    {
-      /* The former granter had as many ranges as this one takes over.  */
-      int64_t own_end_ms
-          = bgap_leases_end_ms (now_ms + view_ms + g->desc.call_timeout_ms,
-                                bgap_leases_duration_ms (g));
-      int64_t former_end_ms
-          = former_leases_ms > 0
-                ? bgap_leases_end_ms (now_ms, former_leases_ms)
-                : now_ms;
-      g->former_leases_until_ms
-          = own_end_ms > former_end_ms ? own_end_ms : former_end_ms;
-    }
+  g->release_count = 0;
   /* Without the former granter's records, the leases that this instance may
      have granted itself in office are all that is known.  */
-  if (!records_lost)
-    g->lease_count = 0;
-  g->release_count = 0;
-  if (had_granter && !records_lost && bgap_leases_take_over (g) != BGAP_OK)
+  if (records_lost)
+    return;
+  g->lease_count = 0;
+  if (!former->known)
+    return;
+  g->former_leases_until_ms = _bgap_granter_former_end_ms (g, now_ms, former);
+  bgap_leases_note_former (g, now_ms, former->lease_ms,
+                           g->former_leases_until_ms);
+  if (bgap_leases_take_over (g) != BGAP_OK)
     g->active = false;
-  g->rebalanced_ms = now_ms;
 }
 
 bool
@@ -188,9 +224,8 @@
     return bgap_restore_on_past_record (g, now_ms, assignment);
   bool was_active = g->active;
   bool records_lost = bgap_restore_records_lost (g);
-  bool had_granter = g->known;
-  bool was_released = g->known && g->current.released;
-  int64_t former_leases_ms = was_released ? g->current.former_leases_ms : 0;
+  const struct bgap_former_granter former = _bgap_granter_former (g);
+  int64_t lease_ms = bgap_leases_duration_ms (g);
   bool same_granter
       = g->known && g->current.incarnation == assignment->incarnation;
   if (bgap_assignment_copy (&g->current, assignment) != BGAP_OK)
@@ -208,8 +243,11 @@
   g->active = bgap_granter_is_own (g, assignment) && !assignment->released;
   bgap_plan_resolved (g);
   if (g->active && !was_active)
-    _bgap_granter_activated (g, now_ms, had_granter, was_released,
-                             records_lost, former_leases_ms);
+    _bgap_granter_activated (g, now_ms, &former, records_lost);
+  else if (g->active && bgap_leases_duration_ms (g) < lease_ms)
+    bgap_leases_note_former (
+        g, now_ms, lease_ms,
+        bgap_leases_end_ms (now_ms + g->desc.call_timeout_ms, lease_ms));
   bgap_restore_on_record (g, now_ms, was_active, records_lost);
   g->counts.token = assignment->token;
   return true;
--- a/packages/keyrange/src/granter_leases.c
+++ b/packages/keyrange/src/granter_leases.c
@@ -42,31 +42,76 @@
   return g->desc.lease_ms - g->desc.renew_interval_ms;
 }
 
-/* Duration of a round of renewals.  */
+/* Duration of a round of renewals of @count ranges.  */
 static int64_t
-_bgap_leases_round_ms (const struct bgap_granter *g)
+_bgap_leases_round_ms (uint32_t count)
 {
-  return (int64_t)g->current.count * 1000 / RENEWALS_PER_S;
+  return (int64_t)count * 1000 / RENEWALS_PER_S;
 }
 
 int64_t
 bgap_leases_renew_interval_ms (const struct bgap_granter *g)
 {
-  int64_t round_ms = _bgap_leases_round_ms (g);
+  int64_t round_ms = _bgap_leases_round_ms (g->current.count);
   return round_ms > g->desc.renew_interval_ms ? round_ms
                                               : g->desc.renew_interval_ms;
 }
 
-int64_t
-bgap_leases_duration_ms (const struct bgap_granter *g)
+/* Duration of a lease with @count ranges.  */
+static int64_t
+_bgap_leases_duration_with_ms (const struct bgap_granter *g, uint32_t count)
 {
-  int64_t lease_ms = RENEWALS_PER_LEASE * _bgap_leases_round_ms (g)
+  int64_t lease_ms = RENEWALS_PER_LEASE * _bgap_leases_round_ms (count)
                      + _bgap_leases_margin_ms (g);
   if (lease_ms < g->desc.lease_ms)
     lease_ms = g->desc.lease_ms;
   return lease_ms < g->desc.lease_max_ms ? lease_ms : g->desc.lease_max_ms;
 }
 
+int64_t
+bgap_leases_duration_ms (const struct bgap_granter *g)
+{
+  return _bgap_leases_duration_with_ms (g, g->current.count);
+}
+
+int64_t
+bgap_leases_longest_ms (const struct bgap_granter *g, int64_t now_ms,
+                        uint32_t count)
+{
+  int64_t lease_ms = _bgap_leases_duration_with_ms (g, count);
+  for (uint32_t i = 0; i < g->former_duration_count; i++)
+    if (now_ms < g->former_durations[i].until_ms
+        && g->former_durations[i].lease_ms > lease_ms)
+      lease_ms = g->former_durations[i].lease_ms;
+  return lease_ms;
+}
+
+void
+bgap_leases_note_former (struct bgap_granter *g, int64_t now_ms,
+                         int64_t lease_ms, int64_t until_ms)
+{
+  struct bgap_lease_duration added = { lease_ms, until_ms };
+  uint32_t count = 0;
+  for (uint32_t i = 0; i < g->former_duration_count; i++)
+    {
+      const struct bgap_lease_duration *duration = &g->former_durations[i];
+      bool is_covered
+          = duration->lease_ms <= lease_ms && duration->until_ms <= until_ms;
+      if (now_ms < duration->until_ms && !is_covered)
+        g->former_durations[count++] = *duration;
+    }
+  if (count == BGAP_FORMER_DURATIONS_MAX)
+    {
+      const struct bgap_lease_duration *last = &g->former_durations[--count];
+      if (last->lease_ms > added.lease_ms)
+        added.lease_ms = last->lease_ms;
+      if (last->until_ms > added.until_ms)
+        added.until_ms = last->until_ms;
+    }
+  g->former_durations[count++] = added;
+  g->former_duration_count = count;
+}
+
 uint32_t
 bgap_leases_ranges_max (const struct bgap_granter *g)
 {
@@ -224,8 +269,13 @@
       if (part->call != 0 && part->call_end_ms > part->unanswered_end_ms)
         part->unanswered_end_ms = part->call_end_ms;
       part->call = 0;
-      if (part->from_former_granter || released)
+      /* The former granter's last grant may have come just before.  */
+      int64_t end_ms = bgap_leases_end_ms (
+          now_ms, bgap_leases_longest_ms (g, now_ms, g->current.count));
+      if (released)
         part->end_ms = now_ms;
+      else if (part->from_former_granter && end_ms < part->end_ms)
+        part->end_ms = end_ms;
     }
 }
 
--- a/packages/keyrange/src/granter_plan.c
+++ b/packages/keyrange/src/granter_plan.c
@@ -64,6 +64,9 @@
   memcpy (g->proposal.granter, g->instance, sizeof g->proposal.granter);
   g->proposal.incarnation = g->desc.incarnation;
   g->proposal.timeline = g->timeline;
+  g->proposal.lease_ms = bgap_leases_longest_ms (g, now_ms, g->proposal.count);
+  if (!g->active && g->current.lease_ms > g->proposal.lease_ms)
+    g->proposal.lease_ms = g->current.lease_ms;
   bgap_buffer_shutdown (&g->proposal_text);
   if (_bgap_plan_block_changes (g) != BGAP_OK
       || bgap_assignment_encode (&g->proposal, &g->proposal_text) != BGAP_OK)
--- a/packages/keyrange/src/granter_state.h
+++ b/packages/keyrange/src/granter_state.h
@@ -112,6 +112,19 @@
   uint32_t last;
 };
 
+/* Maximum number of former durations of leases that are kept apart.  */
+#define BGAP_FORMER_DURATIONS_MAX 8
+
+/**
+ * struct bgap_lease_duration - leases of this duration can be valid until
+ * @until_ms
+ */
+struct bgap_lease_duration
+{
+  int64_t lease_ms;
+  int64_t until_ms;
+};
+
 /**
  * struct bgap_granter - state of a granter
  * @current: newest record that was read
@@ -144,6 +157,7 @@
  *   another instance to take over
  * @former_leases_until_ms: until then leases granted by former granters can be
  *   valid
+ * @former_durations: durations of leases that were longer than those of now
  * @rebalance: last move for load balancing
  * @targets: sorted by server id
  * @last_pass_ms: time of the last pass over the ranges
@@ -189,6 +203,8 @@
   int64_t activated_ms;
   int64_t resumed_ms;
   int64_t former_leases_until_ms;
+  struct bgap_lease_duration former_durations[BGAP_FORMER_DURATIONS_MAX];
+  uint32_t former_duration_count;
   int64_t rebalanced_ms;
   struct bgap_granter_rebalance rebalance;
   int64_t current_read_ms;
@@ -260,6 +276,21 @@
  */
 int64_t bgap_leases_duration_ms (const struct bgap_granter *g);
 
+/**
+ * bgap_leases_longest_ms() - longest lease that can be in force, or be granted
+ * with @count ranges: earlier ones may be longer, with more ranges or by
+ * former granters
+ */
+int64_t bgap_leases_longest_ms (const struct bgap_granter *g, int64_t now_ms,
+                                uint32_t count);
+
+/**
+ * bgap_leases_note_former() - leases of up to @lease_ms can be valid until
+ * @until_ms, although those that are granted now are shorter
+ */
+void bgap_leases_note_former (struct bgap_granter *g, int64_t now_ms,
+                              int64_t lease_ms, int64_t until_ms);
+
 /**
  * bgap_leases_ranges_max() - number of ranges up to which a lease of that
  * duration is allowed; with more, leases may end before they are renewed
@@ -295,7 +326,8 @@
                            uint32_t first, uint32_t last, const char *server);
 
 /**
- * bgap_leases_confirm_token() - the process has confirmed @token for the keys
+ * bgap_leases_confirm_token() - the process has confirmed @token for the keys,
+ * so that it accepts no older grants; leases that it has remain
  * @released: it has released the keys
  */
 void bgap_leases_confirm_token (struct bgap_granter *g, int64_t now_ms,
--- a/packages/keyrange/tests/fixture.c
+++ b/packages/keyrange/tests/fixture.c
@@ -41,6 +41,7 @@
   snprintf (assignment.granter, sizeof assignment.granter, "%s", instance);
   assignment.incarnation = incarnation;
   assignment.token = token;
+  assignment.lease_ms = LEASE_MS;
   return assignment;
 }
 
--- a/packages/keyrange/tests/fixture.h
+++ b/packages/keyrange/tests/fixture.h
@@ -20,6 +20,9 @@
 /* Of the granter "n0".  */
 #define INCARNATION 7
 
+/* Longest lease that is in force by a record.  */
+#define LEASE_MS 2000
+
 struct bgap_granter *granter_new (void);
 
 /* Registers a server that runs since 5 ms.  */
--- /dev/null
+++ b/packages/keyrange/tests/test_former_leases.c
@@ -0,0 +1,209 @@
+#include <setjmp.h>
+#include <stdarg.h>
+#include <stddef.h>
+#include <stdint.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <cmocka.h>
+
+#include "fixture.h"
+
+/* Duration of the leases that the former granter has granted, on a server
+   whose clock is slow by the permitted 2 %.  */
+#define FORMER_LEASE_MS (LEASE_MS * 102 / 100)
+
+/* Number of ranges, and duration of the leases with so many.  */
+#define MANY_RANGES 600
+#define LONG_LEASE_MS 9000
+
+/* From then on the server "s0" answers one grant; before and after it, calls
+   to it are not sent or get no response.  */
+#define ANSWERS_AT_MS 1300
+
+/**
+ * struct course - what happened to the keys of "s0"
+ * @answered_ms: when it answered, 0 if it did not yet
+ * @answered_lease_ms: duration of the lease in that grant
+ * @granted_ms: when "s1" was first granted its keys
+ */
+struct course
+{
+  int64_t answered_ms;
+  int64_t answered_lease_ms;
+  int64_t granted_ms;
+};
+
+static void
+answer (struct bgap_granter *granter, int64_t now_ms,
+        const struct bgap_granter_action *action, struct course *course)
+{
+  enum bgap_granter_result result = BGAP_GRANTER_DONE;
+  if (strcmp (action->server, "s1") == 0)
+    {
+      if (action->kind == BGAP_GRANTER_GRANT && course->granted_ms == 0)
+        course->granted_ms = now_ms;
+    }
+  else if (now_ms < ANSWERS_AT_MS)
+    result = BGAP_GRANTER_NOT_SENT;
+  else if (course->answered_ms != 0 || action->kind != BGAP_GRANTER_GRANT)
+    result = BGAP_GRANTER_LOST;
+  else
+    {
+      course->answered_ms = now_ms;
+      course->answered_lease_ms = action->lease_ms;
+    }
+  bgap_granter_on_reply (granter, now_ms, action->call, result, "");
+}
+
+static void
+run (struct bgap_granter *granter, int64_t now_ms, struct course *course)
+{
+  struct bgap_granter_action action;
+  bgap_granter_on_view (granter, now_ms, now_ms - 1);
+  bgap_granter_tick (granter, now_ms);
+  while (bgap_granter_next_action (granter, &action))
+    {
+      struct bgap_assignment record = { 0 };
+      if (action.kind != BGAP_GRANTER_APPEND)
+        {
+          answer (granter, now_ms, &action, course);
+          continue;
+        }
+      assert_int_equal (
+          bgap_assignment_decode (&record, action.bytes, action.size, NULL),
+          BGAP_OK);
+      bgap_granter_on_assignment (granter, now_ms, &record);
+      bgap_assignment_shutdown (&record);
+    }
+}
+
+static void
+drain_s0 (struct bgap_granter *granter, int64_t now_ms)
+{
+  const struct bgap_granter_server server = {
+    .id = "s0", .started_ms = 5, .sequence = 2, .slots = 4, .draining = true
+  };
+  bgap_granter_set_server (granter, now_ms, &server);
+}
+
+/* After a takeover the server answers a grant whose lease is shorter than the
+   one that it has from the former granter, then leaves and does not answer the
+   release. Guards against keys that are given away when only the shorter lease
+   has ended.  */
+static void
+test_former_lease_outlives_a_shorter_one (void **state)
+{
+  struct bgap_granter *granter = granter_new ();
+  struct bgap_assignment former = assignment_of ("n1", INCARNATION + 1, 3);
+  struct course course = { 0 };
+  (void)state;
+  set_holder (&former, 0, BGAP_KEY_COUNT - 1, "s0");
+  add_server (granter, 100, "s0", 0);
+  add_server (granter, 100, "s1", 0);
+  bgap_granter_on_loaded (granter, 100);
+  bgap_granter_on_assignment (granter, 100, &former);
+  bgap_granter_set_successor (granter, 100, true, true);
+  for (int64_t now_ms = 110; course.granted_ms == 0 && now_ms < 30000;
+       now_ms += 20)
+    {
+      run (granter, now_ms, &course);
+      if (course.answered_ms == now_ms)
+        drain_s0 (granter, now_ms);
+    }
+  assert_true (course.answered_ms != 0);
+  assert_true (course.answered_lease_ms < 1000);
+  /* The former granter may have renewed the lease just before.  */
+  assert_true (course.granted_ms >= course.answered_ms + FORMER_LEASE_MS);
+  /* Its grants are refused since then, so that there is no more to wait
+     for.  */
+  assert_true (course.granted_ms <= course.answered_ms + 2 * FORMER_LEASE_MS);
+  bgap_assignment_shutdown (&former);
+  bgap_granter_shutdown (granter);
+}
+
+/* Guards against two holders after the former granter has merged ranges and
+   stepped down: its leases with many ranges were longer than those that the
+   next granter would grant, which it then waits for.  */
+static void
+test_former_leases_with_more_ranges (void **state)
+{
+  struct bgap_granter *granter = granter_new ();
+  struct bgap_assignment former = assignment_of ("n1", INCARNATION + 1, 3);
+  struct course course = { .answered_ms = 1 };
+  int64_t now_ms = 110;
+  (void)state;
+  set_holder (&former, 0, BGAP_KEY_COUNT - 1, "s0");
+  former.released = true;
+  former.lease_ms = LONG_LEASE_MS;
+  add_server (granter, 100, "s0", 0);
+  add_server (granter, 100, "s1", 0);
+  bgap_granter_on_loaded (granter, 100);
+  bgap_granter_on_assignment (granter, 100, &former);
+  bgap_granter_set_successor (granter, 100, true, true);
+  for (; course.granted_ms == 0 && now_ms < 30000; now_ms += 20)
+    run (granter, now_ms, &course);
+  assert_in_range (course.granted_ms, LONG_LEASE_MS * 102 / 100, 15000);
+  bgap_assignment_shutdown (&former);
+  bgap_granter_shutdown (granter);
+}
+
+/* Gives the granter a record of its own with @count ranges.  */
+static void
+read_own_record (struct bgap_granter *granter, int64_t now_ms, uint64_t token,
+                 uint32_t count)
+{
+  struct bgap_assignment own = assignment_of ("n0", INCARNATION, token);
+  for (uint32_t i = 0; i < count; i++)
+    set_holder (&own, i * BGAP_KEY_COUNT / count,
+                (i + 1) * BGAP_KEY_COUNT / count - 1, i % 2 ? "s1" : "s0");
+  bgap_granter_on_view (granter, now_ms, now_ms - 1);
+  bgap_granter_on_assignment (granter, now_ms, &own);
+  bgap_granter_tick (granter, now_ms + 300);
+  bgap_assignment_shutdown (&own);
+}
+
+/* Longest lease that the record of a granter states which steps down @after_ms
+   that it has merged many ranges.  */
+static int64_t
+stated_lease_ms (int64_t after_ms)
+{
+  struct bgap_granter *granter = granter_new ();
+  struct bgap_assignment last = { 0 };
+  uint32_t grants;
+  add_server (granter, 100, "s0", 0);
+  add_server (granter, 100, "s1", 0);
+  bgap_granter_on_loaded (granter, 100);
+  read_own_record (granter, 100, 3, MANY_RANGES);
+  read_own_record (granter, 1000, 4, 2);
+  bgap_granter_step_down (granter, 1000 + after_ms);
+  take_actions (granter, &last, &grants);
+  bgap_granter_tick (granter, 1000 + after_ms);
+  assert_true (take_actions (granter, &last, &grants));
+  assert_true (last.released);
+  int64_t lease_ms = last.lease_ms;
+  bgap_assignment_shutdown (&last);
+  bgap_granter_shutdown (granter);
+  return lease_ms;
+}
+
+/* Guards against a record that states the duration of the leases that would be
+   granted next, while longer ones are in force.  */
+static void
+test_record_states_the_longest_lease (void **state)
+{
+  (void)state;
+  assert_true (stated_lease_ms (500) >= LONG_LEASE_MS);
+  assert_int_equal (stated_lease_ms (2 * LONG_LEASE_MS), LEASE_MS);
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_former_leases_with_more_ranges),
+    cmocka_unit_test (test_record_states_the_longest_lease),
+    cmocka_unit_test (test_former_lease_outlives_a_shorter_one),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/packages/keyrange/tests/test_granter.c
+++ b/packages/keyrange/tests/test_granter.c
@@ -376,6 +376,7 @@
   set_holder (&written, 10, 20, "s0");
   set_holder (&written, 15, 30, "s1");
   written.timeline = 3;
+  written.lease_ms = 4321;
   written.unconfirmed_ms = 1234;
   written.ranges[1].unconfirmed = true;
   written.ranges[2].moving = true;
@@ -388,6 +389,7 @@
   assert_string_equal (bgap_assignment_find (&read, 15)->server, "s1");
   assert_string_equal (bgap_assignment_find (&read, 31)->server, "");
   assert_int_equal (read.timeline, 3);
+  assert_int_equal (read.lease_ms, 4321);
   assert_int_equal (read.unconfirmed_ms, 1234);
   assert_true (read.ranges[1].unconfirmed && !read.ranges[1].moving);
   assert_true (read.ranges[2].moving && !read.ranges[2].unconfirmed);
@@ -414,6 +416,7 @@
   assert_int_equal (
       bgap_assignment_decode (&read, text, sizeof text - 1, &err), BGAP_OK);
   assert_int_equal (read.timeline, 0);
+  assert_int_equal (read.lease_ms, 0);
   assert_true (read.ranges[0].moving);
   bgap_assignment_shutdown (&read);
 }
--- a/packages/keyrange/tests/world.c
+++ b/packages/keyrange/tests/world.c
@@ -288,8 +288,10 @@
               w->highest_server[k] = event->server;
             }
         }
+      /* A shorter lease does not end a longer one.  */
       key->lease_token = a->token;
-      key->lease_until_ms = until_ms;
+      if (until_ms > key->lease_until_ms)
+        key->lease_until_ms = until_ms;
     }
   return BGAP_GRANTER_DONE;
 }
