Fix: read the store before a grant over a new connection

Cause: a process that has seen the successor's token refuses the former granter; the next process under the same name knows no token and takes its grants.

A connection leads to one process. When a grant needs a new one, the granter gets no grant sent but the news of a new connection, and sends no grant to that server before it has a view of the store that is at most 150 ms older than the connection; a server takes longer to end and start again. One read serves all connections that were opened meanwhile. A connection for releases is kept open by calls without effect, not by grants.

The simulation has connections now, and calmer delays without faults. keyrange.test_world fails without the rule (test_restarted_server_takes_no_former_grants); test_granter_with_an_old_ view_is_silent covers the age of the view. test_crashed_server_is_replaced runs at 25 moments between two renewals instead of one: a key is held again within 2 s on average and at the moment of before.

--- a/packages/keyrange/include/banyangap/keyrange/granter.h
+++ b/packages/keyrange/include/banyangap/keyrange/granter.h
@@ -36,6 +36,10 @@
  *   after the time in which the former granter can have renewed its leases.
  *   That time is bounded, because a granter stops granting when its view of
  *   the store is older than view_age_max_ms.
+ * - A server that has ended and started again knows no token, and would take
+ * the grants of a former granter. A connection leads to one process; after a
+ *   server was reached over a new one, a grant is sent only when the store has
+ *   been read since.
  * - When the store was restored from a copy, its records may be older than the
  *   grants that were made. A record of an earlier timeline names nobody who
  *   may grant. The granter in office goes on with the assignment that it
@@ -109,13 +113,16 @@
  */
 enum bgap_granter_action_kind
 {
-  /* Send a grant; report the result with bgap_granter_on_reply.  */
+  /* Send a grant, unless that needs a new connection; report the result with
+     bgap_granter_on_reply.  */
   BGAP_GRANTER_GRANT,
   /* Send a release; report the result with bgap_granter_on_reply.  */
   BGAP_GRANTER_RELEASE,
   /* Append @bytes at the offset after the last record that was read; report
      the result with bgap_granter_on_append.  */
   BGAP_GRANTER_APPEND,
+  /* Read the store now; grants wait for bgap_granter_on_view.  */
+  BGAP_GRANTER_READ,
   /* For the log: a server that may be alive was without its lease until the
      grant that follows.  */
   BGAP_GRANTER_LAPSED
@@ -179,6 +186,8 @@
   BGAP_GRANTER_FENCED,   /* the server has seen a higher token */
   BGAP_GRANTER_REJECTED, /* refused for another reason, no effect */
   BGAP_GRANTER_REPLACED, /* another server has this address */
+  /* Not sent; a new connection to the server was opened, for later calls.  */
+  BGAP_GRANTER_RECONNECTED,
   BGAP_GRANTER_CLOSED,   /* connection refused, not sent */
   BGAP_GRANTER_NOT_SENT, /* not sent for another reason */
   BGAP_GRANTER_LOST,     /* no response, it may have an effect */
--- a/packages/keyrange/src/granter.c
+++ b/packages/keyrange/src/granter.c
@@ -40,9 +40,13 @@
 bgap_granter_result_name (enum bgap_granter_result result)
 {
   static const char *const names[BGAP_GRANTER_RESULT_COUNT] = {
-    [BGAP_GRANTER_DONE] = "done",         [BGAP_GRANTER_FENCED] = "fenced",
-    [BGAP_GRANTER_REJECTED] = "rejected", [BGAP_GRANTER_REPLACED] = "replaced",
-    [BGAP_GRANTER_CLOSED] = "closed",     [BGAP_GRANTER_NOT_SENT] = "not sent",
+    [BGAP_GRANTER_DONE] = "done",
+    [BGAP_GRANTER_FENCED] = "fenced",
+    [BGAP_GRANTER_REJECTED] = "rejected",
+    [BGAP_GRANTER_REPLACED] = "replaced",
+    [BGAP_GRANTER_CLOSED] = "closed",
+    [BGAP_GRANTER_NOT_SENT] = "not sent",
+    [BGAP_GRANTER_RECONNECTED] = "reconnected",
     [BGAP_GRANTER_LOST] = "lost",
   };
   return result < BGAP_GRANTER_RESULT_COUNT ? names[result] : "invalid";
--- a/packages/keyrange/src/granter_calls.c
+++ b/packages/keyrange/src/granter_calls.c
@@ -39,6 +39,12 @@
 /* Maximum backoff of a server that did not answer.  */
 #define BACKOFF_MAX_MS 16000
 
+/* A server takes at least as long to end and start again.  */
+#define RESTART_MIN_MS 150
+
+/* Time between two requests to read the store.  */
+#define READ_RETRY_MS 50
+
 bool
 bgap_granter_emit (struct bgap_granter *g,
                    const struct bgap_granter_action *action)
@@ -174,6 +180,37 @@
   int64_t until_ms;
 };
 
+/* Whether another granter may have taken over before the process at the end of
+   the connection started. The former process has confirmed the other granter's
+   token, this one knows none.  */
+static bool
+_bgap_calls_needs_view (const struct bgap_granter *g,
+                        const struct bgap_grant_target *target)
+{
+  return target->connected_ms != 0
+         && g->view_ms + RESTART_MIN_MS < target->connected_ms;
+}
+
+/* The time for which a server is probed does not include the wait for a view
+   of the store.  */
+static void
+_bgap_calls_extend_probes (struct bgap_grant_target *target, int64_t now_ms)
+{
+  if (target->held_ms != 0 && target->unanswered > 0)
+    target->unanswered_since_ms += now_ms - target->held_ms;
+  target->held_ms = now_ms;
+}
+
+static void
+_bgap_calls_request_read (struct bgap_granter *g, int64_t now_ms)
+{
+  if (now_ms - g->read_wanted_ms < READ_RETRY_MS)
+    return;
+  g->read_wanted_ms = now_ms;
+  (void)bgap_granter_emit (
+      g, &(struct bgap_granter_action){ .kind = BGAP_GRANTER_READ });
+}
+
 /* Finds the lease of a range whose grant is due; a range that has none gets
    one. Returns false if no grant is to be sent.  */
 static bool
@@ -181,12 +218,17 @@
                     const struct bgap_key_range *range,
                     struct bgap_due_grant *due)
 {
-  const struct bgap_grant_target *target
+  struct bgap_grant_target *target
       = bgap_grant_targets_find (g, range->server);
   if (target == NULL || target->dead || target->gone
       || target->desc.started_ms != range->started_ms
       || bgap_plan_blocks (g, range->first, range->last))
     return false;
+  bool needs_view = _bgap_calls_needs_view (g, target);
+  if (needs_view)
+    _bgap_calls_extend_probes (target, now_ms);
+  else
+    target->held_ms = 0;
   if (target->unanswered > 0
       && now_ms - target->unanswered_since_ms > PROBE_FOR_MS)
     return false;
@@ -208,7 +250,11 @@
     due->until_ms = 0;
   int64_t due_ms
       = target->unanswered > 0 ? target->probe_at_ms : lease->renew_at_ms;
-  return lease->call == 0 && now_ms >= due_ms;
+  if (lease->call != 0 || now_ms < due_ms)
+    return false;
+  if (needs_view)
+    _bgap_calls_request_read (g, now_ms);
+  return !needs_view;
 }
 
 static int64_t
@@ -424,6 +470,18 @@
       g->leases[i].renew_at_ms = now_ms;
 }
 
+/* The grant is repeated as soon as the store has been read.  */
+static void
+_bgap_calls_target_connected (struct bgap_granter *g, int64_t now_ms,
+                              struct bgap_grant_target *target,
+                              struct bgap_key_lease *lease)
+{
+  target->connected_ms = now_ms;
+  target->probe_at_ms = now_ms;
+  lease->renew_at_ms = now_ms;
+  g->allowance += ALLOWANCE_PER_GRANT;
+}
+
 static void
 _bgap_calls_granted (struct bgap_granter *g, int64_t now_ms,
                      struct bgap_key_lease *lease, int64_t sent_end_ms)
@@ -491,6 +549,8 @@
   if (result == BGAP_GRANTER_DONE || result == BGAP_GRANTER_FENCED
       || result == BGAP_GRANTER_REJECTED)
     _bgap_calls_target_answered (g, now_ms, target);
+  else if (result == BGAP_GRANTER_RECONNECTED)
+    _bgap_calls_target_connected (g, now_ms, target, lease);
   else if (result == BGAP_GRANTER_REPLACED)
     {
       if (target->desc.started_ms == lease->started_ms)
@@ -532,7 +592,7 @@
                        enum bgap_granter_result result, const char *handover)
 {
   g->counts.results[result]++;
-  for (uint32_t i = 0; i < g->lease_count; i++)
+  for (uint32_t i = 0; call != 0 && i < g->lease_count; i++)
     if (g->leases[i].call == call)
       {
         _bgap_calls_on_grant (g, now_ms, &g->leases[i], result);
--- a/packages/keyrange/src/granter_state.h
+++ b/packages/keyrange/src/granter_state.h
@@ -63,6 +63,9 @@
  * struct bgap_grant_target - a server and its state
  * @unanswered: consecutive grants without a response
  * @unanswered_since_ms: time of the first of them, 0 for none
+ * @connected_ms: when a connection to it was last opened, 0 if unknown
+ * @held_ms: last pass in which a grant to it waited for a view of the store, 0
+ *   if none did in the last one
  * @probe_at_ms: while it does not answer, when to send the next grant, for any
  *   of its ranges
  * @backoff_until_ms: gets no keys before this time, because it did not answer
@@ -76,6 +79,8 @@
   struct bgap_granter_server desc;
   uint32_t unanswered;
   int64_t unanswered_since_ms;
+  int64_t connected_ms;
+  int64_t held_ms;
   int64_t probe_at_ms;
   int64_t backoff_until_ms;
   int64_t backoff_ms;
@@ -161,6 +166,7 @@
  * @rebalance: last move for load balancing
  * @targets: sorted by server id
  * @last_pass_ms: time of the last pass over the ranges
+ * @read_wanted_ms: when a read of the store was last requested
  * @allowance: thousandths of a grant that may be sent now
  * @allowance_at_ms: when it was last increased
  * @due: ranges whose grants are due, see bgap_calls_renew
@@ -227,6 +233,7 @@
   uint32_t action_capacity;
   uint32_t next_call;
   int64_t last_pass_ms;
+  int64_t read_wanted_ms;
   int64_t allowance;
   int64_t allowance_at_ms;
   struct bgap_due_grant *due;
--- a/packages/keyrange/tests/fleet.c
+++ b/packages/keyrange/tests/fleet.c
@@ -312,7 +312,8 @@
   while (bgap_granter_next_action (f->granters[i], &action))
     {
       struct event event = { .instance = i, .action = action };
-      if (action.kind == BGAP_GRANTER_LAPSED)
+      if (action.kind == BGAP_GRANTER_LAPSED
+          || action.kind == BGAP_GRANTER_READ)
         continue;
       if (action.kind == BGAP_GRANTER_APPEND)
         {
--- a/packages/keyrange/tests/test_world.c
+++ b/packages/keyrange/tests/test_world.c
@@ -14,6 +14,13 @@
 #define RUN_MS 60000
 #define RUNS 120
 
+/* Time between renewals, mean time after the loss of a server within which its
+   keys are to be served again, and the longest one, with a lease that was
+   renewed just before.  */
+#define RENEWAL_MS 500
+#define REPLACED_MEAN_MS 2000
+#define REPLACED_MAX_MS 2250
+
 /* Guards against two servers that hold a key at the same time, and against a
    fencing token that does not rise, under random faults.  */
 static void
@@ -59,16 +66,89 @@
   return world;
 }
 
+/* Kills the server with the most keys @after_ms. Returns the time until all
+   keys are held again.  */
+static int64_t
+replacement_ms (int64_t after_ms)
+{
+  struct world *world = settled_world ();
+  int64_t killed_ms = 6000 + after_ms;
+  int64_t now_ms = killed_ms;
+  assert_true (world_run (world, killed_ms));
+  world_kill_server (world, world_busiest (world), false, 30000);
+  do
+    {
+      now_ms += 20;
+      assert_true (world_run (world, now_ms));
+      assert_true (now_ms < killed_ms + 10000);
+    }
+  while (!world_all_held (world));
+  world_free (world);
+  return now_ms - killed_ms;
+}
+
 /* Guards against keys that stay unassigned after the process of their holder
-   has ended and its port is closed.  */
+   has ended and its port is closed, whenever that is between two renewals.  */
 static void
 test_crashed_server_is_replaced (void **state)
+{
+  int64_t sum_ms = 0;
+  (void)state;
+  for (int64_t after_ms = 0; after_ms < RENEWAL_MS; after_ms += 20)
+    {
+      int64_t took_ms = replacement_ms (after_ms);
+      assert_true (took_ms <= REPLACED_MAX_MS);
+      sum_ms += took_ms;
+    }
+  assert_true (sum_ms / (RENEWAL_MS / 20) <= REPLACED_MEAN_MS);
+  assert_true (replacement_ms (0) <= REPLACED_MEAN_MS);
+}
+
+/* A granter is cut off from the store, and reaches one server only; its
+   successor reaches all others. Guards against two holders: the former granter
+   goes on renewing after its successor has given the keys away.  */
+static void
+test_granter_with_an_old_view_is_silent (void **state)
 {
   (void)state;
   struct world *world = settled_world ();
-  world_kill_server (world, world_busiest (world), false, 30000);
-  assert_true (world_run (world, 8000));
+  int former = world_granter (world);
+  int server = world_busiest (world);
+  world_cut_store (world, former, 25000);
+  for (int i = 0; i < WORLD_INSTANCES; i++)
+    if (i != former)
+      world_cut_server (world, i, server, 25000);
+  for (int s = 0; s < WORLD_SERVERS; s++)
+    if (s != server)
+      world_cut_server (world, former, s, 25000);
+  if (!world_run (world, 25000))
+    fail_msg ("%s", world_violation (world));
   assert_true (world_all_held (world));
+  assert_int_not_equal (world_busiest (world), server);
+  world_free (world);
+}
+
+/* A former granter, cut off from the store, gets no responses from a server
+   while its successor moves the server's keys away; then the server starts
+   again under its name, without the tokens that it has seen. Guards against a
+   grant of the former granter to the new process.  */
+static void
+test_restarted_server_takes_no_former_grants (void **state)
+{
+  (void)state;
+  struct world *world = settled_world ();
+  int former = world_granter (world);
+  int server = world_busiest (world);
+  world_cut_store (world, former, 9000);
+  for (int s = 0; s < WORLD_SERVERS; s++)
+    world_cut_server (world, former, s, s == server ? 1200 : 9000);
+  assert_true (world_run (world, 6100));
+  world_drain_server (world, server);
+  assert_true (world_run (world, 6700));
+  assert_int_not_equal (world_busiest (world), server);
+  world_kill_server (world, server, true, 200);
+  if (!world_run (world, 20000))
+    fail_msg ("%s", world_violation (world));
   world_free (world);
 }
 
@@ -142,6 +222,8 @@
     cmocka_unit_test (test_takeover_keeps_the_keys),
     cmocka_unit_test (test_outage_of_the_store),
     cmocka_unit_test (test_draining_server_hands_over),
+    cmocka_unit_test (test_granter_with_an_old_view_is_silent),
+    cmocka_unit_test (test_restarted_server_takes_no_former_grants),
     cmocka_unit_test (test_random_faults),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/packages/keyrange/tests/world.c
+++ b/packages/keyrange/tests/world.c
@@ -13,8 +13,10 @@
 #define EVENTS_MAX 1024
 #define RECORDS_MAX 2048
 
-/* Maximum delay of a message; longer delays are drawn as faults.  */
+/* Maximum delay of a message, and without faults; longer delays are drawn as
+   faults.  */
 #define DELAY_MAX_MS 60
+#define DELAY_CALM_MAX_MS 5
 
 /* Duration on a server whose clock is slow by the permitted 2%.  */
 #define SLOW_CLOCK(ms) ((ms)*102 / 100)
@@ -33,7 +35,10 @@
  * @arrived_ms: when the call arrived at the server
  * @incarnation: of the instance that sent the message; replies to an earlier
  *   incarnation are lost
+ * @connected_ms: start time of the process to which the sender had a
+ *   connection, 0 for none
  * @append_at: offset of the appended record
+ * @append_sent_ms: when the append was sent
  * @timeline: of the store, as the sender of an append knows it
  * @answer_timeline: of the store that answers
  * @lost: the response is lost
@@ -47,10 +52,12 @@
   uint64_t incarnation;
   int server;
   int64_t server_started_ms;
+  int64_t connected_ms;
   struct bgap_granter_action action;
   enum bgap_granter_result result;
   enum bgap_granter_append_result append_result;
   uint64_t append_at;
+  int64_t append_sent_ms;
   uint64_t timeline;
   uint64_t answer_timeline;
   struct bgap_assignment assignment;
@@ -88,6 +95,11 @@
   struct key_state keys[WORLD_KEYS];
 };
 
+/**
+ * struct instance - an instance
+ * @connected_ms: start time of the process to which it has a connection, 0 for
+ *   none
+ */
 struct instance
 {
   struct bgap_granter *granter;
@@ -98,6 +110,7 @@
   int64_t store_cut_until_ms;
   int64_t server_cut_until_ms[WORLD_SERVERS];
   bool server_cut_refuses[WORLD_SERVERS];
+  int64_t connected_ms[WORLD_SERVERS];
   int64_t next_read_ms;
   int64_t registrations_read_ms;
 };
@@ -146,6 +159,12 @@
          + (int64_t)bgap_random_below (&w->random, (uint64_t)(high - low + 1));
 }
 
+static int64_t
+delay_max_ms (const struct world *w)
+{
+  return w->desc.no_faults ? DELAY_CALM_MAX_MS : DELAY_MAX_MS;
+}
+
 static void
 start_instance (struct world *w, int i)
 {
@@ -317,6 +336,17 @@
       reply (w, event, BGAP_GRANTER_CLOSED, 2);
       return;
     }
+  if (event->action.kind == BGAP_GRANTER_GRANT
+      && event->connected_ms != server->started_ms)
+    {
+      /* A process resets the connections of a former one.  */
+      event->server_started_ms = server->started_ms;
+      reply (w, event,
+             event->connected_ms == 0 ? BGAP_GRANTER_RECONNECTED
+                                      : BGAP_GRANTER_LOST,
+             2);
+      return;
+    }
   event->arrived_ms = w->now_ms;
   event->server_started_ms = server->started_ms;
   if (chance (w, 60))
@@ -406,6 +436,20 @@
   instance->records_read = w->record_count > 0 ? w->record_count - 1 : 0;
 }
 
+/* An acknowledged record is at the offset of its condition and need not be
+   read back.  */
+static void
+apply_acknowledged (struct world *w, struct instance *instance,
+                    const struct event *event)
+{
+  if (instance->records_read != event->append_at
+      || instance->records_read >= w->record_count)
+    return;
+  bgap_granter_on_assignment (instance->granter, w->now_ms,
+                              &w->records[instance->records_read++]);
+  bgap_granter_on_view (instance->granter, w->now_ms, event->append_sent_ms);
+}
+
 static void
 append_answered (struct world *w, const struct event *event)
 {
@@ -418,6 +462,8 @@
     result = BGAP_GRANTER_APPEND_UNKNOWN;
   bgap_granter_on_append (instance->granter, w->now_ms, event->action.call,
                           result);
+  if (result == BGAP_GRANTER_APPENDED)
+    apply_acknowledged (w, instance, event);
 }
 
 /* Handles an event; returns false if the instance is paused and cannot receive
@@ -443,6 +489,10 @@
     case EVENT_CALL_REPLY:
       if (w->now_ms < instance->paused_until_ms)
         return false;
+      if (event->result == BGAP_GRANTER_LOST)
+        instance->connected_ms[event->server] = 0;
+      if (event->result == BGAP_GRANTER_RECONNECTED)
+        instance->connected_ms[event->server] = event->server_started_ms;
       if (instance->incarnation == event->incarnation)
         bgap_granter_on_reply (instance->granter, w->now_ms,
                                event->action.call, event->result, "h");
@@ -487,7 +537,7 @@
       || w->now_ms < instance->next_read_ms)
     return;
   instance->next_read_ms = w->now_ms + random_between (w, 20, 400);
-  int64_t sent_ms = w->now_ms - random_between (w, 1, DELAY_MAX_MS);
+  int64_t sent_ms = w->now_ms - random_between (w, 1, delay_max_ms (w));
   see_timeline (instance, w, w->timeline);
   while (instance->records_read < w->record_count)
     bgap_granter_on_assignment (instance->granter, w->now_ms,
@@ -552,16 +602,22 @@
     {
       if (action.kind == BGAP_GRANTER_LAPSED)
         continue;
+      if (action.kind == BGAP_GRANTER_READ)
+        {
+          instance->next_read_ms = w->now_ms;
+          continue;
+        }
       struct event event = {
         .instance = i,
         .incarnation = instance->incarnation,
         .action = action,
-        .at_ms = w->now_ms + random_between (w, 0, DELAY_MAX_MS),
+        .at_ms = w->now_ms + random_between (w, 0, delay_max_ms (w)),
       };
       if (action.kind == BGAP_GRANTER_APPEND)
         {
           event.kind = EVENT_APPEND_ARRIVES;
           event.append_at = instance->records_read;
+          event.append_sent_ms = w->now_ms;
           event.timeline = instance->timeline;
           bgap_assignment_decode (&event.assignment, action.bytes, action.size,
                                   NULL);
@@ -570,6 +626,7 @@
         {
           event.kind = EVENT_CALL_ARRIVES;
           event.server = action.server[1] - '0';
+          event.connected_ms = instance->connected_ms[event.server];
         }
       add_event (w, &event);
     }
--- a/packages/keyrange/tests/world.h
+++ b/packages/keyrange/tests/world.h
@@ -15,6 +15,8 @@
  *
  * - Instances pause, restart, and lose their connection to the store or to
  *   single servers, which then does not answer or is refused.
+ * - An instance has one connection to each server; it breaks when a call gets
+ * no response, and when the server's process ends.
  * - Servers crash, become unresponsive, drain, and restart without state.
  * - Calls and appends lose their responses and take effect late.
  * - The store is away for a moment and comes back from a copy that is some
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -205,6 +205,8 @@
       _bgap_keys_append (edge, service, &action);
     else if (action.kind == BGAP_GRANTER_LAPSED)
       _bgap_keys_log_lapse (service, &action);
+    else if (action.kind == BGAP_GRANTER_READ)
+      bgap_follower_read_now (edge->internal);
     else
       bgap_edge_order (edge, service, &action);
 }
--- a/programs/banyangapd/edge_orders.c
+++ b/programs/banyangapd/edge_orders.c
@@ -5,9 +5,13 @@
 #include "edge_private.h"
 #include "now.h"
 
-/* Maximum time between two orders over the connections for releases; servers
-   close idle connections after about ten seconds.  */
-#define RELEASE_KEEPALIVE_MS 4000
+/* Time after which a connection for releases is used for a check, so that one
+   is open when a release needs it; servers close idle connections after about
+   ten seconds.  */
+#define RELEASE_KEEPALIVE_MS 8000
+
+/* Time for such a check.  */
+#define CHECK_TIMEOUT_MS 1000
 
 /* Id that no server has. A call meant for it is refused without effect.  */
 #define NO_SERVER "-"
@@ -15,11 +19,21 @@
 static struct bgap_event_kind event_order = { .name = "order" };
 
 /**
- * struct bgap_edge_order - a grant or release, waiting or in flight
+ * enum order_kind - type of a call
+ */
+enum order_kind
+{
+  ORDER_GRANT,
+  ORDER_RELEASE,
+  ORDER_CHECK /* checks a connection for releases; has no effect */
+};
+
+/**
+ * struct bgap_edge_order - a call to a server, waiting or in flight
+ * @kind: type of the call
  * @next: order that waits behind this one
  * @expires_ms: time from which a waiting order is no longer sent
- * @checking: the order is not sent yet: a call without effect checks that the
- *   server reads the connection
+ * @checking: in place of the grant, a check is sent over a new connection
  * @call: the granter's number of the order
  * @status, @responder, @handover: from the response's head
  * @not_executed: the server refused the order without executing it
@@ -32,7 +46,7 @@
   struct bgap_edge_service *service;
   struct bgap_edge_server *server;
   struct bgap_wire_grant grant;
-  bool is_release;
+  enum order_kind kind;
   bool checking;
   uint32_t call;
   int64_t sent_ms;
@@ -52,18 +66,20 @@
   struct bgap_edge *edge = order->edge;
   struct bgap_edge_service *service = order->service;
   int64_t now_ms = bgap_now_ms ();
-  if (result != BGAP_GRANTER_DONE || order->is_release)
+  if (order->kind != ORDER_CHECK
+      && (result != BGAP_GRANTER_DONE || order->kind == ORDER_RELEASE))
     bgap_event (&event_order,
                 "order=%s service=%s server=%s keys=%u-%u fence=%llu "
                 "hold_ms=%lld took_ms=%lld status=%d result=\"%s\"",
-                order->is_release ? "release" : "grant", service->name,
-                order->server->id, order->grant.first, order->grant.last,
-                (unsigned long long)order->grant.token,
+                order->kind == ORDER_RELEASE ? "release" : "grant",
+                service->name, order->server->id, order->grant.first,
+                order->grant.last, (unsigned long long)order->grant.token,
                 (long long)order->grant.lease_ms,
                 (long long)(now_ms - order->sent_ms), order->status,
                 bgap_granter_result_name (result));
-  bgap_granter_on_reply (service->granter, now_ms, order->call, result,
-                         order->handover);
+  if (order->kind != ORDER_CHECK)
+    bgap_granter_on_reply (service->granter, now_ms, order->call, result,
+                           order->handover);
   /* The granter that used a higher token has appended a record.  */
   if (result == BGAP_GRANTER_FENCED)
     bgap_follower_read_now (edge->internal);
@@ -75,6 +91,37 @@
   bgap_edge_run_actions (edge);
 }
 
+/* Ends an order that was not sent.  */
+static void
+_bgap_order_return (struct bgap_edge_order *order,
+                    enum bgap_granter_result result)
+{
+  bgap_granter_on_reply (order->service->granter, bgap_now_ms (), order->call,
+                         result, "");
+  order->server->calls--;
+  bgap_buffer_shutdown (&order->body);
+  free (order);
+}
+
+/* Returns the waiting grants, which were decided on before the connection was
+   open.  */
+static void
+_bgap_order_return_grants (struct bgap_edge_server *server)
+{
+  struct bgap_edge_order **link = &server->waiting_orders;
+  while (*link != NULL)
+    {
+      struct bgap_edge_order *order = *link;
+      if (order->kind != ORDER_GRANT)
+        {
+          link = &order->next;
+          continue;
+        }
+      *link = order->next;
+      _bgap_order_return (order, BGAP_GRANTER_RECONNECTED);
+    }
+}
+
 static enum bgap_head_class
 _bgap_order_classify (void *user, int status,
                       const struct bgap_headers *headers,
@@ -103,18 +150,6 @@
   (void)headers;
 }
 
-/* The server reads the connection: the order is sent next.  */
-static void
-_bgap_order_checked (struct bgap_edge_order *order)
-{
-  struct bgap_edge_server *server = order->server;
-  order->checking = false;
-  order->next = server->waiting_orders;
-  server->waiting_orders = order;
-  _bgap_order_send_waiting (server);
-  bgap_edge_run_actions (order->edge);
-}
-
 static void
 _bgap_order_on_complete (void *user, struct bgap_backend_attempt_id id)
 {
@@ -123,10 +158,10 @@
   (void)id;
   if (order->checking)
     {
-      _bgap_order_checked (order);
-      return;
+      _bgap_order_return_grants (order->server);
+      result = BGAP_GRANTER_RECONNECTED;
     }
-  if (order->status == 200)
+  else if (order->status == 200)
     result = BGAP_GRANTER_DONE;
   else if (order->status == 409)
     result = BGAP_GRANTER_FENCED;
@@ -167,29 +202,22 @@
   .failed = _bgap_order_on_failed,
 };
 
-/* Sends a grant over the connections for releases now and then, so that one of
-   them is open when a release needs it.  */
-static struct bgap_backend_server_id
-_bgap_order_pool (const struct bgap_edge_order *order)
-{
-  struct bgap_edge_server *server = order->server;
-  int64_t now_ms = bgap_now_ms ();
-  if (!order->is_release
-      && now_ms - server->releases_used_ms < RELEASE_KEEPALIVE_MS)
-    return server->grants;
-  server->releases_used_ms = now_ms;
-  return server->releases;
-}
-
 /* A server can leave a new connection unread for seconds, and a reset of the
    connection does not reach it while the network is cut. So a grant is sent
    only on a connection on which the server has answered before.  */
 static bool
-_bgap_order_needs_check (const struct bgap_edge_order *order,
-                         struct bgap_backend_server_id pool)
+_bgap_order_needs_check (const struct bgap_edge_order *order)
+{
+  return order->kind == ORDER_GRANT
+         && bgap_backend_idle_connections (order->edge->backend,
+                                           order->server->grants)
+                == 0;
+}
+
+static bool
+_bgap_order_is_check (const struct bgap_edge_order *order)
 {
-  return !order->is_release
-         && bgap_backend_idle_connections (order->edge->backend, pool) == 0;
+  return order->checking || order->kind == ORDER_CHECK;
 }
 
 static enum bgap_status
@@ -197,9 +225,9 @@
 {
   const struct bgap_wire_ops *wire = order->edge->desc.wire;
   bgap_buffer_shutdown (&order->body);
-  if (order->is_release)
+  if (order->kind == ORDER_RELEASE)
     return wire->encode_release (&order->grant, &order->body);
-  if (order->checking)
+  if (_bgap_order_is_check (order))
     return wire->encode_grant (&(struct bgap_wire_grant){ 0 }, &order->body);
   return wire->encode_grant (&order->grant, &order->body);
 }
@@ -213,19 +241,21 @@
   int64_t left_ms = order->expires_ms - bgap_now_ms ();
   if (left_ms <= 0)
     return BGAP_ERR_TIMEOUT;
-  struct bgap_backend_server_id pool = _bgap_order_pool (order);
-  order->checking = _bgap_order_needs_check (order, pool);
+  order->checking = _bgap_order_needs_check (order);
   enum bgap_status status = _bgap_order_encode (order);
   if (status == BGAP_OK)
     status = wire->write_request (
-        &headers, left_ms, order->checking ? NO_SERVER : order->server->id);
+        &headers, left_ms,
+        _bgap_order_is_check (order) ? NO_SERVER : order->server->id);
   if (status == BGAP_OK)
     status = bgap_headers_add (&headers, "Content-Type", "application/json");
   if (status == BGAP_OK)
     status = bgap_backend_send (
-        order->edge->backend, pool,
+        order->edge->backend,
+        order->kind == ORDER_GRANT ? order->server->grants
+                                   : order->server->releases,
         &(struct bgap_backend_request){ .method = "POST",
-                                        .target = order->is_release
+                                        .target = order->kind == ORDER_RELEASE
                                                       ? wire->release_path
                                                       : wire->grant_path,
                                         .headers = &headers,
@@ -239,16 +269,6 @@
   return status;
 }
 
-static void
-_bgap_order_fail_unsent (struct bgap_edge_order *order)
-{
-  bgap_granter_on_reply (order->service->granter, bgap_now_ms (), order->call,
-                         BGAP_GRANTER_NOT_SENT, "");
-  order->server->calls--;
-  bgap_buffer_shutdown (&order->body);
-  free (order);
-}
-
 /* Sends the waiting orders for which a connection is free.  */
 static void
 _bgap_order_send_waiting (struct bgap_edge_server *server)
@@ -265,10 +285,50 @@
         }
       *link = order->next;
       if (status != BGAP_OK)
-        _bgap_order_fail_unsent (order);
+        _bgap_order_return (order, BGAP_GRANTER_NOT_SENT);
     }
 }
 
+static struct bgap_edge_order *
+_bgap_order_new (struct bgap_edge *edge, struct bgap_edge_service *service,
+                 struct bgap_edge_server *server, enum order_kind kind,
+                 int64_t timeout_ms)
+{
+  struct bgap_edge_order *order = calloc (1, sizeof *order);
+  if (order == NULL)
+    return NULL;
+  order->edge = edge;
+  order->service = service;
+  order->server = server;
+  order->kind = kind;
+  order->sent_ms = bgap_now_ms ();
+  order->expires_ms = order->sent_ms + timeout_ms;
+  server->calls++;
+  return order;
+}
+
+/* Keeps a connection for releases open.  */
+static void
+_bgap_order_check_releases (struct bgap_edge *edge,
+                            struct bgap_edge_service *service,
+                            struct bgap_edge_server *server)
+{
+  int64_t now_ms = bgap_now_ms ();
+  if (now_ms - server->releases_used_ms < RELEASE_KEEPALIVE_MS)
+    return;
+  struct bgap_edge_order *order
+      = _bgap_order_new (edge, service, server, ORDER_CHECK, CHECK_TIMEOUT_MS);
+  if (order == NULL)
+    return;
+  server->releases_used_ms = now_ms;
+  if (_bgap_order_send (order) == BGAP_OK)
+    return;
+  /* The releases that use all connections keep them open.  */
+  server->calls--;
+  bgap_buffer_shutdown (&order->body);
+  free (order);
+}
+
 void
 bgap_edge_drop_orders (struct bgap_edge_server *server)
 {
@@ -285,23 +345,21 @@
 bgap_edge_order (struct bgap_edge *edge, struct bgap_edge_service *service,
                  const struct bgap_granter_action *action)
 {
+  bool is_release = action->kind == BGAP_GRANTER_RELEASE;
+  struct bgap_edge_order *order = NULL;
   struct bgap_edge_server *server
       = bgap_edge_server_named (edge, service, action->server);
-  struct bgap_edge_order *order
-      = server != NULL ? calloc (1, sizeof *order) : NULL;
+  if (server != NULL)
+    order = _bgap_order_new (edge, service, server,
+                             is_release ? ORDER_RELEASE : ORDER_GRANT,
+                             action->timeout_ms);
   if (order == NULL)
     {
       bgap_granter_on_reply (service->granter, bgap_now_ms (), action->call,
                              BGAP_GRANTER_NOT_SENT, "");
       return;
     }
-  order->edge = edge;
-  order->service = service;
-  order->server = server;
-  order->is_release = action->kind == BGAP_GRANTER_RELEASE;
   order->call = action->call;
-  order->sent_ms = bgap_now_ms ();
-  order->expires_ms = order->sent_ms + action->timeout_ms;
   order->grant = (struct bgap_wire_grant){
     .first = action->first,
     .last = action->last,
@@ -310,7 +368,10 @@
   };
   snprintf (order->grant.handover, sizeof order->grant.handover, "%s",
             action->handover);
-  server->calls++;
+  if (is_release)
+    server->releases_used_ms = order->sent_ms;
+  else
+    _bgap_order_check_releases (edge, service, server);
   struct bgap_edge_order **link = &server->waiting_orders;
   while (*link != NULL)
     link = &(*link)->next;
