Fix: end an attempt whose answer has no end

Cause: what is read and not passed on was not bounded everywhere: responses of earlier requests, a body that is discarded and ends with its connection, framing of discarded chunks, and leading zeros of a chunk's size.

Each of them has a limit now, beyond which the attempt fails and the connection is closed.

gateway.test_backend_endless failed before: "responses of earlier requests: ended by the deadline".

--- a/packages/gateway/src/backend_connection.c
+++ b/packages/gateway/src/backend_connection.c
@@ -238,6 +238,7 @@
       c->paused = false;
       c->head_reported = false;
       c->interim_count = 0;
+      c->stale_count = 0;
       c->discarded = 0;
       c->refusal = BGAP_REFUSAL_NONE;
       c->is_stale = false;
--- a/packages/gateway/src/backend_private.h
+++ b/packages/gateway/src/backend_private.h
@@ -62,6 +62,7 @@
  * @is_stale: the response being read belongs to an earlier attempt
  * @idle_limit_ms: how long the connection may stay open without an attempt
  * @interim_count: interim (1xx) responses so far
+ * @stale_count: responses of earlier requests so far
  * @discarded: bytes of the body that were discarded
  */
 struct backend_connection
@@ -94,6 +95,7 @@
   bool paused;
   bool head_reported;
   uint32_t interim_count;
+  uint32_t stale_count;
   uint64_t discarded;
   enum bgap_refusal refusal;
   struct bgap_http_body body;
--- a/packages/gateway/src/backend_response.c
+++ b/packages/gateway/src/backend_response.c
@@ -8,6 +8,9 @@
 /* Limit of interim (1xx) responses before the final one.  */
 #define INTERIM_MAX 8
 
+/* Limit of responses of earlier requests before the one of this attempt.  */
+#define STALE_MAX 8
+
 /* Limit in bytes of a discarded body, such as that of a refusal. It is read so
    that the connection can be reused; a longer one closes the connection.  */
 #define DISCARDED_BODY_MAX 65536
@@ -161,7 +164,11 @@
          order.  */
       c->not_reusable = true;
       c->is_stale = true;
-      return true;
+      if (++c->stale_count <= STALE_MAX)
+        return true;
+      bgap_backend_connection_fail (c, BGAP_FAILURE_PROTOCOL,
+                                    "too many responses of earlier requests");
+      return false;
     case BGAP_HEAD_INVALID:
       bgap_backend_connection_fail (c, BGAP_FAILURE_PROTOCOL,
                                     "the response is not acceptable");
@@ -212,6 +219,19 @@
   return c->refusal != BGAP_REFUSAL_NONE || c->is_stale || c->is_server_error;
 }
 
+/* Counts bytes of a body that are not passed on. Returns whether to continue
+   reading.  */
+static bool
+_bgap_backend_discard (struct backend_connection *c, size_t size)
+{
+  c->discarded += size;
+  if (c->discarded <= DISCARDED_BODY_MAX)
+    return true;
+  bgap_backend_connection_fail (c, BGAP_FAILURE_PROTOCOL,
+                                "the discarded body is too large");
+  return false;
+}
+
 /* Reads a body that ends with the connection. It is complete only if the
    server closed the connection cleanly.  */
 static bool
@@ -233,7 +253,12 @@
       return false;
     }
   size_t size = piece.iov_len;
-  if (!_bgap_backend_is_discarding (c) && c->ops->body != NULL)
+  if (_bgap_backend_is_discarding (c))
+    {
+      if (!_bgap_backend_discard (c, size))
+        return false;
+    }
+  else if (c->ops->body != NULL)
     c->ops->body (c->user, id, piece.iov_base, size);
   if (c->state == BACKEND_DEAD)
     return false;
@@ -276,12 +301,8 @@
     }
   if (_bgap_backend_is_discarding (c))
     {
-      c->discarded += data_size;
-      if (c->discarded > DISCARDED_BODY_MAX)
-        {
-          bgap_backend_connection_fail (c, BGAP_FAILURE_PROTOCOL, "");
-          return false;
-        }
+      if (!_bgap_backend_discard (c, used))
+        return false;
     }
   else if (data_size > 0 && c->ops->body != NULL)
     c->ops->body (c->user, id, data, data_size);
--- a/packages/gateway/src/http_body.c
+++ b/packages/gateway/src/http_body.c
@@ -5,6 +5,9 @@
 /* Limit in bytes of one chunk's extensions, and of all trailer fields.  */
 #define LINE_SIZE_MAX 8192
 
+/* Limit of digits of a chunk size, leading zeros included.  */
+#define SIZE_DIGITS_MAX 16
+
 /* No digit is added to a chunk size of this value or more. So the size stays
    below 2^48 and cannot overflow.  */
 #define CHUNK_SIZE_LIMIT (1ULL << 44)
@@ -50,7 +53,8 @@
   int digit = bgap_hex_digit (c);
   if (digit >= 0)
     {
-      if (body->remaining >= CHUNK_SIZE_LIMIT)
+      if (body->remaining >= CHUNK_SIZE_LIMIT
+          || ++body->line_size > SIZE_DIGITS_MAX)
         return BGAP_ERR_PROTOCOL;
       body->remaining = body->remaining * 16 + (uint64_t)digit;
       body->state = STATE_SIZE;
