Fix: send no request again whose response has begun to arrive

Cause: a failure after the start of the response counted like one before it, while the flag that a response had started stayed set.

After the start, a failure counts as a broken response, which ends the request.

routing.test_router (test_started_response_is_the_only_one) failed before.

--- a/packages/routing/src/router_attempt.c
+++ b/packages/routing/src/router_attempt.c
@@ -310,9 +310,11 @@
       return;
     }
   struct bgap_attempt_result checked = *result;
-  /* Once a status line has arrived, a refusal is no proof that the request did
-     not run.  */
-  if (request->started && bgap_result_proves_not_run (result->kind))
+  /* Once the response has begun to arrive, a refusal is no proof that the
+     request did not run, and the caller can get no other response.  */
+  if (request->started
+      && (bgap_result_proves_not_run (result->kind)
+          || result->kind == BGAP_RESULT_FAILED))
     checked.kind = BGAP_RESULT_BROKEN;
   _bgap_router_record_result (state, now_ms, request,
                               bgap_router_server (state, server_id),
--- a/packages/routing/tests/test_router.c
+++ b/packages/routing/tests/test_router.c
@@ -118,6 +118,33 @@
   fixture_shutdown (&f);
 }
 
+/* Guards against a second attempt, whose response would follow the one that
+   the caller has begun to get, and whose refusal would be taken for a break.
+ */
+static void
+test_started_response_is_the_only_one (void **state)
+{
+  (void)state;
+  struct fixture f;
+  fixture_setup (&f, &default_service);
+  fixture_server (&f, "a", "z1", 4);
+  fixture_server (&f, "b", "z1", 4);
+  for (int kind = 0; kind < BGAP_RESULT_COUNT; kind++)
+    {
+      if (kind == BGAP_RESULT_COMPLETE || kind == BGAP_RESULT_STARTED)
+        continue;
+      fixture_request (&f, NULL);
+      struct bgap_router_action d
+          = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+      fixture_result (&f, d.attempt, BGAP_RESULT_STARTED);
+      fixture_result (&f, d.attempt, (enum bgap_result_kind)kind);
+      d = fixture_expect (&f, BGAP_ROUTER_ACTION_FINISH);
+      assert_int_equal (d.outcome, BGAP_OUTCOME_UNKNOWN);
+      assert_true (d.streamed);
+    }
+  fixture_shutdown (&f);
+}
+
 /* Guards against outcome "not run" for a request whose last attempt was
    refused but an earlier one may have run.  */
 static void
@@ -291,6 +318,7 @@
     cmocka_unit_test (test_queue_is_bounded_and_ordered),
     cmocka_unit_test (test_deadline_outcomes),
     cmocka_unit_test (test_retry_needs_proof),
+    cmocka_unit_test (test_started_response_is_the_only_one),
     cmocka_unit_test (test_earlier_attempt_determines_the_outcome),
     cmocka_unit_test (test_retry_budget),
     cmocka_unit_test (test_shed_request_is_sent_to_another_server),
