Replace a former registration by uthash's own macro

The analyzer took the loop that forgot former servers for a use after free. Iterating safely and replacing in one step says the same with less code.

--- a/packages/registry/src/server_view.c
+++ b/packages/registry/src/server_view.c
@@ -84,36 +84,33 @@
   return server;
 }
 
-static void
-_bgap_view_forget (struct bgap_server_view *view,
-                   struct bgap_known_server *former)
-{
-  if (former == NULL)
-    return;
-  HASH_DEL (view->former, former);
-  free (former);
-}
-
 /* Forgets servers that have been gone for a long time.  */
 static void
 _bgap_view_prune_former (struct bgap_server_view *view, int64_t now_ms)
 {
-  while (view->former != NULL
-         && now_ms - view->former->gone_ms >= FORMER_RETENTION_MS)
-    _bgap_view_forget (view, view->former);
+  struct bgap_known_server *former;
+  struct bgap_known_server *next;
+  HASH_ITER (hh, view->former, former, next)
+  {
+    if (now_ms - former->gone_ms < FORMER_RETENTION_MS)
+      return;
+    HASH_DEL (view->former, former);
+    free (former);
+  }
 }
 
 static void
 _bgap_view_drop (struct bgap_server_view *view, int64_t now_ms,
                  struct bgap_known_server *server)
 {
+  struct bgap_known_server *replaced;
   HASH_DEL (view->servers, server);
   _bgap_view_report (view, server, BGAP_SERVER_GONE);
   _bgap_view_prune_former (view, now_ms);
-  _bgap_view_forget (view, _bgap_view_find_former (view, server->entry.id));
   server->gone_ms = now_ms;
   server->user_data = NULL;
-  HASH_ADD_STR (view->former, entry.id, server);
+  HASH_REPLACE_STR (view->former, entry.id, server, replaced);
+  free (replaced);
 }
 
 static void
