--- a/packages/keyrange/src/granter_state.h
+++ b/packages/keyrange/src/granter_state.h
@@ -11,7 +11,8 @@
  *   granter_restore.c     what remains known when the store was restored
  *   granter_balance.c     placement of keys and load balancing
  *   granter_merge.c       reduction of the number of ranges
- *   granter_calls.c       grants and releases
+ *   granter_grants.c      grants that are due
+ *   granter_calls.c       releases, and results of calls
  *   granter_candidates.c  load, and the servers that can take keys
  *   granter_leases.c      expiry of leases
  *   granter_targets.c     servers
@@ -169,7 +170,7 @@
  * @read_wanted_ms: when a read of the store was last requested
  * @allowance: thousandths of a grant that may be sent now
  * @allowance_at_ms: when it was last increased
- * @due: ranges whose grants are due, see bgap_calls_renew
+ * @due: ranges whose grants are due, see bgap_grants_send_due
  * @key_requests: decaying count of requests for each key
  * @requests_total: sum of @key_requests
  * @request_weight: load of one counted request, see granter_candidates.c
@@ -374,7 +375,25 @@
 bool bgap_grant_target_usable (const struct bgap_grant_target *target,
                                int64_t now_ms);
 
-/* granter_calls.c: grants and releases.  */
+/* granter_grants.c: grants that are due.  */
+
+/**
+ * bgap_grants_send_due() - send the grants that are due
+ */
+void bgap_grants_send_due (struct bgap_granter *g, int64_t now_ms);
+
+/**
+ * bgap_grants_is_granted() - whether the holder of a range gets grants for it
+ */
+bool bgap_grants_is_granted (const struct bgap_granter *g,
+                             const struct bgap_key_range *range);
+
+/**
+ * bgap_grants_refund() - a grant was not sent; another one may be
+ */
+void bgap_grants_refund (struct bgap_granter *g);
+
+/* granter_calls.c: releases, and results of calls.  */
 
 /**
  * bgap_granter_emit() - queue an action
@@ -384,11 +403,6 @@
 bool bgap_granter_emit (struct bgap_granter *g,
                         const struct bgap_granter_action *action);
 
-/**
- * bgap_calls_renew() - send the grants that are due
- */
-void bgap_calls_renew (struct bgap_granter *g, int64_t now_ms);
-
 /**
  * bgap_calls_release() - send a release unless one is in flight or confirmed
  */
--- a/packages/keyrange/tests/test_former_leases.c
+++ b/packages/keyrange/tests/test_former_leases.c
@@ -117,7 +117,8 @@
   assert_true (course.granted_ms >= course.answered_ms + FORMER_LEASE_MS);
   /* Its grants are refused since then, so that there is no more to wait
      for.  */
-  assert_true (course.granted_ms <= course.answered_ms + 2 * FORMER_LEASE_MS);
+  assert_true (course.granted_ms
+               <= course.answered_ms + 2 * (int64_t)FORMER_LEASE_MS);
   bgap_assignment_shutdown (&former);
   bgap_granter_shutdown (granter);
 }
@@ -194,7 +195,7 @@
 {
   (void)state;
   assert_true (stated_lease_ms (500) >= LONG_LEASE_MS);
-  assert_int_equal (stated_lease_ms (2 * LONG_LEASE_MS), LEASE_MS);
+  assert_int_equal (stated_lease_ms (2 * (int64_t)LONG_LEASE_MS), LEASE_MS);
 }
 
 int
