Fix: check full servers after a takeover until they answer

Cause: a full server resets new connections for seconds. After 1.2 s without an answer a granter gave up: no grants until the leases of the former granter had ended, after which the keys moved, and none afterwards, since only an answered grant showed that the server could be reached again. A grant could not be repeated instead: one that is sent and not answered lengthens the wait for its lease.

Such a server is checked by a call without effect, after pauses that double from 0.2 to 3.2 s, and gets grants again once it answers. If a grant to it was sent and not answered, its keys move first.

keyrange.test_former_leases failed before: no grant to a server that accepts connections again after 4 s (test_full_server_keeps_its_keys), and none ever to one that was away for 22 s.

--- a/packages/keyrange/include/banyangap/keyrange/granter.h
+++ b/packages/keyrange/include/banyangap/keyrange/granter.h
@@ -118,6 +118,9 @@
   BGAP_GRANTER_GRANT,
   /* Send a release; report the result with bgap_granter_on_reply.  */
   BGAP_GRANTER_RELEASE,
+  /* Find out whether the server answers, with a call that has no effect;
+     report BGAP_GRANTER_RECONNECTED if it does.  */
+  BGAP_GRANTER_CHECK,
   /* Append @bytes at the offset after the last record that was read; report
      the result with bgap_granter_on_append.  */
   BGAP_GRANTER_APPEND,
@@ -146,9 +149,9 @@
 
 /**
  * struct bgap_granter_action - an action; unused fields are zero
- * @call: GRANT, RELEASE, APPEND; identifies the call in bgap_granter_on_reply
- *   or bgap_granter_on_append
- * @server: GRANT, RELEASE, LAPSED
+ * @call: GRANT, RELEASE, CHECK, APPEND; identifies the call in
+ * bgap_granter_on_reply or bgap_granter_on_append
+ * @server: GRANT, RELEASE, CHECK, LAPSED
  * @first, @last: GRANT, RELEASE, LAPSED; inclusive
  * @token: GRANT, RELEASE, LAPSED; fencing token
  * @cause: LAPSED
@@ -178,7 +181,7 @@
 };
 
 /**
- * enum bgap_granter_result - result of a grant or release
+ * enum bgap_granter_result - result of a grant, release or check
  */
 enum bgap_granter_result
 {
--- a/packages/keyrange/src/granter.c
+++ b/packages/keyrange/src/granter.c
@@ -318,7 +318,10 @@
   bgap_plan_run (g, now_ms);
   bool is_leaving = g->stepping_down && !bgap_restore_records_lost (g);
   if (g->active && is_current && !is_leaving && !g->superseded)
-    bgap_grants_send_due (g, now_ms);
+    {
+      bgap_grants_send_due (g, now_ms);
+      bgap_checks_send_due (g, now_ms);
+    }
   bgap_calls_drop_releases (g, now_ms);
   bgap_leases_prune (g, now_ms);
 }
--- a/packages/keyrange/src/granter_calls.c
+++ b/packages/keyrange/src/granter_calls.c
@@ -148,14 +148,15 @@
   target->unanswered++;
 }
 
-static void
-_bgap_calls_target_answered (struct bgap_granter *g, int64_t now_ms,
-                             struct bgap_grant_target *target)
+void
+bgap_calls_target_answered (struct bgap_granter *g, int64_t now_ms,
+                            struct bgap_grant_target *target)
 {
   if (target->unanswered == 0)
     return;
   target->unanswered = 0;
   target->unanswered_since_ms = 0;
+  target->grant_lost = false;
   target->backoff_until_ms = now_ms;
   for (uint32_t i = 0; i < g->lease_count; i++)
     if (!g->leases[i].from_former_granter
@@ -233,6 +234,8 @@
       if (sent_end_ms > lease->unanswered_end_ms)
         lease->unanswered_end_ms = sent_end_ms;
       lease->unanswered++;
+      if (target != NULL)
+        target->grant_lost = true;
       break;
     default:
       break;
@@ -241,7 +244,7 @@
     return;
   if (result == BGAP_GRANTER_DONE || result == BGAP_GRANTER_FENCED
       || result == BGAP_GRANTER_REJECTED)
-    _bgap_calls_target_answered (g, now_ms, target);
+    bgap_calls_target_answered (g, now_ms, target);
   else if (result == BGAP_GRANTER_RECONNECTED)
     _bgap_calls_target_connected (g, now_ms, target, lease);
   else if (result == BGAP_GRANTER_REPLACED)
@@ -284,6 +287,8 @@
 bgap_granter_on_reply (struct bgap_granter *g, int64_t now_ms, uint32_t call,
                        enum bgap_granter_result result, const char *handover)
 {
+  if (call != 0 && bgap_checks_on_reply (g, now_ms, call, result))
+    return;
   g->counts.results[result]++;
   for (uint32_t i = 0; call != 0 && i < g->lease_count; i++)
     if (g->leases[i].call == call)
--- a/packages/keyrange/src/granter_grants.c
+++ b/packages/keyrange/src/granter_grants.c
@@ -21,7 +21,8 @@
 #define PROBE_LEASE_MS 300
 #define PROBE_INTERVAL_MS 200
 
-/* Such probes are sent for this time after the first unanswered grant.  */
+/* Such probes are sent for this time after the first unanswered grant, then
+   checks.  */
 #define PROBE_FOR_MS 1200
 
 /* Time between two requests to read the store.  */
@@ -166,6 +167,14 @@
       g, &(struct bgap_granter_action){ .kind = BGAP_GRANTER_READ });
 }
 
+bool
+bgap_grants_probes_ended (const struct bgap_grant_target *target,
+                          int64_t now_ms)
+{
+  return target->unanswered > 0
+         && now_ms - target->unanswered_since_ms > PROBE_FOR_MS;
+}
+
 /* Finds the lease of a range whose grant is due; a range that has none gets
    one. Returns false if no grant is to be sent.  */
 static bool
@@ -184,8 +193,7 @@
     _bgap_grants_extend_probes (target, now_ms);
   else
     target->held_ms = 0;
-  if (target->unanswered > 0
-      && now_ms - target->unanswered_since_ms > PROBE_FOR_MS)
+  if (bgap_grants_probes_ended (target, now_ms))
     return false;
   struct bgap_key_lease *lease = bgap_leases_find (g, range);
   if (lease == NULL)
--- a/packages/keyrange/src/granter_state.h
+++ b/packages/keyrange/src/granter_state.h
@@ -13,6 +13,7 @@
  *   granter_merge.c       reduction of the number of ranges
  *   granter_grants.c      grants that are due
  *   granter_calls.c       releases, and results of calls
+ *   granter_checks.c      servers that do not answer grants
  *   granter_candidates.c  load, and the servers that can take keys
  *   granter_leases.c      expiry of leases
  *   granter_targets.c     servers
@@ -64,11 +65,15 @@
  * struct bgap_grant_target - a server and its state
  * @unanswered: consecutive grants without a response
  * @unanswered_since_ms: time of the first of them, 0 for none
+ * @grant_lost: one of them was sent, so that its lease may be in force
  * @connected_ms: when a connection to it was last opened, 0 if unknown
  * @held_ms: last pass in which a grant to it waited for a view of the store, 0
  *   if none did in the last one
  * @probe_at_ms: while it does not answer, when to send the next grant, for any
  *   of its ranges
+ * @check_call: check that is in flight, 0 for none
+ * @check_at_ms: earliest time of the next check
+ * @check_pause_ms: pause after the last check without an answer
  * @backoff_until_ms: gets no keys before this time, because it did not answer
  * @backoff_ms: duration of the next backoff
  * @dead: its process is known to have ended
@@ -80,9 +85,13 @@
   struct bgap_granter_server desc;
   uint32_t unanswered;
   int64_t unanswered_since_ms;
+  bool grant_lost;
   int64_t connected_ms;
   int64_t held_ms;
   int64_t probe_at_ms;
+  uint32_t check_call;
+  int64_t check_at_ms;
+  int64_t check_pause_ms;
   int64_t backoff_until_ms;
   int64_t backoff_ms;
   bool dead;
@@ -388,11 +397,33 @@
 bool bgap_grants_is_granted (const struct bgap_granter *g,
                              const struct bgap_key_range *range);
 
+/**
+ * bgap_grants_probes_ended() - whether a server that does not answer gets no
+ * more grants until it has answered a check
+ */
+bool bgap_grants_probes_ended (const struct bgap_grant_target *target,
+                               int64_t now_ms);
+
 /**
  * bgap_grants_refund() - a grant was not sent; another one may be
  */
 void bgap_grants_refund (struct bgap_granter *g);
 
+/* granter_checks.c: servers that do not answer grants.  */
+
+/**
+ * bgap_checks_send_due() - send the checks that are due
+ */
+void bgap_checks_send_due (struct bgap_granter *g, int64_t now_ms);
+
+/**
+ * bgap_checks_on_reply() - handle the result of a check
+ *
+ * Return: false if the call is no check.
+ */
+bool bgap_checks_on_reply (struct bgap_granter *g, int64_t now_ms,
+                           uint32_t call, enum bgap_granter_result result);
+
 /* granter_calls.c: releases, and results of calls.  */
 
 /**
@@ -403,6 +434,12 @@
 bool bgap_granter_emit (struct bgap_granter *g,
                         const struct bgap_granter_action *action);
 
+/**
+ * bgap_calls_target_answered() - a server has answered a call
+ */
+void bgap_calls_target_answered (struct bgap_granter *g, int64_t now_ms,
+                                 struct bgap_grant_target *target);
+
 /**
  * bgap_calls_release() - send a release unless one is in flight or confirmed
  */
--- a/packages/keyrange/src/granter_targets.c
+++ b/packages/keyrange/src/granter_targets.c
@@ -82,6 +82,8 @@
       target->dead = false;
       target->unanswered = 0;
       target->unanswered_since_ms = 0;
+      target->grant_lost = false;
+      target->check_call = 0;
     }
 }
 
--- a/packages/keyrange/tests/fleet.c
+++ b/packages/keyrange/tests/fleet.c
@@ -229,6 +229,8 @@
 take_effect (struct fleet *f, const struct bgap_granter_action *action)
 {
   int server = server_index (action->server);
+  if (action->kind == BGAP_GRANTER_CHECK)
+    return;
   for (uint32_t k = action->first; k <= action->last; k++)
     {
       struct key *key = &f->keys[k];
@@ -284,9 +286,13 @@
         on_append (f, &event);
       else if (event.is_reply)
         {
-          bgap_granter_on_reply (
-              f->granters[event.instance], f->now_ms, event.action.call,
-              event.lost ? BGAP_GRANTER_LOST : BGAP_GRANTER_DONE, "");
+          enum bgap_granter_result result = BGAP_GRANTER_DONE;
+          if (event.action.kind == BGAP_GRANTER_CHECK)
+            result = BGAP_GRANTER_RECONNECTED;
+          if (event.lost)
+            result = BGAP_GRANTER_LOST;
+          bgap_granter_on_reply (f->granters[event.instance], f->now_ms,
+                                 event.action.call, result, "");
           f->next_tick_ms = f->now_ms;
         }
       f->totals.processor_ms += processor_ms () - begun_ms;
--- a/packages/keyrange/tests/test_former_leases.c
+++ b/packages/keyrange/tests/test_former_leases.c
@@ -17,6 +17,11 @@
 #define MANY_RANGES 600
 #define LONG_LEASE_MS 9000
 
+/* Time after a takeover after which no such lease of the former granter can be
+   in force: it renews them until its view of the store is 9500 ms old, with
+   grants that arrive within 400 ms.  */
+#define LONG_LEASES_END_MS (9500 + 400 + LONG_LEASE_MS * 102 / 100)
+
 /* From then on the server "s0" answers one grant; before and after it, calls
    to it are not sent or get no response.  */
 #define ANSWERS_AT_MS 1300
@@ -198,6 +203,138 @@
   assert_int_equal (stated_lease_ms (2 * (int64_t)LONG_LEASE_MS), LEASE_MS);
 }
 
+/**
+ * struct reach - how a server behaves after a takeover
+ * @accepts_at_ms: before that it resets new connections
+ * @hangs: it accepts connections, but answers no grant
+ * @other_leaves_at_ms: when the other server drains, 0 for never
+ */
+struct reach
+{
+  int64_t accepts_at_ms;
+  bool hangs;
+  int64_t other_leaves_at_ms;
+};
+
+static enum bgap_granter_result
+answer_of (const struct reach *reach, int64_t now_ms,
+           enum bgap_granter_action_kind kind, bool *connected)
+{
+  if (now_ms < reach->accepts_at_ms)
+    return BGAP_GRANTER_NOT_SENT;
+  bool is_grant = *connected && kind != BGAP_GRANTER_CHECK;
+  *connected = !(reach->hangs && is_grant);
+  if (!is_grant)
+    return BGAP_GRANTER_RECONNECTED;
+  return reach->hangs ? BGAP_GRANTER_LOST : BGAP_GRANTER_DONE;
+}
+
+/* Takes over from a granter with leases of LONG_LEASE_MS on "s0", and runs
+ * until @until_ms. "s1" takes any keys that are free.  */
+static struct course
+take_over (const struct reach *reach, int64_t until_ms)
+{
+  struct bgap_granter *granter = granter_new ();
+  struct bgap_assignment former = assignment_of ("n1", INCARNATION + 1, 3);
+  struct course course = { 0 };
+  struct bgap_granter_action action;
+  bool connected = false;
+  former.lease_ms = LONG_LEASE_MS;
+  set_holder (&former, 0, BGAP_KEY_COUNT - 1, "s0");
+  add_server (granter, 0, "s0", 0);
+  add_server (granter, 0, "s1", 0);
+  bgap_granter_on_loaded (granter, 0);
+  bgap_granter_on_assignment (granter, 0, &former);
+  bgap_granter_set_successor (granter, 0, true, true);
+  const struct bgap_granter_server leaving = {
+    .id = "s1", .started_ms = 5, .sequence = 2, .slots = 4, .draining = true
+  };
+  for (int64_t now_ms = 10; now_ms < until_ms; now_ms += 10)
+    {
+      if (now_ms == reach->other_leaves_at_ms)
+        bgap_granter_set_server (granter, now_ms, &leaving);
+      bgap_granter_on_view (granter, now_ms, now_ms - 1);
+      bgap_granter_tick (granter, now_ms);
+      while (bgap_granter_next_action (granter, &action))
+        {
+          struct bgap_assignment record = { 0 };
+          enum bgap_granter_result result = BGAP_GRANTER_DONE;
+          if (action.kind == BGAP_GRANTER_APPEND)
+            {
+              assert_int_equal (bgap_assignment_decode (&record, action.bytes,
+                                                        action.size, NULL),
+                                BGAP_OK);
+              bgap_granter_on_assignment (granter, now_ms, &record);
+              bgap_assignment_shutdown (&record);
+              continue;
+            }
+          if (action.kind != BGAP_GRANTER_GRANT
+              && action.kind != BGAP_GRANTER_RELEASE
+              && action.kind != BGAP_GRANTER_CHECK)
+            continue;
+          bool is_former = strcmp (action.server, "s0") == 0;
+          if (is_former)
+            result = answer_of (reach, now_ms, action.kind, &connected);
+          if (action.kind == BGAP_GRANTER_GRANT && result == BGAP_GRANTER_DONE)
+            {
+              int64_t *first_ms
+                  = is_former ? &course.answered_ms : &course.granted_ms;
+              if (*first_ms == 0)
+                *first_ms = now_ms;
+            }
+          bgap_granter_on_reply (granter, now_ms, action.call, result, "");
+        }
+    }
+  bgap_assignment_shutdown (&former);
+  bgap_granter_shutdown (granter);
+  return course;
+}
+
+/* Guards against keys that are served by nobody until the leases of the former
+   granter have ended, and then move, because a full server reset the new
+   granter's connections for some seconds.  */
+static void
+test_full_server_keeps_its_keys (void **state)
+{
+  (void)state;
+  struct course course
+      = take_over (&(struct reach){ .accepts_at_ms = 4000 }, 30000);
+  assert_in_range (course.answered_ms, 4000, 5000);
+  /* Later the load may be divided.  */
+  assert_true (course.granted_ms == 0
+               || course.granted_ms > course.answered_ms);
+}
+
+/* Guards against grants to a server that does not answer them, each of which
+   lengthens the wait for their expiry; and against attempts to reach a server
+   that keep its keys from moving.  */
+static void
+test_unreachable_server_loses_its_keys_in_time (void **state)
+{
+  (void)state;
+  struct course closed
+      = take_over (&(struct reach){ .accepts_at_ms = 60000 }, 30000);
+  struct course hung = take_over (
+      &(struct reach){ .accepts_at_ms = 4000, .hangs = true }, 30000);
+  assert_in_range (closed.granted_ms, LONG_LEASES_END_MS,
+                   LONG_LEASES_END_MS + 1500);
+  assert_in_range (hung.granted_ms, LONG_LEASES_END_MS,
+                   LONG_LEASES_END_MS + 1500);
+}
+
+/* Guards against a server that gets no keys any more once it has not answered
+   grants, although it can be reached again.  */
+static void
+test_server_that_was_unreachable_gets_keys_again (void **state)
+{
+  const struct reach reach
+      = { .accepts_at_ms = 22000, .other_leaves_at_ms = 26000 };
+  (void)state;
+  struct course course = take_over (&reach, 40000);
+  assert_in_range (course.granted_ms, LONG_LEASES_END_MS, 22000);
+  assert_true (course.answered_ms > 22000);
+}
+
 int
 main (void)
 {
@@ -205,6 +342,9 @@
     cmocka_unit_test (test_former_leases_with_more_ranges),
     cmocka_unit_test (test_record_states_the_longest_lease),
     cmocka_unit_test (test_former_lease_outlives_a_shorter_one),
+    cmocka_unit_test (test_full_server_keeps_its_keys),
+    cmocka_unit_test (test_unreachable_server_loses_its_keys_in_time),
+    cmocka_unit_test (test_server_that_was_unreachable_gets_keys_again),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/packages/keyrange/tests/world_servers.c
+++ b/packages/keyrange/tests/world_servers.c
@@ -95,6 +95,12 @@
       reply (w, event, BGAP_GRANTER_CLOSED, 2);
       return;
     }
+  if (event->action.kind == BGAP_GRANTER_CHECK)
+    {
+      event->server_started_ms = server->started_ms;
+      reply (w, event, BGAP_GRANTER_RECONNECTED, 2);
+      return;
+    }
   if (event->action.kind == BGAP_GRANTER_GRANT
       && event->connected_ms != server->started_ms)
     {
--- a/programs/banyangapd/edge_orders.c
+++ b/programs/banyangapd/edge_orders.c
@@ -5,13 +5,13 @@
 #include "edge_private.h"
 #include "now.h"
 
-/* Time after which a connection for releases is used for a check, so that one
-   is open when a release needs it; servers close idle connections after about
-   ten seconds.  */
+/* Time after which a connection for releases is used for a call without
+   effect, so that one is open when a release needs it; servers close idle
+   connections after about ten seconds.  */
 #define RELEASE_KEEPALIVE_MS 8000
 
-/* Time for such a check.  */
-#define CHECK_TIMEOUT_MS 1000
+/* Time for such a call.  */
+#define KEEPALIVE_TIMEOUT_MS 1000
 
 /* Id that no server has. A call meant for it is refused without effect.  */
 #define NO_SERVER "-"
@@ -25,7 +25,10 @@
 {
   ORDER_GRANT,
   ORDER_RELEASE,
-  ORDER_CHECK /* checks a connection for releases; has no effect */
+  /* Calls without effect that keep a connection for releases open, and that
+     find out whether a server answers.  */
+  ORDER_KEEPALIVE,
+  ORDER_CHECK
 };
 
 /**
@@ -33,7 +36,8 @@
  * @kind: type of the call
  * @next: order that waits behind this one
  * @expires_ms: time from which a waiting order is no longer sent
- * @checking: in place of the grant, a check is sent over a new connection
+ * @checking: in place of a grant, a call without effect is sent over a new
+ *   connection
  * @call: the granter's number of the order
  * @status, @responder, @handover: from the response's head
  * @not_executed: the server refused the order without executing it
@@ -57,6 +61,18 @@
   bool not_executed;
 };
 
+static const char *
+_bgap_order_name (enum order_kind kind)
+{
+  static const char *const names[] = {
+    [ORDER_GRANT] = "grant",
+    [ORDER_RELEASE] = "release",
+    [ORDER_KEEPALIVE] = "keepalive",
+    [ORDER_CHECK] = "check",
+  };
+  return names[kind];
+}
+
 static void _bgap_order_send_waiting (struct bgap_edge_server *server);
 
 static void
@@ -66,18 +82,18 @@
   struct bgap_edge *edge = order->edge;
   struct bgap_edge_service *service = order->service;
   int64_t now_ms = bgap_now_ms ();
-  if (order->kind != ORDER_CHECK
+  if (order->kind != ORDER_KEEPALIVE
       && (result != BGAP_GRANTER_DONE || order->kind == ORDER_RELEASE))
     bgap_event (&event_order,
                 "order=%s service=%s server=%s keys=%u-%u fence=%llu "
                 "hold_ms=%lld took_ms=%lld status=%d result=\"%s\"",
-                order->kind == ORDER_RELEASE ? "release" : "grant",
-                service->name, order->server->id, order->grant.first,
-                order->grant.last, (unsigned long long)order->grant.token,
+                _bgap_order_name (order->kind), service->name,
+                order->server->id, order->grant.first, order->grant.last,
+                (unsigned long long)order->grant.token,
                 (long long)order->grant.lease_ms,
                 (long long)(now_ms - order->sent_ms), order->status,
                 bgap_granter_result_name (result));
-  if (order->kind != ORDER_CHECK)
+  if (order->kind != ORDER_KEEPALIVE)
     bgap_granter_on_reply (service->granter, now_ms, order->call, result,
                            order->handover);
   /* The granter that used a higher token has appended a record.  */
@@ -208,6 +224,8 @@
 static bool
 _bgap_order_needs_check (const struct bgap_edge_order *order)
 {
+  if (order->kind == ORDER_CHECK)
+    return true;
   return order->kind == ORDER_GRANT
          && bgap_backend_idle_connections (order->edge->backend,
                                            order->server->grants)
@@ -215,9 +233,9 @@
 }
 
 static bool
-_bgap_order_is_check (const struct bgap_edge_order *order)
+_bgap_order_has_no_effect (const struct bgap_edge_order *order)
 {
-  return order->checking || order->kind == ORDER_CHECK;
+  return order->checking || order->kind == ORDER_KEEPALIVE;
 }
 
 static enum bgap_status
@@ -227,11 +245,19 @@
   bgap_buffer_shutdown (&order->body);
   if (order->kind == ORDER_RELEASE)
     return wire->encode_release (&order->grant, &order->body);
-  if (_bgap_order_is_check (order))
+  if (_bgap_order_has_no_effect (order))
     return wire->encode_grant (&(struct bgap_wire_grant){ 0 }, &order->body);
   return wire->encode_grant (&order->grant, &order->body);
 }
 
+static struct bgap_backend_server_id
+_bgap_order_server (const struct bgap_edge_order *order)
+{
+  bool is_for_grants
+      = order->kind == ORDER_GRANT || order->kind == ORDER_CHECK;
+  return is_for_grants ? order->server->grants : order->server->releases;
+}
+
 static enum bgap_status
 _bgap_order_send (struct bgap_edge_order *order)
 {
@@ -246,14 +272,12 @@
   if (status == BGAP_OK)
     status = wire->write_request (
         &headers, left_ms,
-        _bgap_order_is_check (order) ? NO_SERVER : order->server->id);
+        _bgap_order_has_no_effect (order) ? NO_SERVER : order->server->id);
   if (status == BGAP_OK)
     status = bgap_headers_add (&headers, "Content-Type", "application/json");
   if (status == BGAP_OK)
     status = bgap_backend_send (
-        order->edge->backend,
-        order->kind == ORDER_GRANT ? order->server->grants
-                                   : order->server->releases,
+        order->edge->backend, _bgap_order_server (order),
         &(struct bgap_backend_request){ .method = "POST",
                                         .target = order->kind == ORDER_RELEASE
                                                       ? wire->release_path
@@ -309,15 +333,15 @@
 
 /* Keeps a connection for releases open.  */
 static void
-_bgap_order_check_releases (struct bgap_edge *edge,
-                            struct bgap_edge_service *service,
-                            struct bgap_edge_server *server)
+_bgap_order_keep_releases (struct bgap_edge *edge,
+                           struct bgap_edge_service *service,
+                           struct bgap_edge_server *server)
 {
   int64_t now_ms = bgap_now_ms ();
   if (now_ms - server->releases_used_ms < RELEASE_KEEPALIVE_MS)
     return;
-  struct bgap_edge_order *order
-      = _bgap_order_new (edge, service, server, ORDER_CHECK, CHECK_TIMEOUT_MS);
+  struct bgap_edge_order *order = _bgap_order_new (
+      edge, service, server, ORDER_KEEPALIVE, KEEPALIVE_TIMEOUT_MS);
   if (order == NULL)
     return;
   server->releases_used_ms = now_ms;
@@ -341,6 +365,14 @@
     }
 }
 
+static enum order_kind
+_bgap_order_kind_of (const struct bgap_granter_action *action)
+{
+  if (action->kind == BGAP_GRANTER_RELEASE)
+    return ORDER_RELEASE;
+  return action->kind == BGAP_GRANTER_CHECK ? ORDER_CHECK : ORDER_GRANT;
+}
+
 void
 bgap_edge_order (struct bgap_edge *edge, struct bgap_edge_service *service,
                  const struct bgap_granter_action *action)
@@ -351,8 +383,7 @@
       = bgap_edge_server_named (edge, service, action->server);
   if (server != NULL)
     order = _bgap_order_new (edge, service, server,
-                             is_release ? ORDER_RELEASE : ORDER_GRANT,
-                             action->timeout_ms);
+                             _bgap_order_kind_of (action), action->timeout_ms);
   if (order == NULL)
     {
       bgap_granter_on_reply (service->granter, bgap_now_ms (), action->call,
@@ -371,7 +402,7 @@
   if (is_release)
     server->releases_used_ms = order->sent_ms;
   else
-    _bgap_order_check_releases (edge, service, server);
+    _bgap_order_keep_releases (edge, service, server);
   struct bgap_edge_order **link = &server->waiting_orders;
   while (*link != NULL)
     link = &(*link)->next;
--- a/programs/banyangapd/edge_private.h
+++ b/programs/banyangapd/edge_private.h
@@ -381,8 +381,8 @@
 /* edge_orders.c */
 
 /**
- * bgap_edge_order() - send a grant or a release; its result is reported to the
- * service's granter
+ * bgap_edge_order() - send a grant, a release or a check; its result is
+ * reported to the service's granter
  */
 void bgap_edge_order (struct bgap_edge *edge,
                       struct bgap_edge_service *service,
