Fix: compute no load for placements that no server can take

Cause: while no server can take keys, each pass over the ranges that have no holder asked for candidates, and the load of all keys was added up each time before it was seen that there is none.

The load is computed only if there is a candidate.

keyrange.test_placement_cost failed before: passes without a usable server cost more than twice the processor time of passes with them.

--- a/packages/keyrange/src/granter_candidates.c
+++ b/packages/keyrange/src/granter_candidates.c
@@ -107,6 +107,10 @@
       };
       capacity += candidates[count - 1].capacity;
     }
+  *out = count;
+  /* Keys that no server can take ask for candidates in each pass.  */
+  if (count == 0)
+    return candidates;
   for (uint32_t i = 0; i < next->count; i++)
     {
       const struct bgap_key_range *range = &next->ranges[i];
@@ -121,7 +125,6 @@
   for (uint32_t i = 0; i < count; i++)
     candidates[i].share
         = (uint64_t)((double)total * candidates[i].capacity / capacity);
-  *out = count;
   return candidates;
 }
 
