Fix: try servers that join a service

Cause: a server without a known response time was expected to be as fast as the mean of the known ones. While a faster one had room, it was never chosen, and stayed unknown.

A server that joins while others run is expected to be as fast as the fastest until it has answered. One that an instance sees within 5 s of its own start has not joined; there the mean stays.

--- a/packages/routing/include/banyangap/routing/server.h
+++ b/packages/routing/include/banyangap/routing/server.h
@@ -65,6 +65,7 @@
  * @others_half_life_ms: half-life of @others_in_flight
  * @latency_ms: smoothed response time of requests that did not wait for a
  *   slot, 0 if unknown
+ * @joined: see struct bgap_server_desc
  * @free_mean: mean of the recent ones of them
  * @wait_mean: recent time for which requests waited for a slot
  * @cold_until_ms: end of its warm-up, during which it is slow
@@ -102,6 +103,7 @@
   uint32_t load_percent;
   uint32_t others_in_flight;
   double latency_ms;
+  bool joined;
   struct bgap_response_mean free_mean;
   struct bgap_response_mean wait_mean;
   int64_t cold_until_ms;
--- a/packages/routing/include/banyangap/routing/service.h
+++ b/packages/routing/include/banyangap/routing/service.h
@@ -85,6 +85,8 @@
  * @instances: number of instances that send requests to it; default 1
  * @already_running: the server was running before this instance started, so
  *   that no slow start applies
+ * @joined: the server has joined while others ran, so that it is tried
+ * although its response time is not known
  * @cold_ms: time from now on for which the server is expected to be slow; 0
  *   for the default slow start
  */
@@ -97,6 +99,7 @@
   uint32_t entry_hosts_max;
   uint32_t instances;
   bool already_running;
+  bool joined;
   int64_t cold_ms;
 };
 
--- a/packages/routing/src/balancer_policies.c
+++ b/packages/routing/src/balancer_policies.c
@@ -79,14 +79,45 @@
   return best;
 }
 
+/**
+ * struct known_latencies - response times of the servers that have answered
+ */
+struct known_latencies
+{
+  double mean_ms;
+  double least_ms;
+};
+
+static struct known_latencies
+_bgap_balancer_known (struct bgap_server *const *servers, size_t count)
+{
+  double sum_ms = 0;
+  double least_ms = 0;
+  size_t known = 0;
+  for (size_t i = 0; i < count; i++)
+    {
+      double latency_ms = servers[i]->latency_ms;
+      if (latency_ms <= 0)
+        continue;
+      sum_ms += latency_ms;
+      if (known == 0 || latency_ms < least_ms)
+        least_ms = latency_ms;
+      known++;
+    }
+  if (known == 0)
+    return (struct known_latencies){ 1, 1 };
+  return (struct known_latencies){ sum_ms / (double)known, least_ms };
+}
+
 /* Expected response time, for comparison with other servers: the smoothed
    response time, scaled by the requests that share its slots.  */
 static double
 _bgap_balancer_expected_ms (const struct bgap_server *server, int64_t now_ms,
-                            double unknown_ms)
+                            const struct known_latencies *known)
 {
   uint32_t busy
       = server->in_flight + bgap_server_others_in_flight (server, now_ms) + 1;
+  double unknown_ms = server->joined ? known->least_ms : known->mean_ms;
   double latency_ms = server->latency_ms > 0 ? server->latency_ms : unknown_ms;
   double share = (double)busy / (double)server->slots;
   if (now_ms < server->cold_until_ms)
@@ -98,22 +129,14 @@
 _bgap_balancer_pick_shared (struct bgap_random *random, int64_t now_ms,
                             struct bgap_server *const *servers, size_t count)
 {
-  double sum_ms = 0;
-  size_t known = 0;
-  for (size_t i = 0; i < count; i++)
-    if (servers[i]->latency_ms > 0)
-      {
-        sum_ms += servers[i]->latency_ms;
-        known++;
-      }
-  double unknown_ms = known > 0 ? sum_ms / (double)known : 1;
+  struct known_latencies known = _bgap_balancer_known (servers, count);
   size_t start = bgap_random_below (random, count);
   size_t best = start;
   double best_ms = 0;
   for (size_t i = 0; i < count; i++)
     {
       size_t at = (start + i) % count;
-      double ms = _bgap_balancer_expected_ms (servers[at], now_ms, unknown_ms);
+      double ms = _bgap_balancer_expected_ms (servers[at], now_ms, &known);
       if (i > 0 && ms >= best_ms)
         continue;
       best = at;
--- a/packages/routing/src/server.c
+++ b/packages/routing/src/server.c
@@ -88,6 +88,7 @@
                       ? now_ms - BGAP_SLOW_START_MS
                       : now_ms,
     .cold_until_ms = now_ms + desc->cold_ms,
+    .joined = desc->joined,
     .wait_mean = { .half_life_ms = BGAP_WAIT_TIME_HALF_LIFE_MS },
   };
   snprintf (server->name, sizeof server->name, "%s", desc->name);
--- a/packages/routing/tests/test_shared.c
+++ b/packages/routing/tests/test_shared.c
@@ -12,8 +12,9 @@
   .policy = &bgap_balancer_shared,
 };
 
-static void
-add_server (struct fixture *f, const char *name, const char *zone)
+static struct bgap_server_id
+add_new_server (struct fixture *f, const char *name, const char *zone,
+                bool joined)
 {
   struct bgap_server_id id;
   struct bgap_error err = { 0 };
@@ -24,9 +25,57 @@
                                                     .slots = 2,
                                                     .connections = 10,
                                                     .entry_hosts_max = 1,
-                                                    .already_running = true },
+                                                    .already_running = true,
+                                                    .joined = joined },
                         &id, &err),
                     BGAP_OK);
+  return id;
+}
+
+static void
+add_server (struct fixture *f, const char *name, const char *zone)
+{
+  add_new_server (f, name, zone, false);
+}
+
+/* Sends requests one after the other, of which the server "a" answers each in
+   20 ms and the others in 60 ms. Returns the number of those at @server.  */
+static uint32_t
+send_requests (struct fixture *f, int count, struct bgap_server_id server)
+{
+  struct bgap_server_id a
+      = bgap_router_find_server (&f->router, f->service, "a");
+  uint32_t there = 0;
+  for (int i = 0; i < count; i++)
+    {
+      struct bgap_request_id request = fixture_request (f, NULL);
+      struct bgap_router_action d
+          = fixture_expect (f, BGAP_ROUTER_ACTION_DISPATCH);
+      there += d.server.id == server.id;
+      fixture_wait (f, d.server.id == a.id ? 20 : 60);
+      fixture_result (f, d.attempt, BGAP_RESULT_COMPLETE);
+      fixture_expect_finish (f, request, BGAP_OUTCOME_ANSWERED, 200);
+    }
+  return there;
+}
+
+/* Guards against a server that joins a service and gets no requests, because
+   its response time is not known and those of others are shorter than the
+   mean.  */
+static void
+test_server_that_joins_is_tried (void **state)
+{
+  (void)state;
+  struct fixture f;
+  fixture_setup (&f, &shared_service);
+  add_server (&f, "a", "z1");
+  add_server (&f, "b", "z1");
+  struct bgap_server_id b
+      = bgap_router_find_server (&f.router, f.service, "b");
+  assert_true (send_requests (&f, 20, b) > 0);
+  struct bgap_server_id c = add_new_server (&f, "c", "z1", true);
+  assert_true (send_requests (&f, 20, c) > 0);
+  fixture_shutdown (&f);
 }
 
 static uint32_t
@@ -292,6 +341,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_server_that_joins_is_tried),
     cmocka_unit_test (test_load_of_others_counts),
     cmocka_unit_test (test_queue_of_the_server_is_bounded),
     cmocka_unit_test (test_refusals_take_from_the_budget),
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -462,6 +462,7 @@
   edge->settings = *desc->settings;
   edge->base = desc->base;
   edge->incarnation = bgap_random_seed () | 1;
+  edge->started_ms = bgap_now_ms ();
   edge->is_relay = true;
   int size = snprintf (edge->member, sizeof edge->member, "%s@%s#%s",
                        edge->settings.name, edge->settings.peers_address,
--- a/programs/banyangapd/edge_private.h
+++ b/programs/banyangapd/edge_private.h
@@ -237,6 +237,7 @@
   bool running_actions;
   bool store_failing;
   bool store_outage;
+  int64_t started_ms;
   int64_t store_failing_since_ms;
   int64_t granter_missing_since_ms;
   int64_t keys_reported_ms;
--- a/programs/banyangapd/edge_servers.c
+++ b/programs/banyangapd/edge_servers.c
@@ -34,6 +34,10 @@
  */
 #define EXPIRY_HEARTBEATS 4
 
+/* Servers that an instance sees first this long after its start have joined;
+   before, it reads the registrations of all.  */
+#define JOINED_AFTER_MS 5000
+
 /* Time after a broken attempt in which refused connections count.  */
 #define REFUSED_WINDOW_MS 3000
 
@@ -107,6 +111,7 @@
     .instances
     = service->granter != NULL ? bgap_membership_count (edge->membership) : 1,
     .already_running = true,
+    .joined = bgap_now_ms () - edge->started_ms >= JOINED_AFTER_MS,
     .cold_ms = entry->warmup_ms,
   };
   if (bgap_router_set_server (&edge->router, bgap_now_ms (), service->id,
