--- a/packages/store/tests/test_follower_gap.c
+++ b/packages/store/tests/test_follower_gap.c
@@ -4,10 +4,10 @@
 #include <stdint.h>
 #include <stdlib.h>
 #include <string.h>
-#include <time.h>
 
 #include <cmocka.h>
 
+#include "banyangap/base/clock.h"
 #include "banyangap/store/relay_subscriber.h"
 
 /* The relay sends a page every PAGE_MS; the store answers a read after
@@ -95,9 +95,8 @@
 static int64_t
 time_ms (void)
 {
-  struct timespec now;
-  clock_gettime (CLOCK_MONOTONIC, &now);
-  return (int64_t)now.tv_sec * 1000 + now.tv_nsec / 1000000;
+  const struct bgap_clock *clock = bgap_clock_system ();
+  return clock->now_ms (clock->context);
 }
 
 static void
