--- a/packages/keyrange/src/granter.c
+++ b/packages/keyrange/src/granter.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "granter_state.h"
+#include "granter_parts.h"
 
 #define DEFAULT_LEASE_MS 2000
 #define DEFAULT_LEASE_MAX_MS 10000
@@ -326,16 +326,6 @@
   bgap_leases_prune (g, now_ms);
 }
 
-bool
-bgap_granter_next_action (struct bgap_granter *g,
-                          struct bgap_granter_action *action)
-{
-  if (g->action_first == g->action_count)
-    return false;
-  *action = g->actions[g->action_first++];
-  return true;
-}
-
 const struct bgap_assignment *
 bgap_granter_assignment (const struct bgap_granter *g)
 {
--- a/packages/keyrange/src/granter_calls.c
+++ b/packages/keyrange/src/granter_calls.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "banyangap/base/array.h"
-#include "granter_state.h"
+#include "granter_parts.h"
 
 /* A release is answered only after the running requests have ended, which
    takes longer than a grant. Once the lease has expired, the answer is not
@@ -20,20 +20,6 @@
 /* Maximum backoff of a server that did not answer.  */
 #define BACKOFF_MAX_MS 16000
 
-bool
-bgap_granter_emit (struct bgap_granter *g,
-                   const struct bgap_granter_action *action)
-{
-  if (g->action_first == g->action_count)
-    g->action_first = g->action_count = 0;
-  if (bgap_array_reserve (&g->actions, &g->action_capacity,
-                          g->action_count + 1, sizeof *g->actions)
-      != BGAP_OK)
-    return false;
-  g->actions[g->action_count++] = *action;
-  return true;
-}
-
 void
 bgap_granter_suspect (struct bgap_granter *g, int64_t now_ms, const char *id)
 {
@@ -148,22 +134,6 @@
   target->unanswered++;
 }
 
-void
-bgap_calls_target_answered (struct bgap_granter *g, int64_t now_ms,
-                            struct bgap_grant_target *target)
-{
-  if (target->unanswered == 0)
-    return;
-  target->unanswered = 0;
-  target->unanswered_since_ms = 0;
-  target->grant_lost = false;
-  target->backoff_until_ms = now_ms;
-  for (uint32_t i = 0; i < g->lease_count; i++)
-    if (!g->leases[i].from_former_granter
-        && strcmp (g->leases[i].server, target->desc.id) == 0)
-      g->leases[i].renew_at_ms = now_ms;
-}
-
 /* The grant is repeated as soon as the store has been read.  */
 static void
 _bgap_calls_target_connected (struct bgap_granter *g, int64_t now_ms,
@@ -244,7 +214,7 @@
     return;
   if (result == BGAP_GRANTER_DONE || result == BGAP_GRANTER_FENCED
       || result == BGAP_GRANTER_REJECTED)
-    bgap_calls_target_answered (g, now_ms, target);
+    bgap_grant_target_answered (g, now_ms, target);
   else if (result == BGAP_GRANTER_RECONNECTED)
     _bgap_calls_target_connected (g, now_ms, target, lease);
   else if (result == BGAP_GRANTER_REPLACED)
--- a/packages/keyrange/src/granter_candidates.h
+++ b/packages/keyrange/src/granter_candidates.h
@@ -11,7 +11,7 @@
  *   free (candidates);
  */
 
-#include "granter_state.h"
+#include "granter_parts.h"
 
 /**
  * struct bgap_candidate - a server that can take keys
--- a/packages/keyrange/src/granter_checks.c
+++ b/packages/keyrange/src/granter_checks.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "granter_state.h"
+#include "granter_parts.h"
 
 /* Pause after a check without an answer. It doubles up to the maximum.  */
 #define PAUSE_FIRST_MS 200
@@ -75,7 +75,7 @@
   target->check_pause_ms = 0;
   if (result == BGAP_GRANTER_RECONNECTED)
     target->connected_ms = now_ms;
-  bgap_calls_target_answered (g, now_ms, target);
+  bgap_grant_target_answered (g, now_ms, target);
   if (was_grant_lost)
     target->backoff_until_ms = now_ms + target->backoff_ms;
 }
--- a/packages/keyrange/src/granter_grants.c
+++ b/packages/keyrange/src/granter_grants.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "banyangap/base/array.h"
-#include "granter_state.h"
+#include "granter_parts.h"
 
 /* Maximum rate of grants for a service, and time for which it may be exceeded
    after a pause. A burst for all ranges of a large service would keep a small
--- a/packages/keyrange/src/granter_leases.c
+++ b/packages/keyrange/src/granter_leases.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "banyangap/base/array.h"
-#include "granter_state.h"
+#include "granter_parts.h"
 
 /* Maximum rate by which a server's clock may be slow.  */
 #define CLOCK_DRIFT_PERCENT 2
--- a/packages/keyrange/src/granter_restore.c
+++ b/packages/keyrange/src/granter_restore.c
@@ -1,6 +1,6 @@
 #include <string.h>
 
-#include "granter_state.h"
+#include "granter_parts.h"
 
 /* Time after a restore of the store within which the granter in office writes
    its assignment again, even if some servers have not confirmed their leases,
--- a/packages/keyrange/src/granter_targets.c
+++ b/packages/keyrange/src/granter_targets.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "banyangap/base/array.h"
-#include "granter_state.h"
+#include "granter_parts.h"
 
 /* First backoff of a server that did not answer; it gets no keys for this
    time, which doubles each time.  */
@@ -44,6 +44,22 @@
          && target->unanswered == 0 && now_ms >= target->backoff_until_ms;
 }
 
+void
+bgap_grant_target_answered (struct bgap_granter *g, int64_t now_ms,
+                            struct bgap_grant_target *target)
+{
+  if (target->unanswered == 0)
+    return;
+  target->unanswered = 0;
+  target->unanswered_since_ms = 0;
+  target->grant_lost = false;
+  target->backoff_until_ms = now_ms;
+  for (uint32_t i = 0; i < g->lease_count; i++)
+    if (!g->leases[i].from_former_granter
+        && strcmp (g->leases[i].server, target->desc.id) == 0)
+      g->leases[i].renew_at_ms = now_ms;
+}
+
 static struct bgap_grant_target *
 _bgap_targets_add (struct bgap_granter *g, const char *id)
 {
--- a/packages/keyrange/tests/fixture.c
+++ b/packages/keyrange/tests/fixture.c
@@ -77,3 +77,15 @@
     }
   return proposed;
 }
+
+void
+append_record (struct bgap_granter *granter, int64_t now_ms,
+               const struct bgap_granter_action *action)
+{
+  struct bgap_assignment record = { 0 };
+  assert_int_equal (
+      bgap_assignment_decode (&record, action->bytes, action->size, NULL),
+      BGAP_OK);
+  bgap_granter_on_assignment (granter, now_ms, &record);
+  bgap_assignment_shutdown (&record);
+}
--- a/packages/keyrange/tests/fixture.h
+++ b/packages/keyrange/tests/fixture.h
@@ -41,4 +41,8 @@
 bool take_actions (struct bgap_granter *granter,
                    struct bgap_assignment *proposal, uint32_t *grants);
 
+/* Appends a proposed record to the store; the granter reads it at once.  */
+void append_record (struct bgap_granter *granter, int64_t now_ms,
+                    const struct bgap_granter_action *action);
+
 #endif
--- a/packages/keyrange/tests/test_former_leases.c
+++ b/packages/keyrange/tests/test_former_leases.c
@@ -69,17 +69,12 @@
   bgap_granter_tick (granter, now_ms);
   while (bgap_granter_next_action (granter, &action))
     {
-      struct bgap_assignment record = { 0 };
       if (action.kind != BGAP_GRANTER_APPEND)
         {
           answer (granter, now_ms, &action, course);
           continue;
         }
-      assert_int_equal (
-          bgap_assignment_decode (&record, action.bytes, action.size, NULL),
-          BGAP_OK);
-      bgap_granter_on_assignment (granter, now_ms, &record);
-      bgap_assignment_shutdown (&record);
+      append_record (granter, now_ms, &action);
     }
 }
 
@@ -92,6 +87,20 @@
   bgap_granter_set_server (granter, now_ms, &server);
 }
 
+/* Reads the record of a former granter, whose keys are all at "s0", and is to
+   take over; "s1" is another server.  */
+static void
+begin_takeover (struct bgap_granter *granter, int64_t now_ms,
+                struct bgap_assignment *former)
+{
+  set_holder (former, 0, BGAP_KEY_COUNT - 1, "s0");
+  add_server (granter, now_ms, "s0", 0);
+  add_server (granter, now_ms, "s1", 0);
+  bgap_granter_on_loaded (granter, now_ms);
+  bgap_granter_on_assignment (granter, now_ms, former);
+  bgap_granter_set_successor (granter, now_ms, true, true);
+}
+
 /* After a takeover the server answers a grant whose lease is shorter than the
    one that it has from the former granter, then leaves and does not answer the
    release. Guards against keys that are given away when only the shorter lease
@@ -103,12 +112,7 @@
   struct bgap_assignment former = assignment_of ("n1", INCARNATION + 1, 3);
   struct course course = { 0 };
   (void)state;
-  set_holder (&former, 0, BGAP_KEY_COUNT - 1, "s0");
-  add_server (granter, 100, "s0", 0);
-  add_server (granter, 100, "s1", 0);
-  bgap_granter_on_loaded (granter, 100);
-  bgap_granter_on_assignment (granter, 100, &former);
-  bgap_granter_set_successor (granter, 100, true, true);
+  begin_takeover (granter, 100, &former);
   for (int64_t now_ms = 110; course.granted_ms == 0 && now_ms < 30000;
        now_ms += 20)
     {
@@ -139,14 +143,9 @@
   struct course course = { .answered_ms = 1 };
   int64_t now_ms = 110;
   (void)state;
-  set_holder (&former, 0, BGAP_KEY_COUNT - 1, "s0");
   former.released = true;
   former.lease_ms = LONG_LEASE_MS;
-  add_server (granter, 100, "s0", 0);
-  add_server (granter, 100, "s1", 0);
-  bgap_granter_on_loaded (granter, 100);
-  bgap_granter_on_assignment (granter, 100, &former);
-  bgap_granter_set_successor (granter, 100, true, true);
+  begin_takeover (granter, 100, &former);
   for (; course.granted_ms == 0 && now_ms < 30000; now_ms += 20)
     run (granter, now_ms, &course);
   assert_in_range (course.granted_ms, LONG_LEASE_MS * 102 / 100, 15000);
@@ -230,7 +229,7 @@
 }
 
 /* Takes over from a granter with leases of LONG_LEASE_MS on "s0", and runs
- * until @until_ms. "s1" takes any keys that are free.  */
+   until @until_ms. "s1" takes any keys that are free.  */
 static struct course
 take_over (const struct reach *reach, int64_t until_ms)
 {
@@ -240,12 +239,7 @@
   struct bgap_granter_action action;
   bool connected = false;
   former.lease_ms = LONG_LEASE_MS;
-  set_holder (&former, 0, BGAP_KEY_COUNT - 1, "s0");
-  add_server (granter, 0, "s0", 0);
-  add_server (granter, 0, "s1", 0);
-  bgap_granter_on_loaded (granter, 0);
-  bgap_granter_on_assignment (granter, 0, &former);
-  bgap_granter_set_successor (granter, 0, true, true);
+  begin_takeover (granter, 0, &former);
   const struct bgap_granter_server leaving = {
     .id = "s1", .started_ms = 5, .sequence = 2, .slots = 4, .draining = true
   };
@@ -257,15 +251,10 @@
       bgap_granter_tick (granter, now_ms);
       while (bgap_granter_next_action (granter, &action))
         {
-          struct bgap_assignment record = { 0 };
           enum bgap_granter_result result = BGAP_GRANTER_DONE;
           if (action.kind == BGAP_GRANTER_APPEND)
             {
-              assert_int_equal (bgap_assignment_decode (&record, action.bytes,
-                                                        action.size, NULL),
-                                BGAP_OK);
-              bgap_granter_on_assignment (granter, now_ms, &record);
-              bgap_assignment_shutdown (&record);
+              append_record (granter, now_ms, &action);
               continue;
             }
           if (action.kind != BGAP_GRANTER_GRANT
