Check that the simulation finds each rule of restores and takeovers removed

One test with a known course is new: an earlier release does not end a lease that was granted after the restore.

--- a/packages/keyrange/tests/test_restored_store.c
+++ b/packages/keyrange/tests/test_restored_store.c
@@ -4,6 +4,7 @@
 #include <stdint.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <string.h>
 
 #include <cmocka.h>
 
@@ -213,6 +214,91 @@
   assert_true (takeover_token (22) > takeover_token (20));
 }
 
+/**
+ * struct move - the keys move from "s0" to "s1" while the store is restored
+ * @release: call of the release
+ * @held_until_ms: end of the lease that "s0" was granted after the restore
+ * @granted_ms: when "s1" was first granted the keys
+ */
+struct move
+{
+  uint32_t release;
+  int64_t held_until_ms;
+  int64_t granted_ms;
+};
+
+/* Runs the granter once. The first release gets no response; "s0" answers
+   grants until @move has the end of its lease, then nothing.  */
+static void
+run_move (struct bgap_granter *granter, int64_t now_ms, bool was_restored,
+          struct move *move)
+{
+  struct bgap_granter_action action;
+  bgap_granter_on_view (granter, now_ms, now_ms - 1);
+  bgap_granter_tick (granter, now_ms);
+  while (bgap_granter_next_action (granter, &action))
+    {
+      enum bgap_granter_result result = BGAP_GRANTER_DONE;
+      bool is_first_release
+          = action.kind == BGAP_GRANTER_RELEASE && move->release == 0;
+      if (is_first_release)
+        move->release = action.call;
+      if (action.kind == BGAP_GRANTER_APPEND)
+        {
+          append_record (granter, now_ms, &action);
+          continue;
+        }
+      if (strcmp (action.server, "s0") == 0 && move->held_until_ms != 0)
+        result = BGAP_GRANTER_LOST;
+      else if (strcmp (action.server, "s0") == 0 && was_restored)
+        move->held_until_ms = now_ms + action.lease_ms;
+      else if (action.kind == BGAP_GRANTER_GRANT
+               && strcmp (action.server, "s1") == 0 && move->granted_ms == 0)
+        move->granted_ms = now_ms;
+      if (!is_first_release)
+        bgap_granter_on_reply (granter, now_ms, action.call, result, "");
+    }
+}
+
+/* The holder of moving keys confirms their release before a restore, and its
+   response arrives when it has been granted the keys again. Guards against two
+   holders: the response was taken for the end of the later lease.  */
+static void
+test_earlier_release_does_not_end_a_later_lease (void **state)
+{
+  struct bgap_granter *granter = granter_new ();
+  struct bgap_assignment known = assignment_of ("n0", INCARNATION, 3);
+  const struct bgap_granter_server leaving = {
+    .id = "s0", .started_ms = 5, .sequence = 2, .slots = 4, .draining = true
+  };
+  struct move move = { 0 };
+  int64_t now_ms = 100;
+  (void)state;
+  known.timeline = 1;
+  set_holder (&known, 0, BGAP_KEY_COUNT - 1, "s0");
+  add_server (granter, 100, "s0", 0);
+  add_server (granter, 100, "s1", 0);
+  bgap_granter_on_timeline (granter, 100, 1);
+  bgap_granter_on_loaded (granter, 100);
+  bgap_granter_on_assignment (granter, 100, &known);
+  run_move (granter, now_ms, false, &move);
+  bgap_granter_set_server (granter, now_ms, &leaving);
+  for (; move.release == 0 && now_ms < 1000; now_ms += 10)
+    run_move (granter, now_ms, false, &move);
+  assert_int_not_equal (move.release, 0);
+  bgap_granter_on_timeline (granter, now_ms, 2);
+  bgap_granter_on_loaded (granter, now_ms);
+  for (; move.held_until_ms == 0 && now_ms < 2000; now_ms += 10)
+    run_move (granter, now_ms, true, &move);
+  assert_int_not_equal (move.held_until_ms, 0);
+  bgap_granter_on_reply (granter, now_ms, move.release, BGAP_GRANTER_DONE, "");
+  for (; move.granted_ms == 0 && now_ms < 60000; now_ms += 10)
+    run_move (granter, now_ms, true, &move);
+  assert_true (move.granted_ms >= move.held_until_ms);
+  bgap_assignment_shutdown (&known);
+  bgap_granter_shutdown (granter);
+}
+
 int
 main (void)
 {
@@ -221,6 +307,7 @@
     cmocka_unit_test (test_former_granter_of_a_lost_record_is_silent),
     cmocka_unit_test (test_own_record_of_an_earlier_timeline_has_no_effect),
     cmocka_unit_test (test_token_is_above_that_of_a_hidden_record),
+    cmocka_unit_test (test_earlier_release_does_not_end_a_later_lease),
     cmocka_unit_test (test_seeds_that_failed),
     cmocka_unit_test (test_random_faults_and_restores),
   };
--- a/tests/mutations/simulation.sh
+++ b/tests/mutations/simulation.sh
@@ -4,7 +4,8 @@
 #   tests/mutations/simulation.sh SET            all patches of a set
 #   tests/mutations/simulation.sh SET NAME...    only the named patches
 #   RUNS=N   maximum number of runs of a mutation of keyrange (default 600)
-# Sets: keyrange (keyrange_test_world), limit (routing_test_rate_limit).
+# Sets: keyrange (keyrange_test_world), restored (keyrange_test_restored_store),
+# takeover (keyrange_test_former_leases), limit (routing_test_rate_limit).
 # Prints one line per mutation; the exit status is 1 if one was not detected.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
@@ -13,6 +14,8 @@
 shift
 case $set in
 keyrange) package=keyrange test=keyrange_test_world ;;
+restored) package=keyrange test=keyrange_test_restored_store ;;
+takeover) package=keyrange test=keyrange_test_former_leases ;;
 limit) package=routing test=routing_test_rate_limit ;;
 *) echo "unknown set $set" >&2 && exit 2 ;;
 esac
