Fix: expect a slot when the running requests' deadlines pass

A request was refused at once because of the rate at which its queue had been served, while the slots were taken by requests whose deadlines were about to pass: 11 refusals within 10 ms in one run of process.test_limits, with 36 ms or less until the slots were free and 250 ms left.

Cause: the rate is measured over the past, and falls while slow requests hold the slots; nothing looked at when these end.

Each running request ends at its deadline at the latest. If the rate says that the deadline is missed, the wait is at most until as many of this instance's running requests have ended as are ahead in the queue.

--- a/packages/routing/src/router_estimate.c
+++ b/packages/routing/src/router_estimate.c
@@ -14,6 +14,10 @@
    for one.  */
 #define BUSY_WAIT 0.2
 
+/* Maximum number of requests ahead of another for which the deadlines of the
+   running requests are compared.  */
+#define LATEST_AHEAD_MAX 16u
+
 /* Weight of a new sample in the smoothed response time.  */
 #define RESPONSE_SMOOTHING 0.1
 
@@ -148,8 +152,52 @@
                                       ahead);
 }
 
+/* Inserts a time into the @count smallest ones, in ascending order.  */
+static void
+_bgap_estimate_keep_smallest (double *smallest, uint32_t count, double ms)
+{
+  uint32_t at = count - 1;
+  if (ms >= smallest[at])
+    return;
+  for (; at > 0 && smallest[at - 1] > ms; at--)
+    smallest[at] = smallest[at - 1];
+  smallest[at] = ms;
+}
+
+/* Time after which the attempts of this instance that run now, those at
+   @holder if it is not NULL, have left @ahead slots at the latest: each of
+   them ends at the deadline of its request. INFINITY if fewer run, or if that
+   would take too long to find out.  */
+static double
+_bgap_estimate_latest_ms (const struct bgap_router_state *state,
+                          const struct bgap_router_service *service,
+                          const struct bgap_router_server *holder,
+                          int64_t now_ms, uint32_t ahead)
+{
+  double smallest[LATEST_AHEAD_MAX];
+  if (ahead == 0 || ahead > LATEST_AHEAD_MAX)
+    return INFINITY;
+  for (uint32_t i = 0; i < ahead; i++)
+    smallest[i] = INFINITY;
+  for (uint32_t id = bgap_pool_next (&state->attempts, BGAP_INVALID_ID);
+       id != BGAP_INVALID_ID; id = bgap_pool_next (&state->attempts, id))
+    {
+      const struct bgap_router_attempt *attempt
+          = bgap_pool_get (&state->attempts, id);
+      const struct bgap_router_request *request
+          = bgap_router_open_request (state, attempt->request);
+      if (request == NULL || request->service != service->id
+          || (holder != NULL && attempt->server != holder->id))
+        continue;
+      _bgap_estimate_keep_smallest (
+          smallest, ahead, (double)(request->deadline_at_ms - now_ms));
+    }
+  return fmax (0, smallest[ahead - 1]);
+}
+
 bool
-bgap_router_wait_misses_deadline (struct bgap_router_service *service,
+bgap_router_wait_misses_deadline (const struct bgap_router_state *state,
+                                  struct bgap_router_service *service,
                                   const struct bgap_router_server *holder,
                                   int64_t now_ms, uint32_t ahead,
                                   struct bgap_router_request *request)
@@ -163,10 +211,14 @@
   double own_ms = holder != NULL ? _bgap_estimate_own_ms (
                       service, &holder->server, now_ms, BUSY_SHARE)
                                  : median_ms;
-  double expected_ms
-      = own_ms
-        + _bgap_estimate_wait_ms (service, holder, now_ms, own_ms, ahead);
-  if (expected_ms <= (double)(request->deadline_at_ms - now_ms))
+  double left_ms = (double)(request->deadline_at_ms - now_ms);
+  double wait_ms
+      = _bgap_estimate_wait_ms (service, holder, now_ms, own_ms, ahead);
+  if (own_ms + wait_ms > left_ms && !has_limit)
+    wait_ms = fmin (wait_ms, _bgap_estimate_latest_ms (state, service, holder,
+                                                       now_ms, ahead));
+  double expected_ms = own_ms + wait_ms;
+  if (expected_ms <= left_ms)
     return false;
   request->expected_ms = (int64_t)expected_ms;
   return true;
--- a/packages/routing/src/router_queue.c
+++ b/packages/routing/src/router_queue.c
@@ -227,7 +227,7 @@
                             : NULL;
   int64_t rank = bgap_router_rank (service, now_ms, request);
   if (bgap_router_wait_misses_deadline (
-          service, holder, now_ms,
+          state, service, holder, now_ms,
           _bgap_router_position (queue, rank, request), request))
     {
       bgap_router_finish (state, now_ms, request, BGAP_REASON_DEADLINE);
--- a/packages/routing/src/router_state.h
+++ b/packages/routing/src/router_state.h
@@ -381,7 +381,8 @@
  * @holder: server whose queue it is, NULL for the queue of the service
  * @ahead: requests before it, itself included
  */
-bool bgap_router_wait_misses_deadline (struct bgap_router_service *service,
+bool bgap_router_wait_misses_deadline (const struct bgap_router_state *state,
+                                       struct bgap_router_service *service,
                                        const struct bgap_router_server *holder,
                                        int64_t now_ms, uint32_t ahead,
                                        struct bgap_router_request *request);
--- a/packages/routing/tests/test_deadline_estimate.c
+++ b/packages/routing/tests/test_deadline_estimate.c
@@ -15,6 +15,9 @@
 #define SHORT_DEADLINE_MS 90
 #define LONG_DEADLINE_MS 8000
 
+/* Time over which the router measures the rate of a queue.  */
+#define QUEUE_RATE_MS 100L
+
 static const struct bgap_service_desc keyed_service = {
   .name = "s",
   .keyed = true,
@@ -224,6 +227,49 @@
   fixture_shutdown (&f);
 }
 
+/* The slots of a holder are taken by requests that end soon, since their
+   deadlines pass. Guards against refusals because of the rate at which its
+   queue was served while they ran.  */
+static void
+test_queue_behind_requests_that_end_soon (void **state)
+{
+  struct fixture f;
+  struct bgap_attempt_id first = { 0 };
+  struct bgap_attempt_id attempt;
+  struct bgap_router_action action;
+  (void)state;
+  fixture_setup (&f, &keyed_service);
+  struct bgap_server_id holder = fixture_server (&f, "a", "z1", SLOTS);
+  for (int i = 0; i < 20; i++)
+    answer_after (&f, holder, WORK_MS, 0);
+  const int64_t begun_ms = f.now_ms;
+  assert_true (send_to (&f, holder, 3 * QUEUE_RATE_MS, &first));
+  while (send_to (&f, holder, 3 * QUEUE_RATE_MS, &attempt))
+    ;
+  for (int i = 0; i < 4; i++)
+    assert_false (send_to (&f, holder, 5 * QUEUE_RATE_MS, &attempt));
+  fixture_wait (&f, QUEUE_RATE_MS);
+  fixture_result (&f, first, BGAP_RESULT_COMPLETE);
+  for (int i = 0; i < 19; i++)
+    fixture_wait (&f, QUEUE_RATE_MS / 10);
+  while (bgap_router_next_action (&f.router, &action))
+    ;
+  struct bgap_request_id request = fixture_request (
+      &f, &(struct bgap_request_desc){ .idempotent = true,
+                                       .holder = holder,
+                                       .token = 1,
+                                       .deadline_ms = 4 * QUEUE_RATE_MS });
+  fixture_expect_none (&f);
+  fixture_wait (&f, begun_ms + 3 * QUEUE_RATE_MS - f.now_ms);
+  bool dispatched = false;
+  while (bgap_router_next_action (&f.router, &action))
+    dispatched = dispatched
+                 || (action.kind == BGAP_ROUTER_ACTION_DISPATCH
+                     && action.request.id == request.id);
+  assert_true (dispatched);
+  fixture_shutdown (&f);
+}
+
 int
 main (void)
 {
@@ -234,6 +280,7 @@
     cmocka_unit_test (test_old_answers_do_not_refuse),
     cmocka_unit_test (test_slow_server_beside_fast_ones),
     cmocka_unit_test (test_slow_requests_refuse_no_others),
+    cmocka_unit_test (test_queue_behind_requests_that_end_soon),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
