Refuse late requests that will get no slot before their deadline

Cause: late requests go after those that can still meet their objective. When these take all slots, a late one was looked at again only with its deadline. The limit of the queue, which drops the least urgent one, is far off with many servers.

Each queue knows since when it had no slot for a late request. If that is twice as long as one may still wait, and others were sent meanwhile, it is refused, with a Retry-After. An overload that has just begun lets it wait.

--- a/packages/routing/src/router_dispatch.c
+++ b/packages/routing/src/router_dispatch.c
@@ -175,8 +175,8 @@
       struct bgap_router_request *request
           = bgap_router_open_request (state, top->id);
       if (_bgap_router_end_refused (state, now_ms, request)
-          || bgap_router_rerank (state, now_ms, &service->queue, top->major,
-                                 request))
+          || bgap_router_rerank (state, now_ms, &service->queue,
+                                 &service->spare, top->major, request))
         continue;
       struct bgap_router_server *server
           = _bgap_router_choose (state, now_ms, service, request);
@@ -184,6 +184,7 @@
         continue;
       if (server == NULL)
         break;
+      bgap_router_note_sent (&service->spare, now_ms, top->major);
       bgap_router_leave_state (state, request);
       _bgap_router_dispatch (state, now_ms, request, server);
     }
@@ -208,8 +209,8 @@
       struct bgap_router_request *request
           = bgap_router_open_request (state, top->id);
       if (_bgap_router_end_refused (state, now_ms, request)
-          || bgap_router_rerank (state, now_ms, &server->queue, top->major,
-                                 request))
+          || bgap_router_rerank (state, now_ms, &server->queue, &server->spare,
+                                 top->major, request))
         continue;
       if (!bgap_server_holder_eligible (&server->server, now_ms))
         {
@@ -221,6 +222,7 @@
         continue;
       if (_bgap_router_server_at_limit (service, now_ms, &server->server))
         break;
+      bgap_router_note_sent (&server->spare, now_ms, top->major);
       bgap_router_leave_state (state, request);
       _bgap_router_dispatch (state, now_ms, request, server);
     }
--- a/packages/routing/src/router_queue.c
+++ b/packages/routing/src/router_queue.c
@@ -8,6 +8,13 @@
 #define RATE_WINDOW_MS 100
 #define RATE_SMOOTHING 0.3
 
+/* Interval at which late requests that wait are checked. One is hopeless if
+   others have taken all slots for so many times as long as it may still wait,
+   and so many of them were sent.  */
+#define LATE_CHECK_MS 100
+#define OTHERS_TIMES_LEFT 2
+#define OTHERS_SENT_MIN 8
+
 /* Bounds of Retry-After: the lower one in milliseconds, the upper one as a
    divisor of the time left until the deadline, because callers honour at most
    a third of it.  */
@@ -90,21 +97,92 @@
   return 2 * (int64_t)request->class_ + (late ? 1 : 0);
 }
 
+static bool
+_bgap_router_is_late (int64_t rank)
+{
+  return rank % 2 != 0;
+}
+
+/* Whether a late request is not expected to get a slot of its queue.  */
+static bool
+_bgap_router_is_hopeless (const struct bgap_router_spare *spare,
+                          int64_t now_ms,
+                          const struct bgap_router_request *request)
+{
+  return spare->others_sent >= OTHERS_SENT_MIN
+         && now_ms - spare->at_ms
+                >= OTHERS_TIMES_LEFT * (request->deadline_at_ms - now_ms);
+}
+
+static void
+_bgap_router_refuse_hopeless (struct bgap_router_state *state,
+                              const struct bgap_router_spare *spare,
+                              int64_t now_ms,
+                              struct bgap_router_request *request)
+{
+  request->expected_ms = now_ms - spare->at_ms;
+  bgap_router_finish (state, now_ms, request, BGAP_REASON_DEADLINE);
+}
+
+static void
+_bgap_router_has_spare (struct bgap_router_spare *spare, int64_t now_ms)
+{
+  spare->at_ms = now_ms;
+  spare->others_sent = 0;
+}
+
+void
+bgap_router_note_sent (struct bgap_router_spare *spare, int64_t now_ms,
+                       int64_t rank)
+{
+  if (_bgap_router_is_late (rank))
+    _bgap_router_has_spare (spare, now_ms);
+  else
+    spare->others_sent++;
+}
+
 bool
 bgap_router_rerank (struct bgap_router_state *state, int64_t now_ms,
-                    struct bgap_heap *queue, int64_t rank,
-                    const struct bgap_router_request *request)
+                    struct bgap_heap *queue,
+                    const struct bgap_router_spare *spare, int64_t rank,
+                    struct bgap_router_request *request)
 {
   int64_t current = bgap_router_rank (
       bgap_router_service (state, request->service), now_ms, request);
   if (current <= rank)
     return false;
+  if (_bgap_router_is_hopeless (spare, now_ms, request))
+    {
+      _bgap_router_refuse_hopeless (state, spare, now_ms, request);
+      return true;
+    }
   bgap_heap_remove (queue, request->id);
   /* Cannot fail: the push reuses the entry freed by the removal.  */
   (void)bgap_heap_push (queue, current, request->deadline_at_ms, request->id);
   return true;
 }
 
+void
+bgap_router_refuse_late (struct bgap_router_state *state, int64_t now_ms,
+                         struct bgap_heap *queue,
+                         struct bgap_router_spare *spare)
+{
+  if (now_ms - spare->checked_ms < LATE_CHECK_MS)
+    return;
+  spare->checked_ms = now_ms;
+  /* One that a removal has moved before this place is found next time.  */
+  for (uint32_t i = 0; i < queue->count;)
+    {
+      struct bgap_router_request *request
+          = bgap_router_open_request (state, queue->items[i].id);
+      if (_bgap_router_is_late (queue->items[i].major)
+          && _bgap_router_is_hopeless (spare, now_ms, request))
+        _bgap_router_refuse_hopeless (state, spare, now_ms, request);
+      else
+        i++;
+    }
+}
+
 int64_t
 bgap_router_retry_after_ms (struct bgap_router_state *state,
                             const struct bgap_router_service *service,
@@ -222,10 +300,18 @@
   struct bgap_router_service *service
       = bgap_router_service (state, request->service);
   struct bgap_heap *queue = _bgap_router_queue_of (state, request);
-  const struct bgap_router_server *holder
+  struct bgap_router_server *holder
       = service->desc.keyed ? bgap_router_server (state, request->holder)
                             : NULL;
+  struct bgap_router_spare *spare
+      = holder != NULL ? &holder->spare : &service->spare;
   int64_t rank = bgap_router_rank (service, now_ms, request);
+  if (queue->count > 0 && _bgap_router_is_late (rank)
+      && _bgap_router_is_hopeless (spare, now_ms, request))
+    {
+      _bgap_router_refuse_hopeless (state, spare, now_ms, request);
+      return;
+    }
   if (bgap_router_wait_misses_deadline (
           state, service, holder, now_ms,
           _bgap_router_position (queue, rank, request), request))
@@ -235,6 +321,8 @@
     }
   if (!bgap_router_admit (state, now_ms, request))
     return;
+  if (queue->count == 0)
+    _bgap_router_has_spare (spare, now_ms);
   if (bgap_heap_push (queue, rank, request->deadline_at_ms, request->id)
       != BGAP_OK)
     {
--- a/packages/routing/src/router_state.h
+++ b/packages/routing/src/router_state.h
@@ -137,11 +137,26 @@
   bool backlog;
 };
 
+/**
+ * struct bgap_router_spare - whether a queue has slots for requests that can
+ * no longer meet their objective, which go after those that can
+ * @at_ms: when one of them was last sent, or the queue was last empty
+ * @others_sent: others that were sent since
+ * @checked_ms: when the requests that wait were last compared with that
+ */
+struct bgap_router_spare
+{
+  int64_t at_ms;
+  uint32_t others_sent;
+  int64_t checked_ms;
+};
+
 /**
  * struct bgap_router_server - a server with its queue
  * @server: the first member, so that a pointer to it can be converted
  * @queue: waiting requests for keys that it holds
  * @rate: rate at which @queue is served
+ * @spare: slots of @queue for late requests
  * @peers_in_flight: in-flight attempts by peer
  */
 struct bgap_router_server
@@ -150,6 +165,7 @@
   uint32_t id;
   struct bgap_heap queue;
   struct bgap_router_rate rate;
+  struct bgap_router_spare spare;
   uint16_t *peers_in_flight;
   UT_hash_handle hh;
 };
@@ -164,6 +180,7 @@
  * @all_times: response times of all requests
  * @response_ms: smoothed response time of all requests
  * @rate: rate at which waiting requests are served
+ * @spare: slots of @queue for late requests
  * @arrivals: recent requests
  * @has_limits: some of its servers may have a rate limit
  * @dispatching: a queue of the service is being dispatched; prevents recursion
@@ -185,6 +202,7 @@
   struct bgap_response_times all_times;
   double response_ms;
   struct bgap_router_rate rate;
+  struct bgap_router_spare spare;
   struct bgap_idempotency idempotency;
   struct bgap_window_count arrivals;
   bool has_limits;
@@ -289,14 +307,32 @@
                           const struct bgap_router_request *request);
 
 /**
- * bgap_router_rerank() - move a queued request whose rank has increased
+ * bgap_router_rerank() - move a queued request whose rank has increased, or
+ * finish it if it is not expected to get a slot then
  * @rank: rank with which it is in the queue
  *
- * Return: whether it was moved.
+ * Return: whether it was moved or finished.
  */
 bool bgap_router_rerank (struct bgap_router_state *state, int64_t now_ms,
-                         struct bgap_heap *queue, int64_t rank,
-                         const struct bgap_router_request *request);
+                         struct bgap_heap *queue,
+                         const struct bgap_router_spare *spare, int64_t rank,
+                         struct bgap_router_request *request);
+
+/**
+ * bgap_router_note_sent() - a queued request is sent
+ * @rank: rank with which it was in the queue
+ */
+void bgap_router_note_sent (struct bgap_router_spare *spare, int64_t now_ms,
+                            int64_t rank);
+
+/**
+ * bgap_router_refuse_late() - finish the queued requests that can no longer
+ * meet their objective and are not expected to get a slot before their
+ * deadline, unless that was done just before
+ */
+void bgap_router_refuse_late (struct bgap_router_state *state, int64_t now_ms,
+                              struct bgap_heap *queue,
+                              struct bgap_router_spare *spare);
 
 /**
  * bgap_router_retry_after_ms() - milliseconds after which a caller that is
--- a/packages/routing/src/router_tick.c
+++ b/packages/routing/src/router_tick.c
@@ -49,11 +49,15 @@
           bgap_router_update_rate (&server->rate, server->queue.count, now_ms);
           if (!bgap_server_ejected (&server->server, now_ms))
             server->server.ejected_until_ms = 0;
+          bgap_router_refuse_late (state, now_ms, &server->queue,
+                                   &server->spare);
           if (server->queue.count > 0
               || bgap_rate_limit_asked (&server->server.rate_limit, now_ms)
                      > 0)
             bgap_router_dispatch_holder_queue (state, now_ms, server);
         }
+      bgap_router_refuse_late (state, now_ms, &service->queue,
+                               &service->spare);
       if (service->queue.count > 0 || service->has_limits)
         bgap_router_dispatch_queue (state, now_ms, service);
     }
