Wait longer for full servers to read a new connection

Cause: a check was given the time of a grant, although it has no effect and lengthens no lease; and grants went on probing for 1.2 s before the first check, although none of them had been sent.

A check may take 2 s, follows at once if no grant was sent, and is repeated after 0.8 s at most.

--- a/packages/keyrange/src/granter_checks.c
+++ b/packages/keyrange/src/granter_checks.c
@@ -4,7 +4,11 @@
 
 /* Pause after a check without an answer. It doubles up to the maximum.  */
 #define PAUSE_FIRST_MS 200
-#define PAUSE_MAX_MS 3200
+#define PAUSE_MAX_MS 800
+
+/* A full server reads a new connection late. A check has no effect, so that it
+   may wait for longer than a grant.  */
+#define CHECK_TIMEOUT_MS 2000
 
 /* Whether a lease may be in force on keys of the server.  */
 static bool
@@ -40,7 +44,7 @@
   struct bgap_granter_action action = {
     .kind = BGAP_GRANTER_CHECK,
     .call = ++g->next_call,
-    .timeout_ms = g->desc.call_timeout_ms,
+    .timeout_ms = CHECK_TIMEOUT_MS,
   };
   memcpy (action.server, target->desc.id, sizeof action.server);
   if (bgap_granter_emit (g, &action))
--- a/packages/keyrange/src/granter_grants.c
+++ b/packages/keyrange/src/granter_grants.c
@@ -22,7 +22,7 @@
 #define PROBE_INTERVAL_MS 200
 
 /* Such probes are sent for this time after the first unanswered grant, then
-   checks.  */
+   checks. If none of the grants was sent, checks follow at once.  */
 #define PROBE_FOR_MS 1200
 
 /* Time between two requests to read the store.  */
@@ -172,7 +172,8 @@
                           int64_t now_ms)
 {
   return target->unanswered > 0
-         && now_ms - target->unanswered_since_ms > PROBE_FOR_MS;
+         && (!target->grant_lost
+             || now_ms - target->unanswered_since_ms > PROBE_FOR_MS);
 }
 
 /* Finds the lease of a range whose grant is due; a range that has none gets
