--- a/packages/routing/src/router.c
+++ b/packages/routing/src/router.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "router_state.h"
+#include "router_parts.h"
 
 #define DEFAULT_REQUESTS_MAX 4096u
 #define DEFAULT_SERVICES_MAX 64u
--- a/packages/routing/src/router_attempt.c
+++ b/packages/routing/src/router_attempt.c
@@ -1,4 +1,4 @@
-#include "router_state.h"
+#include "router_parts.h"
 
 #define HTTP_SERVER_ERROR 500
 
--- a/packages/routing/src/router_dispatch.c
+++ b/packages/routing/src/router_dispatch.c
@@ -1,4 +1,4 @@
-#include "router_state.h"
+#include "router_parts.h"
 
 static bool
 _bgap_router_server_at_limit (const struct bgap_router_service *service,
--- a/packages/routing/src/router_dump.c
+++ b/packages/routing/src/router_dump.c
@@ -1,6 +1,6 @@
 #include <inttypes.h>
 
-#include "router_state.h"
+#include "router_parts.h"
 
 struct bgap_router_counts
 bgap_router_counts (const struct bgap_router *router)
--- a/packages/routing/src/router_estimate.c
+++ b/packages/routing/src/router_estimate.c
@@ -1,6 +1,6 @@
 #include <math.h>
 
-#include "router_state.h"
+#include "router_parts.h"
 
 /* Shares of the recent answers that a request has to be faster than to be
    refused because of its deadline. At an idle server an attempt takes nothing
--- a/packages/routing/src/router_finish.c
+++ b/packages/routing/src/router_finish.c
@@ -1,4 +1,4 @@
-#include "router_state.h"
+#include "router_parts.h"
 
 #define RETRY_AFTER_S 1
 
--- a/packages/routing/src/router_hash.c
+++ b/packages/routing/src/router_hash.c
@@ -1,4 +1,4 @@
-#include "router_state.h"
+#include "router_parts.h"
 
 /* The macros of uthash expand to more statements than clang-tidy allows.  */
 /* NOLINTBEGIN(readability-function-size) */
--- a/packages/routing/src/router_idempotency.c
+++ b/packages/routing/src/router_idempotency.c
@@ -1,4 +1,4 @@
-#include "router_state.h"
+#include "router_parts.h"
 
 static void
 _bgap_router_on_event (struct bgap_router_state *state, int64_t now_ms,
--- a/packages/routing/src/router_limit.c
+++ b/packages/routing/src/router_limit.c
@@ -5,7 +5,7 @@
 
 #include "banyangap/base/array.h"
 #include "banyangap/base/hash.h"
-#include "router_state.h"
+#include "router_parts.h"
 
 /* Permits that an instance asks for in advance, for requests that it sends
    elsewhere meanwhile.  */
--- a/packages/routing/src/router_peer.c
+++ b/packages/routing/src/router_peer.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "router_state.h"
+#include "router_parts.h"
 
 static void
 _bgap_router_send (struct bgap_router_state *state,
--- a/packages/routing/src/router_queue.c
+++ b/packages/routing/src/router_queue.c
@@ -1,6 +1,6 @@
 #include <math.h>
 
-#include "router_state.h"
+#include "router_parts.h"
 
 #define QUEUE_PER_SLOT 4u
 
--- a/packages/routing/src/router_request.c
+++ b/packages/routing/src/router_request.c
@@ -1,4 +1,4 @@
-#include "router_state.h"
+#include "router_parts.h"
 
 static int64_t
 _bgap_request_deadline (const struct bgap_router_service *service,
--- a/packages/routing/src/router_server.c
+++ b/packages/routing/src/router_server.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "banyangap/base/hash.h"
-#include "router_state.h"
+#include "router_parts.h"
 
 static uint64_t
 _bgap_server_full_hash (const struct bgap_router_service *service,
--- a/packages/routing/src/router_service.c
+++ b/packages/routing/src/router_service.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "router_state.h"
+#include "router_parts.h"
 
 #define DEFAULT_DEADLINE_MS 10000
 #define DEFAULT_DEADLINE_MAX_MS 600000
--- a/packages/routing/src/router_tick.c
+++ b/packages/routing/src/router_tick.c
@@ -1,4 +1,4 @@
-#include "router_state.h"
+#include "router_parts.h"
 
 #define TICK_MAX_MS 1000
 #define TICK_QUEUE_MS 10
