--- a/programs/banyangapd/edge_attempt.c
+++ b/programs/banyangapd/edge_attempt.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "edge_private.h"
+#include "edge_parts.h"
 #include "now.h"
 
 /* Responses of up to this many bytes are buffered until they are complete, so
--- a/programs/banyangapd/edge_config.c
+++ b/programs/banyangapd/edge_config.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "edge_private.h"
+#include "edge_parts.h"
 #include "now.h"
 
 /* Time for which a read of the configuration waits for a record. A dead
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "edge_private.h"
+#include "edge_parts.h"
 #include "now.h"
 
 /* Keys of the records in the internal topic: "keys/SERVICE" for an assignment,
--- a/programs/banyangapd/edge_limits.c
+++ b/programs/banyangapd/edge_limits.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "edge_private.h"
+#include "edge_parts.h"
 #include "now.h"
 
 /* Interval of the lines on the use of rate limits.  */
--- a/programs/banyangapd/edge_orders.c
+++ b/programs/banyangapd/edge_orders.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "edge_private.h"
+#include "edge_parts.h"
 #include "now.h"
 
 /* Time after which a connection for releases is used for a call without
--- a/programs/banyangapd/edge_relay.c
+++ b/programs/banyangapd/edge_relay.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "banyangap/registry/relay_tree.h"
-#include "edge_private.h"
+#include "edge_parts.h"
 #include "now.h"
 
 /* Interval of the granter's messages while there are no new records.  */
--- a/programs/banyangapd/edge_report.c
+++ b/programs/banyangapd/edge_report.c
@@ -1,7 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
-#include "edge_private.h"
+#include "edge_parts.h"
 #include "now.h"
 
 static void
--- a/programs/banyangapd/edge_request.c
+++ b/programs/banyangapd/edge_request.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "banyangap/base/hash.h"
-#include "edge_private.h"
+#include "edge_parts.h"
 #include "now.h"
 
 /* Retry-After in milliseconds while there is no configuration, the service is
--- a/programs/banyangapd/edge_servers.c
+++ b/programs/banyangapd/edge_servers.c
@@ -2,7 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "edge_private.h"
+#include "edge_parts.h"
 #include "now.h"
 
 /* Interval of reads of the registrations. Servers register about every second,
--- /dev/null
+++ b/programs/banyangapd/edge_state.h
@@ -0,0 +1,252 @@
+#ifndef BGAPD_EDGE_STATE_H
+#define BGAPD_EDGE_STATE_H
+
+/*
+ * State of an instance in platform mode, shared by the edge_*.c files; see
+ * edge_parts.h.
+ */
+
+#include <uthash.h>
+
+#include "banyangap/base/event_log.h"
+#include "banyangap/gateway/admin.h"
+#include "banyangap/gateway/backend.h"
+#include "banyangap/gateway/frontend.h"
+#include "banyangap/keyrange/granter.h"
+#include "banyangap/peer/peer.h"
+#include "banyangap/routing/balancer.h"
+#include "banyangap/routing/message.h"
+#include "banyangap/routing/router.h"
+#include "banyangap/store/follower.h"
+#include "banyangap/store/membership.h"
+#include "banyangap/store/relay_subscriber.h"
+#include "banyangap/store/timeline_guard.h"
+#include "edge.h"
+#include "edge_metrics.h"
+
+/* Connections to a server for orders, which are grants and releases. Grants
+   have one of their own, since a release takes as long as the running requests
+   and must not delay them. They are kept open, since opening one takes a slot
+   of the server.  */
+#define BGAP_EDGE_GRANT_CONNECTIONS 1u
+#define BGAP_EDGE_RELEASE_CONNECTIONS 4u
+
+struct bgap_edge;
+struct bgap_edge_order;
+
+/* Maximum number of keys in a report to the granter.  */
+#define BGAP_EDGE_SAMPLED_KEYS_MAX 1024
+
+/**
+ * struct bgap_edge_key_sample - keys of requests since the last report
+ * @seen: number of requests; when @keys is full, a key replaces an earlier one
+ * @count: number of keys in @keys
+ */
+struct bgap_edge_key_sample
+{
+  uint32_t seen;
+  uint32_t count;
+  uint16_t keys[BGAP_EDGE_SAMPLED_KEYS_MAX];
+};
+
+/* Time without a message from its relay after which an instance reads the
+   store itself. A relay sends one about every second.  */
+#define BGAP_EDGE_RELAY_TIMEOUT_MS 1300
+
+/* Kinds of messages between instances.  */
+#define BGAP_EDGE_MESSAGE_KEYS 1
+#define BGAP_EDGE_MESSAGE_ROUTER 4 /* to one instance */
+#define BGAP_EDGE_MESSAGE_LIMITS 5 /* to all instances */
+#define BGAP_EDGE_MESSAGE_RELAY 6  /* 3 was without timelines */
+
+/* Number of topics whose records are relayed.  */
+#define BGAP_EDGE_RELAY_TOPICS 3
+
+/**
+ * enum bgap_edge_topic - topics whose records are relayed; the first byte of a
+ * message
+ */
+enum bgap_edge_topic
+{
+  BGAP_EDGE_CONFIG,
+  BGAP_EDGE_SERVERS,
+  BGAP_EDGE_INTERNAL
+};
+
+/**
+ * struct bgap_edge_member - parts of the name of a group member, which has the
+ * form "<instance>@<address>#<zone>"
+ */
+struct bgap_edge_member
+{
+  char name[BGAP_REGISTRY_NAME_SIZE];
+  char address[BGAP_INSTANCE_ADDRESS_SIZE];
+  char zone[BGAP_REGISTRY_NAME_SIZE];
+};
+
+/* Maximum number of changed registrations that are recorded during one read,
+   for the relay; if there are more, all of the read count as changed.  */
+#define BGAP_EDGE_CHANGED_MAX 256
+
+/**
+ * struct bgap_edge_service - a service in the router
+ * @granter: assigns its keys to servers, NULL for services without keys
+ * @sample: keys of recent requests, for the active granter
+ */
+struct bgap_edge_service
+{
+  char name[BGAP_REGISTRY_NAME_SIZE];
+  struct bgap_service_id id;
+  struct bgap_granter *granter;
+  struct bgap_edge_key_sample sample;
+  struct bgap_edge_metrics metrics;
+  UT_hash_handle hh;
+};
+
+/**
+ * struct bgap_edge_server - a backend server with its connections
+ * @known: its registration, NULL after it was removed
+ * @id: its name, still valid after the registration was removed
+ * @router_id: handle in the router
+ * @requests, @grants, @releases: connection pools
+ * @waiting_orders: orders that wait for a connection, oldest first
+ * @releases_used_ms: when an order was last sent over @releases
+ * @calls: attempts and orders in flight, each of which refers to the server
+ * @refused_connections: consecutive refused connections
+ * @attempt_broken_ms: when the connection of an attempt last broke, 0 if it
+ *   has not since the server last answered or restarted
+ * @lost_ms: when it was considered dead, 0 if it is not
+ */
+struct bgap_edge_server
+{
+  struct bgap_known_server *known;
+  char id[BGAP_REGISTRY_NAME_SIZE];
+  struct bgap_edge_service *service;
+  struct bgap_server_id router_id;
+  struct bgap_backend_server_id requests;
+  struct bgap_backend_server_id grants;
+  struct bgap_backend_server_id releases;
+  struct bgap_edge_order *waiting_orders;
+  int64_t releases_used_ms;
+  uint32_t calls;
+  uint32_t refused_connections;
+  int64_t attempt_broken_ms;
+  int64_t lost_ms;
+  UT_hash_handle hh;
+};
+
+/**
+ * struct bgap_edge_exchange - a caller's request
+ * @id: handle in the frontend, key of the hash table
+ * @attempts: number of attempts so far
+ * @attempt: current attempt in the router
+ * @backend_attempt: the same attempt in the backend client
+ * @server: server of the attempt in flight, NULL if there is none
+ * @status, @headers, @body: the part of the response received so far
+ * @streaming: the response is forwarded to the caller as it arrives
+ */
+struct bgap_edge_exchange
+{
+  uint32_t id;
+  struct bgap_edge *edge;
+  struct bgap_request_id handle;
+  struct bgap_wire_request wire;
+  struct bgap_edge_service *service;
+  char route[48];
+  int64_t began_ms;
+  int64_t objective_ms;
+  int64_t deadline_ms;
+  bool idempotent;
+  uint32_t attempts;
+
+  struct bgap_attempt_id attempt;
+  struct bgap_backend_attempt_id backend_attempt;
+  struct bgap_edge_server *server;
+  char last_server[BGAP_REGISTRY_NAME_SIZE];
+  int64_t sent_ms;
+  int status;
+  struct bgap_headers headers;
+  struct bgap_buffer body;
+  bool streaming;
+  UT_hash_handle hh;
+};
+
+/**
+ * struct bgap_edge - the instance
+ * @member: its name in the group, see struct bgap_edge_member
+ * @table: configuration in force, NULL if none was read yet
+ * @ready, @operators: HTTP servers for readiness probes and for operators
+ * @guard: the store's calls pass through it
+ * @config, @registrations, @internal: followers of the store's topics
+ * @servers: hash table by handle in the router
+ * @incarnation: random number that tells this run of the process from another
+ * @store_failing: a call to the store failed, and none was reported as
+ *   successful since
+ * @store_outage: the outcome of such a call is unknown, or a join failed
+ * @is_relay: it reads the store and forwards the records to subscribers
+ * @was_listed: this instance has been in the list of members
+ * @histories: by topic, the records that relayed ones are encoded against
+ * @subscribers: by topic, the receiving end of the relay
+ * @relay_bytes_sent: size of the messages sent as relay or granter
+ * @changed_servers: ids of servers whose registration changed in the read that
+ *   is being reported
+ * @config_bytes: size of the record of the configuration in force
+ * @config_synced_ms, @internal_synced_ms, @servers_synced_ms: when the read
+ *   was sent that the view of each topic is based on
+ * @stopping_ms: when the graceful stop began, 0 if it has not
+ * @timer_at_ms: when the timer fires, 0 if it is not set
+ * @frontend_stopped: all connections of callers are closed
+ */
+struct bgap_edge
+{
+  struct bgap_edge_desc desc;
+  struct bgap_instance_settings settings;
+  char member[BGAP_KEYRANGE_NAME_SIZE];
+  struct event_base *base;
+  struct bgap_route_table *table;
+  struct bgap_server_view *view;
+  struct bgap_router router;
+  struct bgap_frontend *frontend;
+  struct bgap_backend *backend;
+  struct bgap_admin *ready;
+  struct bgap_admin *operators;
+  struct bgap_counters counters;
+  struct bgap_timeline_guard *guard;
+  struct bgap_follower *config;
+  struct bgap_follower *registrations;
+  struct bgap_follower *internal;
+  struct bgap_membership *membership;
+  struct bgap_peer *peer;
+  struct bgap_edge_service *services;
+  struct bgap_edge_server *servers;
+  struct bgap_edge_exchange *exchanges;
+  uint64_t incarnation;
+  struct event *timer;
+  struct event *signals[3];
+  bool running_actions;
+  bool store_failing;
+  bool store_outage;
+  int64_t started_ms;
+  int64_t store_failing_since_ms;
+  int64_t granter_missing_since_ms;
+  int64_t keys_reported_ms;
+  int64_t heartbeat_sent_ms;
+  bool is_relay;
+  bool was_listed;
+  struct bgap_relay_history *histories[BGAP_EDGE_RELAY_TOPICS];
+  struct bgap_relay_subscriber subscribers[BGAP_EDGE_RELAY_TOPICS];
+  uint64_t relay_bytes_sent;
+  uint32_t changed_server_count;
+  char changed_servers[BGAP_EDGE_CHANGED_MAX][BGAP_REGISTRY_NAME_SIZE];
+  size_t config_bytes;
+  int64_t config_synced_ms;
+  int64_t internal_synced_ms;
+  int64_t servers_synced_ms;
+  int64_t housekeeping_ms;
+  int64_t limits_logged_ms;
+  int64_t stopping_ms;
+  int64_t timer_at_ms;
+  bool frontend_stopped;
+};
+
+#endif
