Split the simulated fleet's load from its nodes

packages/keyrange/tests/fleet.c held the fleet, its time and the load of its callers in one file. The load moves to fleet_load.c; what both need stands in fleet_state.h.

--- a/packages/keyrange/tests/fleet.c
+++ b/packages/keyrange/tests/fleet.c
@@ -5,16 +5,11 @@
 #include <string.h>
 #include <time.h>
 
-#include "banyangap/base/random.h"
+#include "fleet_state.h"
 
-#define STEP_MS 10
-#define INSTANCES 2
-
-/* Interval of the granter's timer, of its reads of the store, and of the
-   sample of the keys' state.  */
+/* Interval of the granter's timer, and of its reads of the store.  */
 #define TICK_MS 50
 #define VIEW_MS 500
-#define SAMPLE_MS 50
 
 /* Time until a call arrives, until its response arrives, and until an append
    is acknowledged.  */
@@ -25,82 +20,9 @@
 /* Time until the loss of a granter is detected.  */
 #define DETECTION_MS 1400
 
-/* Duration of the first grants of all ranges at most; later the measurement
-   has begun.  */
-#define SETTLE_MS 15000
-
 #define DEFAULT_HOT_PERIOD_MS 5000
 
-/* Period by which the load of the servers is compared with their slots.  */
-#define BALANCE_MS 1000
-#define SLOTS 6
-
-/* Mean time of a request, by server in turn, relative to the mean.  */
-static const double latencies_ms[] = { 820, 410, 410, 273 };
-
-/**
- * struct event - a call that arrives, or its reply
- * @lost: the call gets no response
- * @effective: the call has an effect
- */
-struct event
-{
-  int64_t at_ms;
-  int instance;
-  bool is_reply;
-  bool lost;
-  bool effective;
-  struct bgap_granter_action action;
-  struct bgap_assignment assignment;
-};
-
-/**
- * struct key - state of a key at the servers
- * @holder: index of the server with the newest grant, -1 for none
- * @until_ms: end of its lease
- * @lapsed_ms: for how long it has been without a lease of its holder
- */
-struct key
-{
-  int16_t holder;
-  int64_t until_ms;
-  int64_t lapsed_ms;
-};
-
-/**
- * struct fleet - the simulation
- * @active: instance that may act as the granter
- * @detected: the loss of the other one has been detected
- * @machine_free_ms: when the granter's machine has sent all grants
- * @server_requests: requests for the keys of each server since the last
- *   balance sample
- */
-struct fleet
-{
-  struct fleet_desc desc;
-  struct bgap_random random;
-  int64_t now_ms;
-  struct bgap_granter *granters[INSTANCES];
-  int active;
-  int64_t lost_ms;
-  struct event *events;
-  uint32_t event_count;
-  uint32_t event_capacity;
-  struct key keys[BGAP_KEY_COUNT];
-  uint32_t hot_first;
-  int64_t hot_since_ms;
-  double requests_due;
-  double machine_free_ms;
-  int64_t next_tick_ms;
-  int64_t next_view_ms;
-  int64_t next_sample_ms;
-  uint32_t *server_requests;
-  int64_t balance_since_ms;
-  double excess_requests;
-  uint64_t balanced_requests;
-  bool measuring;
-  struct fleet_totals totals;
-};
+const double fleet_latencies_ms[LATENCY_KINDS] = { 820, 410, 410, 273 };
 
 static void
 server_id (char *id, size_t size, uint32_t index)
@@ -108,8 +30,8 @@
   snprintf (id, size, "s%04u", index);
 }
 
-static int
-server_index (const char *id)
+int
+fleet_server_index (const char *id)
 {
   return id[0] == 's' ? atoi (id + 1) : -1;
 }
@@ -146,8 +68,7 @@
         .started_ms = 5,
         .sequence = f->now_ms,
         .slots = SLOTS,
-        .latency_ms
-        = latencies_ms[i % (sizeof latencies_ms / sizeof *latencies_ms)],
+        .latency_ms = fleet_latencies_ms[i % LATENCY_KINDS],
       };
       server_id (server.id, sizeof server.id, i);
       bgap_granter_set_server (granter, f->now_ms, &server);
@@ -228,7 +149,7 @@
 static void
 take_effect (struct fleet *f, const struct bgap_granter_action *action)
 {
-  int server = server_index (action->server);
+  int server = fleet_server_index (action->server);
   if (action->kind == BGAP_GRANTER_CHECK)
     return;
   for (uint32_t k = action->first; k <= action->last; k++)
@@ -401,106 +322,6 @@
   f->totals.takeovers++;
 }
 
-/* Requests.  */
-
-static uint32_t
-draw_key (struct fleet *f)
-{
-  bool hot = bgap_random_below (&f->random, 100) < f->desc.hot_percent;
-  if (!hot || f->desc.hot_keys == 0)
-    return (uint32_t)bgap_random_below (&f->random, BGAP_KEY_COUNT);
-  return (f->hot_first
-          + (uint32_t)bgap_random_below (&f->random, f->desc.hot_keys))
-         % BGAP_KEY_COUNT;
-}
-
-static void
-run_requests (struct fleet *f)
-{
-  struct bgap_granter *granter = f->granters[f->active];
-  if (f->now_ms - f->hot_since_ms >= f->desc.hot_period_ms)
-    {
-      f->hot_since_ms = f->now_ms;
-      f->hot_first = (uint32_t)bgap_random_below (&f->random, BGAP_KEY_COUNT);
-    }
-  f->requests_due += f->desc.requests_per_s * (double)STEP_MS / 1000;
-  for (; f->requests_due >= 1; f->requests_due--)
-    {
-      uint32_t k = draw_key (f);
-      const struct bgap_key_range *range
-          = bgap_granter_holder (granter, f->now_ms, k);
-      const struct key *key = &f->keys[k];
-      bgap_granter_count_request (granter, k);
-      if (range == NULL)
-        continue;
-      int server = server_index (range->server);
-      f->server_requests[server]++;
-      if (!f->measuring)
-        continue;
-      f->totals.requests++;
-      f->totals.misdirected
-          += key->holder != server || key->until_ms <= f->now_ms;
-    }
-}
-
-/* Measurement.  */
-
-static void
-sample_range (struct fleet *f, const struct bgap_key_range *range)
-{
-  int server = server_index (range->server);
-  for (uint32_t k = range->first; k <= range->last; k++)
-    {
-      struct key *key = &f->keys[k];
-      bool held = key->holder == server && key->until_ms > f->now_ms;
-      bool lapsed = key->holder == server && !held && !range->moving;
-      key->lapsed_ms = lapsed ? key->lapsed_ms + SAMPLE_MS : 0;
-      if (key->lapsed_ms > f->totals.longest_lapse_ms)
-        f->totals.longest_lapse_ms = key->lapsed_ms;
-      f->totals.lapsed_key_ms += lapsed ? SAMPLE_MS : 0;
-      f->totals.ungranted_key_ms += !held && !lapsed ? SAMPLE_MS : 0;
-      f->totals.all_key_ms += SAMPLE_MS;
-    }
-}
-
-/* Adds the requests beyond what the slots of the servers have run.  */
-static void
-sample_balance (struct fleet *f, int64_t elapsed_ms)
-{
-  size_t kinds = sizeof latencies_ms / sizeof *latencies_ms;
-  for (uint32_t i = 0; i < f->desc.servers; i++)
-    {
-      double capacity = SLOTS * (double)elapsed_ms / latencies_ms[i % kinds];
-      double excess = (double)f->server_requests[i] - capacity;
-      if (f->measuring)
-        f->balanced_requests += f->server_requests[i];
-      if (f->measuring && excess > 0)
-        f->excess_requests += excess;
-    }
-  memset (f->server_requests, 0, f->desc.servers * sizeof *f->server_requests);
-}
-
-static void
-sample (struct fleet *f)
-{
-  const struct bgap_assignment *current
-      = bgap_granter_assignment (f->granters[f->active]);
-  f->next_sample_ms = f->now_ms + SAMPLE_MS;
-  f->totals.ranges = current->count;
-  if (!f->measuring && f->now_ms < SETTLE_MS)
-    return;
-  f->measuring = true;
-  f->totals.duration_ms += SAMPLE_MS;
-  if (current->count > f->totals.ranges_max)
-    f->totals.ranges_max = current->count;
-  for (uint32_t i = 0; i < current->count; i++)
-    sample_range (f, &current->ranges[i]);
-  if (f->now_ms - f->balance_since_ms < BALANCE_MS)
-    return;
-  sample_balance (f, f->now_ms - f->balance_since_ms);
-  f->balance_since_ms = f->now_ms;
-}
-
 void
 fleet_run (struct fleet *f, int64_t duration_ms)
 {
@@ -508,7 +329,7 @@
        f->now_ms += STEP_MS)
     {
       lose_granter (f);
-      run_requests (f);
+      fleet_run_requests (f);
       run_events (f);
       if (f->now_ms >= f->next_tick_ms)
         {
@@ -516,7 +337,7 @@
           run_granter (f);
         }
       if (f->now_ms >= f->next_sample_ms)
-        sample (f);
+        fleet_sample (f);
     }
 }
 
