--- a/packages/store/include/banyangap/store/store.h
+++ b/packages/store/include/banyangap/store/store.h
@@ -219,6 +219,17 @@
   void *user;
 };
 
+/**
+ * union bgap_store_done - callback of a call in progress, by its kind
+ */
+union bgap_store_done
+{
+  void (*page) (void *user, const struct bgap_store_page *page);
+  void (*appended) (void *user, const struct bgap_store_appended *result);
+  void (*joined) (void *user, const struct bgap_store_joined *result);
+  void (*members) (void *user, const struct bgap_store_members *members);
+};
+
 /**
  * struct bgap_store_ops - calls to the store
  *
--- a/packages/store/src/timeline_guard.c
+++ b/packages/store/src/timeline_guard.c
@@ -12,13 +12,7 @@
   LIST_ENTRY (guarded_call) next;
   struct bgap_timeline_guard *guard;
   uint64_t timeline;
-  union
-  {
-    void (*page) (void *user, const struct bgap_store_page *page);
-    void (*appended) (void *user, const struct bgap_store_appended *result);
-    void (*joined) (void *user, const struct bgap_store_joined *result);
-    void (*members) (void *user, const struct bgap_store_members *members);
-  } done;
+  union bgap_store_done done;
   void *user;
 };
 
--- a/packages/store/tests/test_follower_relay.c
+++ b/packages/store/tests/test_follower_relay.c
@@ -14,6 +14,9 @@
   struct bgap_follower *follower;
 };
 
+static const struct answer one_record
+    = { .records = { { .offset = 0, .key = "a" } }, .count = 1, .end = 1 };
+
 static int64_t
 time_ms (void)
 {
@@ -43,9 +46,7 @@
 {
   (void)state;
   struct scripted_store fake = {
-    .answers
-    = { { .records = { { .offset = 0, .key = "a" } }, .count = 1, .end = 1 },
-        { .never = true } },
+    .answers = { one_record, { .never = true } },
     .answer_count = 2,
   };
   struct bgap_follower *follower = scripted_store_start (&fake, 0);
@@ -79,10 +80,7 @@
 {
   (void)state;
   struct scripted_store fake = {
-    .answers
-    = { { .records = { { .offset = 0, .key = "a" } }, .count = 1, .end = 1 },
-        { .never = true },
-        { .never = true } },
+    .answers = { one_record, { .never = true }, { .never = true } },
     .answer_count = 3,
   };
   struct bgap_follower *follower = scripted_store_start (&fake, 0);
@@ -115,9 +113,7 @@
 {
   (void)state;
   struct scripted_store fake = {
-    .answers
-    = { { .records = { { .offset = 0, .key = "a" } }, .count = 1, .end = 1 },
-        { .never = true } },
+    .answers = { one_record, { .never = true } },
     .answer_count = 2,
   };
   struct bgap_follower *follower = scripted_store_start (&fake, 8000);
@@ -154,7 +150,7 @@
   (void)state;
   struct scripted_store fake = {
     .answers
-    = { { .records = { { .offset = 0, .key = "a" } }, .count = 1, .end = 1 },
+    = { one_record,
         { .never = true },
         { .records = { { .offset = 1, .key = "a" } }, .count = 1, .end = 2 } },
     .answer_count = 3,
@@ -177,7 +173,7 @@
   (void)state;
   struct scripted_store fake = {
     .answers
-    = { { .records = { { .offset = 0, .key = "a" } }, .count = 1, .end = 1 },
+    = { one_record,
         { .records = { { .offset = 1, .key = "a" } }, .count = 1, .end = 2 },
         { .records = { { .offset = 2, .key = "a" } }, .count = 1, .end = 3 },
         { .records = { { .offset = 3, .key = "a" } }, .count = 1, .end = 4 },
