--- a/packages/routing/tests/test_overload.c
+++ b/packages/routing/tests/test_overload.c
@@ -12,10 +12,10 @@
 
 #define SERVERS 2
 #define SLOTS 2
-#define WORK_MS 100
-#define CAPACITY_PER_S (SERVERS * SLOTS * 1000 / WORK_MS)
+#define WORK_MS INT64_C (100)
+#define CAPACITY_PER_S (1000 / WORK_MS * SERVERS * SLOTS)
 #define OBJECTIVE_MS 300
-#define DEADLINE_MS 2000
+#define DEADLINE_MS INT64_C (2000)
 #define STEP_MS 10
 #define OVERLOAD_MS 8000
 
@@ -132,7 +132,7 @@
 
 /* Runs for @for_ms with @per_s requests a second, and resets the totals.  */
 static void
-overload_run (struct overload *o, int64_t for_ms, int per_s)
+overload_run (struct overload *o, int64_t for_ms, int64_t per_s)
 {
   o->in_time = o->late = o->refused = 0;
   o->held_max_ms = 0;
