Fix: expect at least what a server itself took, however few its answers

Callers saw: at a server with a rate limit, a request that had waited for a permit was sent a few milliseconds before its deadline. It took a permit, and the caller got 504 although 503 (not run) would have been possible.

Cause: the expected time was taken for unknown while the service had fewer than eight recent answers at this instance, also if the server itself had answered several times. Instances that send few requests, as all do under a rate limit, never have eight.

Ruled out: a slow server (work 10 ms, no gap in its arrivals).

The server's own answers now count without those of the service.

--- a/packages/routing/src/router_estimate.c
+++ b/packages/routing/src/router_estimate.c
@@ -81,11 +81,8 @@
 bgap_router_expected_ms (struct bgap_router_service *service,
                          const struct bgap_server *server, int64_t now_ms)
 {
-  double median_ms = bgap_router_median_ms (service, now_ms);
   if (server == NULL)
-    return median_ms;
-  if (median_ms <= 0)
-    return bgap_rate_limit_wait_ms (&server->rate_limit, now_ms, 1);
+    return bgap_router_median_ms (service, now_ms);
   double own_ms = _bgap_estimate_own_ms (service, server, now_ms, BUSY_SHARE);
   double wait_ms = _bgap_estimate_server_wait_ms (server, now_ms, own_ms);
   if (wait_ms < BUSY_WAIT * own_ms)
--- a/packages/routing/tests/test_deadline_estimate.c
+++ b/packages/routing/tests/test_deadline_estimate.c
@@ -137,6 +137,24 @@
   fixture_shutdown (&f);
 }
 
+/* A server with few requests, as one with a rate limit has. Guards against
+   requests that are sent to it just before their deadline, so that their
+   callers cannot know whether they ran.  */
+static void
+test_few_answers_refuse_hopeless_deadline (void **state)
+{
+  struct fixture f;
+  struct bgap_attempt_id attempt;
+  (void)state;
+  fixture_setup (&f, &keyed_service);
+  struct bgap_server_id server = fixture_server (&f, "a", "z1", SLOTS);
+  for (int i = 0; i < 5; i++)
+    answer_after (&f, server, WORK_MS, 0);
+  assert_false (send_to (&f, server, WORK_MS / 5, &attempt));
+  assert_true (send_to (&f, server, 2 * WORK_MS, &attempt));
+  fixture_shutdown (&f);
+}
+
 /* A time of slow answers that has ended: nothing has been answered since, and
    the estimate must not refuse what would show that.  */
 static void
@@ -277,6 +295,7 @@
     cmocka_unit_test (test_idle_holder_beside_hot_ones),
     cmocka_unit_test (test_hot_holder_refuses_at_once),
     cmocka_unit_test (test_hopeless_deadline_is_refused),
+    cmocka_unit_test (test_few_answers_refuse_hopeless_deadline),
     cmocka_unit_test (test_old_answers_do_not_refuse),
     cmocka_unit_test (test_slow_server_beside_fast_ones),
     cmocka_unit_test (test_slow_requests_refuse_no_others),
