Check in the rate limit's test that refusals did not run and 504s came too late

The check allowed 200 and 503 only. A request whose permit comes close to its deadline may be sent and not answered in time beside load; its caller then rightly gets 504. Instead of the status alone the test now checks each response: a refused request did not run at any server, and an unknown outcome is allowed only if a server has run the request, and got it within its latency objective of the deadline. The responses for keys, which were not looked at, are checked in the same way.

--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -30,6 +30,8 @@
 
 HOST = "service.example"
 HEARTBEAT_S = 0.3
+DEADLINE_S = 2    # of requests
+OBJECTIVE_S = 0.5  # of routes: an answer within this time is in time
 HOST_NUMBERS = itertools.count(16 + os.getpid() % 200)
 
 
@@ -40,7 +42,7 @@
     else:
         action["trafficSplit"] = [
             {"service": name, "weight": weight} for name, weight in target]
-    return {"name": "route" + prefix, "kind": kind, "targetLatencyS": 0.5, "priority": 1,
+    return {"name": "route" + prefix, "kind": kind, "targetLatencyS": OBJECTIVE_S, "priority": 1,
             "match": {"pathPrefix": prefix}, "action": action}
 
 
@@ -494,10 +496,12 @@
 
 
 class Response:
-    def __init__(self, status, headers, body):
+    def __init__(self, status, headers, body, request_id, sent_at):
         self.status = status
         self.headers = headers
         self.body = body
+        self.request_id = request_id
+        self.sent_at = sent_at
 
 
 class Platform:
@@ -554,14 +558,17 @@
     def request(self, number, method, path, key=None, body=None, timeout=5, host=HOST):
         instance = self.instances[number]
         connection = http.client.HTTPConnection(instance.ip, instance.http, timeout=timeout)
-        headers = {"Host": host, "Attempt-Id": "r-%d" % next(self.ids),
-                   "Deadline-Ms": "2000"}
+        request_id = "r-%d" % next(self.ids)
+        headers = {"Host": host, "Attempt-Id": request_id,
+                   "Deadline-Ms": "%d" % (DEADLINE_S * 1000)}
         if key is not None:
             headers["Shard-Key"] = str(key)
+        sent_at = time.time()
         try:
             connection.request(method, path, body=body, headers=headers)
             response = connection.getresponse()
-            return Response(response.status, response.headers, response.read())
+            return Response(response.status, response.headers, response.read(), request_id,
+                            sent_at)
         finally:
             connection.close()
 
--- a/tests/process/test_rate_limit.py
+++ b/tests/process/test_rate_limit.py
@@ -4,7 +4,7 @@
 import time
 import unittest
 
-from platform_standin import Platform, route, service
+from platform_standin import DEADLINE_S, OBJECTIVE_S, Platform, route, service
 
 WINDOW_S = 4
 CALLERS = 12
@@ -21,18 +21,33 @@
 class RateLimitTest(unittest.TestCase):
 
     def call_all_instances(self, platform, path, duration_s, keys=(None,)):
-        """Sends requests to all instances as fast as they are answered. Returns the statuses."""
+        """Sends requests to all instances as fast as they are answered. Returns the responses."""
         until = time.time() + duration_s
 
         def call(number):
-            statuses = []
+            responses = []
             while time.time() < until:
-                key = keys[len(statuses) % len(keys)]
-                response = platform.request(number % INSTANCES, "GET", path, key=key)
-                statuses.append(response.status)
-            return statuses
+                key = keys[len(responses) % len(keys)]
+                responses.append(platform.request(number % INSTANCES, "GET", path, key=key))
+            return responses
         with concurrent.futures.ThreadPoolExecutor(CALLERS) as pool:
-            return [status for statuses in pool.map(call, range(CALLERS)) for status in statuses]
+            return [response for responses in pool.map(call, range(CALLERS))
+                    for response in responses]
+
+    def check_responses(self, platform, responses):
+        """Each response is true: what was refused did not run, and the outcome is unknown only if
+        a server got the request too late to answer it within its objective."""
+        ran_at = {request_id: at for backend in platform.backends.values()
+                  for at, request_id, _, _ in backend.executed}
+        for response in responses:
+            if response.status == 503:
+                self.assertNotIn(response.request_id, ran_at)
+            elif response.status == 504:
+                self.assertIn(response.request_id, ran_at)
+                self.assertGreater(ran_at[response.request_id] - response.sent_at,
+                                   DEADLINE_S - OBJECTIVE_S)
+            else:
+                self.assertEqual(response.status, 200)
 
     def check_limit(self, backend, since):
         """The sum over all instances stays within one and a half times the limit and 5 requests,
@@ -58,8 +73,7 @@
                 platform.request(number, "GET", "/r/1")
             time.sleep(0.5)
             since = time.time()
-            statuses = self.call_all_instances(platform, "/r/1", 7)
-            self.assertLessEqual(set(statuses), {200, 503})
+            self.check_responses(platform, self.call_all_instances(platform, "/r/1", 7))
             for backend in limited:
                 self.check_limit(backend, since)
             for backend in limited:
@@ -67,7 +81,8 @@
             platform.wait(lambda: all(platform.request(number, "GET", "/r/1").status == 200
                                       for number in range(INSTANCES)), 3, "served")
             since = time.time()
-            self.assertIn(200, self.call_all_instances(platform, "/r/1", 1))
+            self.assertIn(200, [response.status for response
+                                in self.call_all_instances(platform, "/r/1", 1)])
             self.assertGreater(sum(at >= since for backend in limited
                                    for at in backend.arrivals), 100)
 
@@ -87,7 +102,7 @@
                 platform.request(number, "GET", "/a/1", key=0)
             time.sleep(0.5)
             since = time.time()
-            self.call_all_instances(platform, "/a/1", 7, keys)
+            self.check_responses(platform, self.call_all_instances(platform, "/a/1", 7, keys))
             allowed = 1.5 * limited.rate_limit * WINDOW_S + 5
             self.assertLessEqual(most_in_a_window(limited.arrivals, since), allowed)
 
