Fix: keep no position of the store across a restore, and close gaps by probes

Cause: a relay that had noticed the restore and was still loading sent a heartbeat in the new timeline with the end of the earlier one. Its subscribers took that for records that they miss. Such a gap is closed when a read shows that the store has no more, but a read that waits returns after 8 s at the earliest; the probes beside it, which show the same, closed nothing.

A follower has no position until it has loaded the topic again, so that a heartbeat meanwhile says nothing; and a probe closes a gap like a read.

store.test_follower_relay, test_restored_follower_has_no_position and test_probe_closes_a_gap_beyond_the_end, failed before.

--- a/packages/store/src/follower.c
+++ b/packages/store/src/follower.c
@@ -103,6 +103,7 @@
 void
 bgap_follower_restored (struct bgap_follower *follower)
 {
+  follower->next = 0;
   follower->gap_since_ms = 0;
   follower->gap_end = 0;
   follower->relayed_ms = 0;
--- a/packages/store/src/follower_reads.c
+++ b/packages/store/src/follower_reads.c
@@ -163,6 +163,16 @@
   bgap_follower_arm (f, 0);
 }
 
+/* The answer to a read or probe has been handled. The store has no more
+   records than it says, whatever a message said before.  */
+static void
+_bgap_follower_note_end (struct bgap_follower *f, int64_t sent_ms,
+                         const struct bgap_store_page *page)
+{
+  if (sent_ms >= f->gap_seen_ms && f->next >= page->end)
+    f->gap_end = f->next;
+}
+
 /* Time until the next read after one that succeeded.  */
 static int64_t
 _bgap_follower_pause_ms (const struct bgap_follower *f,
@@ -212,9 +222,7 @@
   f->just_loaded = false;
   if (page->count > 0)
     f->next = page->records[page->count - 1].offset + 1;
-  /* The store has no more records than that, whatever a message said.  */
-  if (f->sent_ms >= f->gap_seen_ms && f->next >= page->end)
-    f->gap_end = f->next;
+  _bgap_follower_note_end (f, f->sent_ms, page);
   _bgap_follower_report (f, page);
   _bgap_follower_report_synced (f);
   if (f->desc.ops.page_read != NULL)
@@ -271,7 +279,11 @@
   if (!still_waiting)
     return;
   _bgap_follower_arm_probe (f, PROBE_INTERVAL_MS);
-  if (page->outcome == BGAP_STORE_OK && f->desc.ops.synced != NULL)
+  if (page->outcome != BGAP_STORE_OK)
+    return;
+  _bgap_follower_note_end (f, sent_ms, page);
+  bgap_follower_check_gap (f);
+  if (f->desc.ops.synced != NULL)
     f->desc.ops.synced (f->desc.ops.context, sent_ms, false);
 }
 
--- a/packages/store/tests/test_follower_relay.c
+++ b/packages/store/tests/test_follower_relay.c
@@ -188,6 +188,78 @@
   assert_int_equal (fake.reads, 2);
 }
 
+static void
+on_impossible_page (evutil_socket_t fd, short events, void *context)
+{
+  const struct relaying *relaying = context;
+  (void)fd;
+  (void)events;
+  bgap_follower_on_relay_page (
+      relaying->follower, &(struct bgap_relay_page){ .from = 9, .next = 9 });
+}
+
+static void
+on_confirming_page (evutil_socket_t fd, short events, void *context)
+{
+  const struct relaying *relaying = context;
+  (void)fd;
+  (void)events;
+  bgap_follower_on_relay_page (
+      relaying->follower, &(struct bgap_relay_page){
+                              .from = 1, .next = 1, .sent_ms = time_ms () });
+}
+
+/* A message names an offset that the store has not reached, as one of a relay
+   that does not know yet that the store was restored. Guards against a
+   subscriber that reads the store itself until the wait of its read ends,
+   although a probe has shown that it misses nothing.  */
+static void
+test_probe_closes_a_gap_beyond_the_end (void **state)
+{
+  (void)state;
+  struct scripted_store fake = {
+    .answers = { one_record, { .never = true }, { .end = 1 } },
+    .answer_count = 3,
+  };
+  struct bgap_follower *follower = scripted_store_start (&fake, 8000);
+  struct relaying relaying = { &fake, follower };
+  const struct timeval soon = { .tv_usec = 20000 };
+  const struct timeval later = { .tv_usec = 150000 };
+  const struct timeval end = { .tv_usec = 250000 };
+  bgap_follower_set_relayed (follower, true, 0);
+  event_base_once (fake.base, -1, EV_TIMEOUT, on_impossible_page, &relaying,
+                   &soon);
+  event_base_once (fake.base, -1, EV_TIMEOUT, on_confirming_page, &relaying,
+                   &later);
+  event_base_loopexit (fake.base, &end);
+  event_base_dispatch (fake.base);
+  /* The relay replaces the read that waits.  */
+  assert_int_equal (bgap_follower_counts (follower).reads_abandoned, 1);
+  bgap_follower_shutdown (follower);
+  event_base_free (fake.base);
+}
+
+/* Guards against heartbeats of a relay that name the end of the earlier
+   timeline: its subscribers take them for records that they miss.  */
+static void
+test_restored_follower_has_no_position (void **state)
+{
+  (void)state;
+  struct scripted_store fake = {
+    .answers = { one_record, { .never = true } },
+    .answer_count = 2,
+  };
+  struct bgap_follower *follower = scripted_store_start (&fake, 0);
+  const struct timeval end = { .tv_usec = 20000 };
+  event_base_loopexit (fake.base, &end);
+  event_base_dispatch (fake.base);
+  assert_int_equal (bgap_follower_next_offset (follower), 1);
+  bgap_follower_restored (follower);
+  assert_int_equal (bgap_follower_next_offset (follower), 0);
+  bgap_follower_shutdown (follower);
+  event_base_free (fake.base);
+}
+
 int
 main (void)
 {
@@ -197,6 +269,8 @@
     cmocka_unit_test (test_relay_without_a_view_does_not_postpone_reads),
     cmocka_unit_test (test_gap_in_relayed_records_is_read),
     cmocka_unit_test (test_reads_without_relay_are_rate_limited),
+    cmocka_unit_test (test_probe_closes_a_gap_beyond_the_end),
+    cmocka_unit_test (test_restored_follower_has_no_position),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
