Fix: end a server's backoff with a grant that it answers

Cause: a server that leaves grants unanswered gets no keys for a while, which doubles each time, up to 16 s. Nothing shortened it again: each grant that was lost and answered when it was repeated counted for the rest of the process's life, so that the first real pause was the longest one.

An answered grant shows that the server takes keys, and the next backoff is the first again.

--- a/packages/keyrange/src/granter_calls.c
+++ b/packages/keyrange/src/granter_calls.c
@@ -222,7 +222,10 @@
     return;
   if (result == BGAP_GRANTER_DONE || result == BGAP_GRANTER_FENCED
       || result == BGAP_GRANTER_REJECTED)
-    bgap_grant_target_answered (g, now_ms, target);
+    {
+      target->backoff_ms = BGAP_BACKOFF_FIRST_MS;
+      bgap_grant_target_answered (g, now_ms, target);
+    }
   else if (result == BGAP_GRANTER_RECONNECTED)
     _bgap_calls_target_connected (g, now_ms, target, lease);
   else if (result == BGAP_GRANTER_REPLACED)
--- a/packages/keyrange/src/granter_parts.h
+++ b/packages/keyrange/src/granter_parts.h
@@ -165,6 +165,10 @@
 
 /* granter_targets.c: servers.  */
 
+/* First backoff of a server that did not answer; it gets no keys for this
+   time, which doubles each time until it answers a grant.  */
+#define BGAP_BACKOFF_FIRST_MS 2000
+
 struct bgap_grant_target *
 bgap_grant_targets_find (const struct bgap_granter *g, const char *id);
 bool bgap_grant_target_usable (const struct bgap_grant_target *target,
--- a/packages/keyrange/src/granter_targets.c
+++ b/packages/keyrange/src/granter_targets.c
@@ -5,10 +5,6 @@
 #include "banyangap/base/array.h"
 #include "granter_parts.h"
 
-/* First backoff of a server that did not answer; it gets no keys for this
-   time, which doubles each time.  */
-#define BACKOFF_FIRST_MS 2000
-
 /* Index of the first target whose id is not below @id.  */
 static uint32_t
 _bgap_targets_position (const struct bgap_granter *g, const char *id)
@@ -71,7 +67,7 @@
   struct bgap_grant_target *target = &g->targets[position];
   memmove (target + 1, target, (g->target_count - position) * sizeof *target);
   g->target_count++;
-  *target = (struct bgap_grant_target){ .backoff_ms = BACKOFF_FIRST_MS };
+  *target = (struct bgap_grant_target){ .backoff_ms = BGAP_BACKOFF_FIRST_MS };
   snprintf (target->desc.id, sizeof target->desc.id, "%s", id);
   return target;
 }
