Fix: leave keys where they are while most servers do not answer

Cause: what a server does not answer for goes to the others, however few they are; and the load of each is compared with its share among those that answer, so that they get more even without a loss. That most servers fail at once was never taken for a sign of a common cause.

Keys stay with their holders, and none move for their load, while fewer than half of the registered servers can take keys. The holders are checked, and get grants as soon as they answer. Keys that must be placed may then go to servers in backoff, too. Servers that are known to have ended or left do not count.

--- a/packages/keyrange/src/granter_candidates.c
+++ b/packages/keyrange/src/granter_candidates.c
@@ -96,7 +96,9 @@
   for (uint32_t i = 0; i < g->target_count; i++)
     {
       const struct bgap_grant_target *target = &g->targets[i];
-      if (!bgap_grant_target_usable (target, now_ms))
+      bool is_usable = bgap_grant_target_usable (
+          target, g->most_usable ? now_ms : target->backoff_until_ms);
+      if (!is_usable)
         continue;
       candidates[count++] = (struct bgap_candidate){
         .server = target->desc.id,
--- a/packages/keyrange/src/granter_parts.h
+++ b/packages/keyrange/src/granter_parts.h
@@ -174,6 +174,13 @@
 bool bgap_grant_target_usable (const struct bgap_grant_target *target,
                                int64_t now_ms);
 
+/**
+ * bgap_grant_targets_most_usable() - whether at least half of the servers that
+ * are registered can take keys
+ */
+bool bgap_grant_targets_most_usable (const struct bgap_granter *g,
+                                     int64_t now_ms);
+
 /**
  * bgap_grant_target_answered() - a server has answered a call; its grants are
  * due
--- a/packages/keyrange/src/granter_plan.c
+++ b/packages/keyrange/src/granter_plan.c
@@ -186,7 +186,9 @@
       _bgap_plan_set (g, range, &value, changed);
       return;
     }
-  bool is_lost = target != NULL && (target->dead || target->unanswered > 0);
+  bool is_lost
+      = target != NULL
+        && (target->dead || (target->unanswered > 0 && g->most_usable));
   if (range->moving && is_free
       && _bgap_plan_waits_for_releases (g, now_ms, range))
     return;
@@ -244,7 +246,7 @@
   for (uint32_t i = 0; i < g->current.count; i++)
     _bgap_plan_range (g, now_ms, &g->current.ranges[i], &changed);
   if (!changed && now_ms - g->rebalanced_ms >= g->desc.rebalance_interval_ms
-      && _bgap_plan_is_stable (g, now_ms))
+      && g->most_usable && _bgap_plan_is_stable (g, now_ms))
     {
       g->rebalanced_ms = now_ms;
       changed = bgap_merge_neighbours (&g->proposal, g->proposal.token);
@@ -287,6 +289,7 @@
     }
   if (now_ms < g->propose_after_ms)
     return;
+  g->most_usable = bgap_grant_targets_most_usable (g, now_ms);
   bool records_lost = bgap_restore_records_lost (g);
   if (g->active && records_lost)
     {
--- a/packages/keyrange/src/granter_state.h
+++ b/packages/keyrange/src/granter_state.h
@@ -173,6 +173,9 @@
  * @former_durations: durations of leases that were longer than those of now
  * @rebalance: last move for load balancing
  * @targets: sorted by server id
+ * @most_usable: at the last pass, at least half of the registered servers
+ * could take keys. If not, they have a common cause of not answering, and
+ * their keys would overload the others
  * @last_pass_ms: time of the last pass over the ranges
  * @read_wanted_ms: when a read of the store was last requested
  * @allowance: thousandths of a grant that may be sent now
@@ -232,6 +235,7 @@
   struct bgap_grant_target *targets;
   uint32_t target_count;
   uint32_t target_capacity;
+  bool most_usable;
   struct bgap_release_call *releases;
   uint32_t release_count;
   uint32_t release_capacity;
--- a/packages/keyrange/src/granter_targets.c
+++ b/packages/keyrange/src/granter_targets.c
@@ -40,6 +40,22 @@
          && target->unanswered == 0 && now_ms >= target->backoff_until_ms;
 }
 
+bool
+bgap_grant_targets_most_usable (const struct bgap_granter *g, int64_t now_ms)
+{
+  uint32_t registered = 0;
+  uint32_t usable = 0;
+  for (uint32_t i = 0; i < g->target_count; i++)
+    {
+      const struct bgap_grant_target *target = &g->targets[i];
+      if (target->gone || target->dead || target->desc.draining)
+        continue;
+      registered++;
+      usable += bgap_grant_target_usable (target, now_ms);
+    }
+  return 2 * usable >= registered;
+}
+
 void
 bgap_grant_target_answered (struct bgap_granter *g, int64_t now_ms,
                             struct bgap_grant_target *target)
--- a/packages/keyrange/tests/test_unanswered_grants.c
+++ b/packages/keyrange/tests/test_unanswered_grants.c
@@ -141,7 +141,29 @@
   return bgap_granter_counts (s->granter).moves;
 }
 
-/* What a server does not answer for goes to the others.  */
+/* Guards against all keys at the one server that answers, which is overloaded
+   until they have been divided again.  */
+static void
+test_keys_stay_if_most_servers_do_not_answer (void **state)
+{
+  struct service s;
+  (void)state;
+  service_setup (&s);
+  run (&s, 3000);
+  for (int i = 1; i < SERVERS; i++)
+    s.silent[i] = true;
+  run (&s, 6000);
+  for (int i = 1; i < SERVERS; i++)
+    s.silent[i] = false;
+  int64_t answer_ms = s.now_ms;
+  run (&s, 3000);
+  assert_int_equal (moves (&s), 0);
+  for (int i = 0; i < SERVERS; i++)
+    assert_true (s.granted_ms[i] > answer_ms);
+  bgap_granter_shutdown (s.granter);
+}
+
+/* The other side: what one of them does not answer for goes to the others.  */
 static void
 test_keys_of_one_silent_server_move (void **state)
 {
@@ -189,6 +211,7 @@
 main (void)
 {
   const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_keys_stay_if_most_servers_do_not_answer),
     cmocka_unit_test (test_keys_of_one_silent_server_move),
     cmocka_unit_test (test_backoff_starts_anew_after_an_answer),
   };
