--- a/packages/keyrange/tests/test_restored_store.c
+++ b/packages/keyrange/tests/test_restored_store.c
@@ -83,6 +83,19 @@
     }
 }
 
+/* A calm world at 11 s, in which the keys of one server have moved since 8 s.
+ */
+static struct world *
+world_with_moved_keys (uint64_t seed)
+{
+  struct world *world
+      = world_new (&(struct world_desc){ .seed = seed, .no_faults = true });
+  assert_true (world_run (world, 8000));
+  world_drain_server (world, world_busiest (world));
+  assert_true (world_run (world, 11000));
+  return world;
+}
+
 /* Guards against moves that are undone because the record of the copy is taken
    for the assignment in force: the keys then have the former holder and the
    new one.  */
@@ -92,11 +105,7 @@
   (void)state;
   for (uint64_t seed = 1; seed <= 20; seed++)
     {
-      struct world *world = world_new (
-          &(struct world_desc){ .seed = seed, .no_faults = true });
-      assert_true (world_run (world, 8000));
-      world_drain_server (world, world_busiest (world));
-      assert_true (world_run (world, 11000));
+      struct world *world = world_with_moved_keys (seed);
       assert_true (world_all_held (world));
       world_restore_store (world, 4000, 1000);
       for (int64_t at_ms = 12000; at_ms <= 20000; at_ms += 100)
@@ -121,11 +130,7 @@
   (void)state;
   for (uint64_t seed = 1; seed <= 20; seed++)
     {
-      struct world *world = world_new (
-          &(struct world_desc){ .seed = seed, .no_faults = true });
-      assert_true (world_run (world, 8000));
-      world_drain_server (world, world_busiest (world));
-      assert_true (world_run (world, 11000));
+      struct world *world = world_with_moved_keys (seed);
       int granter = world_granter (world);
       world_restore_store (world, 4000, 1000);
       world_restart_instance (world, granter);
--- /dev/null
+++ b/packages/routing/tests/limit_fleet_state.h
@@ -0,0 +1,97 @@
+#ifndef BANYANGAP_ROUTING_TESTS_LIMIT_FLEET_STATE_H
+#define BANYANGAP_ROUTING_TESTS_LIMIT_FLEET_STATE_H
+
+/*
+ * State of the simulation, for its parts:
+ *
+ *   limit_fleet.c          interface, time, and requests that come in
+ *   limit_fleet_routers.c  routers, what they send, and what reaches them
+ */
+
+#include "banyangap/base/random.h"
+#include "banyangap/routing/router.h"
+#include "limit_fleet.h"
+
+#define DURATION_MAX_MS 120000
+#define SERVERS_MAX 16u
+#define SLOTS 64u
+#define ONE_WAY_MS 1
+#define WORK_MIN_MS 30
+#define WORK_SPREAD_MS 30u
+#define TICK_MS 10
+#define DEADLINE_MS 2000
+#define ZONES 3u
+
+/* Most requests that are open at a time.  */
+#define REQUESTS_MAX 8192u
+
+/**
+ * enum event_kind - what happens at a time of the simulation
+ */
+enum event_kind
+{
+  EVENT_ARRIVAL, /* an attempt reaches its server */
+  EVENT_ANSWER,  /* its answer reaches the router */
+  EVENT_MESSAGE  /* a message of another router arrives */
+};
+
+/**
+ * struct event - an event; the fields that it needs
+ * @incarnation: of the router that it is for
+ */
+struct event
+{
+  enum event_kind kind;
+  uint32_t instance;
+  uint32_t incarnation;
+  uint32_t server;
+  struct bgap_attempt_id attempt;
+  char from[BGAP_ROUTING_NAME_SIZE];
+  int message_kind;
+  size_t size;
+  struct event *next;
+  unsigned char bytes[];
+};
+
+struct instance
+{
+  struct bgap_router router;
+  struct bgap_service_id service;
+  struct bgap_server_id servers[SERVERS_MAX];
+  char name[24];
+  uint32_t incarnation;
+  int64_t frozen_until_ms;
+  bool cut;
+};
+
+struct server
+{
+  double limit_per_s;
+  bool silent;
+  uint16_t *arrivals; /* by millisecond */
+};
+
+struct limit_fleet
+{
+  struct limit_fleet_desc desc;
+  struct bgap_random random;
+  struct instance *instances;
+  struct server servers[SERVERS_MAX];
+  struct event **slots; /* by millisecond */
+  int64_t now_ms;
+  double next_request_ms;
+  int64_t began_ms[REQUESTS_MAX]; /* by number of the request */
+  struct limit_fleet_counts counts;
+};
+
+/* Starts a router, or its next process.  */
+void limit_fleet_start_router (struct limit_fleet *f, uint32_t index);
+
+/* Carries out what the router wants.  */
+void limit_fleet_run_actions (struct limit_fleet *f,
+                              struct instance *instance);
+
+/* Handles an event and frees it, or postpones it.  */
+void limit_fleet_handle (struct limit_fleet *f, struct event *event);
+
+#endif
