Split the actions of granters from the records that instances follow

No behaviour changes; lines with event=append about assignments and about messages of routers now have an allowance each. process.test_platform and process.test_restored_keys pass, lint of programs is clean.

--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -1,14 +1,11 @@
 #include <stdio.h>
-#include <stdlib.h>
 #include <string.h>
 
 #include "edge_parts.h"
 #include "now.h"
 
-/* Keys of the records in the internal topic: "keys/SERVICE" for an assignment,
-   and "news/INSTANCE" for a message of the router of an instance, which holds
-   the fingerprints of requests that it suspects of crashing servers.  */
-#define ASSIGNMENT_PREFIX "keys/"
+/* Key of the record with a message of an instance's router, which holds the
+   fingerprints of requests that it suspects of crashing servers.  */
 #define ROUTER_MESSAGE_PREFIX "news/"
 
 /* Time for which a read of the internal topic waits for a record. The granter
@@ -30,201 +27,8 @@
 static struct bgap_event_kind event_assignment
     = { .name = "assignment", .burst = 400 };
 static struct bgap_event_kind event_bad_record = { .name = "record-skipped" };
-static struct bgap_event_kind event_balance = { .name = "balance" };
-static struct bgap_event_kind event_lapse
-    = { .name = "lease-lapsed", .per_second = 20 };
-static struct bgap_event_kind event_confirmed = { .name = "keys-confirmed" };
 static struct bgap_event_kind event_append = { .name = "append" };
 
-void
-bgap_edge_set_granter_server (struct bgap_edge *edge,
-                              struct bgap_edge_service *service,
-                              const struct bgap_server_entry *entry)
-{
-  struct bgap_granter_server server = {
-    .started_ms = entry->started_ms,
-    .sequence = entry->sequence,
-    .slots = entry->slots,
-    .draining = entry->draining,
-  };
-  struct bgap_server_status status;
-  if (bgap_router_server_status (
-          &edge->router, bgap_now_ms (),
-          bgap_router_find_server (&edge->router, service->id, entry->id),
-          &status)
-      == BGAP_OK)
-    server.latency_ms = status.latency_ms;
-  snprintf (server.id, sizeof server.id, "%s", entry->id);
-  bgap_granter_set_server (service->granter, bgap_now_ms (), &server);
-}
-
-struct bgap_server_id
-bgap_edge_holder (const struct bgap_edge *edge,
-                  const struct bgap_edge_service *service, uint32_t key,
-                  uint64_t *token)
-{
-  const struct bgap_key_range *range
-      = bgap_granter_holder (service->granter, bgap_now_ms (), key);
-  *token = 0;
-  if (range == NULL)
-    return (struct bgap_server_id){ BGAP_INVALID_ID };
-  *token = range->token;
-  return bgap_router_find_server (&edge->router, service->id, range->server);
-}
-
-/* Records.  */
-
-/**
- * struct append - an append of an assignment that is in flight
- */
-struct append
-{
-  struct bgap_edge *edge;
-  struct bgap_edge_service *service;
-  uint32_t call;
-  int64_t sent_ms;
-  struct bgap_store_record record;
-  struct bgap_buffer value;
-};
-
-static void
-_bgap_keys_on_appended (void *user, const struct bgap_store_appended *result)
-{
-  struct append *append = user;
-  struct bgap_edge *edge = append->edge;
-  int64_t now_ms = bgap_now_ms ();
-  enum bgap_granter_append_result append_result = BGAP_GRANTER_APPEND_UNKNOWN;
-  if (result->outcome == BGAP_STORE_OK)
-    append_result = BGAP_GRANTER_APPENDED;
-  else if (result->outcome != BGAP_STORE_UNKNOWN)
-    append_result = BGAP_GRANTER_NOT_APPENDED;
-  bgap_event (&event_append,
-              "service=%s outcome=\"%s\" offset=%llu took_ms=%lld",
-              append->service->name, bgap_store_outcome_name (result->outcome),
-              (unsigned long long)result->offset,
-              (long long)(now_ms - append->sent_ms));
-  bgap_granter_on_append (append->service->granter, now_ms, append->call,
-                          append_result);
-  if (result->outcome == BGAP_STORE_CONFLICT)
-    bgap_follower_restart (edge->internal);
-  /* An acknowledged record is at the offset of its condition and need not be
-     read back.  */
-  append->record.offset = result->offset;
-  if (result->outcome == BGAP_STORE_OK)
-    {
-      bgap_granter_on_view (append->service->granter, now_ms, append->sent_ms);
-      bgap_follower_appended (edge->internal, &append->record);
-    }
-  bgap_buffer_shutdown (&append->value);
-  free (append);
-  bgap_edge_run_actions (edge);
-}
-
-static enum bgap_status
-_bgap_keys_send_append (struct append *append,
-                        const struct bgap_granter_action *action)
-{
-  struct bgap_edge *edge = append->edge;
-  struct bgap_store_record *record = &append->record;
-  enum bgap_status status
-      = bgap_buffer_append (&append->value, action->bytes, action->size);
-  snprintf (record->key, sizeof record->key, ASSIGNMENT_PREFIX "%s",
-            append->service->name);
-  record->value = append->value.data;
-  record->size = append->value.size;
-  if (status != BGAP_OK)
-    return status;
-  return edge->desc.store->append (
-      edge->desc.store->context,
-      &(struct bgap_store_append){
-          .topic = edge->desc.topics.internal,
-          .key = record->key,
-          .value = record->value,
-          .size = record->size,
-          .conditional = true,
-          .at = bgap_follower_next_offset (edge->internal),
-          .done = _bgap_keys_on_appended,
-          .user = append });
-}
-
-static void
-_bgap_keys_append (struct bgap_edge *edge, struct bgap_edge_service *service,
-                   const struct bgap_granter_action *action)
-{
-  struct append *append = calloc (1, sizeof *append);
-  /* Until a load has ended, the offset at which to append is not known.  */
-  if (append != NULL && !bgap_follower_is_loading (edge->internal))
-    {
-      append->edge = edge;
-      append->service = service;
-      append->call = action->call;
-      append->sent_ms = bgap_now_ms ();
-      if (_bgap_keys_send_append (append, action) == BGAP_OK)
-        return;
-      bgap_buffer_shutdown (&append->value);
-    }
-  free (append);
-  bgap_granter_on_append (service->granter, bgap_now_ms (), action->call,
-                          BGAP_GRANTER_NOT_APPENDED);
-}
-
-static void
-_bgap_keys_log_lapse (const struct bgap_edge_service *service,
-                      const struct bgap_granter_action *action)
-{
-  bgap_event (&event_lapse,
-              "service=%s server=%s keys=%u-%u fence=%llu cause=%s "
-              "lapsed_ms=%lld overdue_ms=%lld ranges=%u lease_ms=%lld",
-              service->name, action->server, action->first, action->last,
-              (unsigned long long)action->token,
-              bgap_lapse_cause_name (action->cause),
-              (long long)action->lapsed_ms, (long long)action->overdue_ms,
-              bgap_granter_assignment (service->granter)->count,
-              (long long)action->lease_ms);
-}
-
-static void
-_bgap_keys_log_confirmed (const struct bgap_edge_service *service,
-                          const struct bgap_granter_action *action)
-{
-  bgap_event (&event_confirmed,
-              "service=%s fence=%llu restored_ms=%lld ranges=%u",
-              service->name, (unsigned long long)action->token,
-              (long long)action->restored_ms,
-              bgap_granter_assignment (service->granter)->count);
-}
-
-void
-bgap_edge_run_granter (struct bgap_edge *edge,
-                       struct bgap_edge_service *service)
-{
-  struct bgap_granter_action action;
-  const struct bgap_granter_rebalance *balance
-      = bgap_granter_last_rebalance (service->granter);
-  uint32_t first = balance->first;
-  bgap_granter_set_next_offset (service->granter,
-                                bgap_follower_next_offset (edge->internal));
-  bgap_granter_tick (service->granter, bgap_now_ms ());
-  if (balance->first != first)
-    bgap_event (&event_balance,
-                "service=%s from=%s load_percent=%u idlest=%s "
-                "idlest_percent=%u keys=%u-%u",
-                service->name, balance->most_loaded,
-                balance->most_loaded_percent, balance->least_loaded,
-                balance->least_loaded_percent, balance->first, balance->last);
-  while (bgap_granter_next_action (service->granter, &action))
-    if (action.kind == BGAP_GRANTER_APPEND)
-      _bgap_keys_append (edge, service, &action);
-    else if (action.kind == BGAP_GRANTER_LAPSED)
-      _bgap_keys_log_lapse (service, &action);
-    else if (action.kind == BGAP_GRANTER_CONFIRMED)
-      _bgap_keys_log_confirmed (service, &action);
-    else if (action.kind == BGAP_GRANTER_READ)
-      bgap_follower_read_now (edge->internal);
-    else
-      bgap_edge_order (edge, service, &action);
-}
-
 static void
 _bgap_keys_set_read_interval (struct bgap_edge *edge)
 {
@@ -245,8 +49,8 @@
 {
   struct bgap_error err = { 0 };
   struct bgap_assignment assignment = { 0 };
-  struct bgap_edge_service *service
-      = bgap_edge_service (edge, record->key + strlen (ASSIGNMENT_PREFIX));
+  struct bgap_edge_service *service = bgap_edge_service (
+      edge, record->key + strlen (BGAP_EDGE_ASSIGNMENT_PREFIX));
   if (service == NULL || service->granter == NULL)
     return;
   if (bgap_assignment_decode (&assignment, record->value, record->size, &err)
@@ -298,7 +102,8 @@
   struct bgap_edge *edge = context;
   if (record->removed)
     return;
-  if (strncmp (record->key, ASSIGNMENT_PREFIX, strlen (ASSIGNMENT_PREFIX))
+  if (strncmp (record->key, BGAP_EDGE_ASSIGNMENT_PREFIX,
+               strlen (BGAP_EDGE_ASSIGNMENT_PREFIX))
       == 0)
     _bgap_keys_on_assignment (edge, record);
   else if (strncmp (record->key, ROUTER_MESSAGE_PREFIX,
--- a/programs/banyangapd/edge_parts.h
+++ b/programs/banyangapd/edge_parts.h
@@ -8,7 +8,9 @@
  *   edge_store.c     connection to the store, group of instances
  *   edge_config.c    configures the router's services from the route table
  *   edge_servers.c   adds registered servers to the router, with connections
- *   edge_keys.c      assignment of keys: records, holders, granter's successor
+ *   edge_keys.c      records of the instances: assignments of keys, messages
+ *                    of routers; successor of the granter
+ *   edge_granter.c   carries out the actions of granters; holders of keys
  *   edge_orders.c    sends grants and releases to servers
  *   edge_peers.c     reports the keys of requests to the granters
  *   edge_relay.c     forwards records that a relay has read from the store
@@ -112,9 +114,29 @@
 void bgap_edge_free_servers (struct bgap_edge *edge);
 
 /* edge_keys.c */
+
+/* Prefix of the keys of records with the assignment of a service.  */
+#define BGAP_EDGE_ASSIGNMENT_PREFIX "keys/"
+
 enum bgap_status bgap_edge_follow_internal (struct bgap_edge *edge,
                                             struct bgap_error *err);
 
+/**
+ * bgap_edge_update_successors() - tell each granter whether this instance is
+ * the successor of the active granter, and whether that one is lost
+ */
+void bgap_edge_update_successors (struct bgap_edge *edge);
+
+/**
+ * bgap_edge_publish_router_message() - append a message of the router for the
+ * other instances to the store
+ */
+void
+bgap_edge_publish_router_message (struct bgap_edge *edge,
+                                  const struct bgap_router_action *action);
+
+/* edge_granter.c */
+
 /**
  * bgap_edge_run_granter() - let the service's granter act at the current time,
  * and carry out its actions
@@ -122,12 +144,6 @@
 void bgap_edge_run_granter (struct bgap_edge *edge,
                             struct bgap_edge_service *service);
 
-/**
- * bgap_edge_update_successors() - tell each granter whether this instance is
- * the successor of the active granter, and whether that one is lost
- */
-void bgap_edge_update_successors (struct bgap_edge *edge);
-
 /**
  * bgap_edge_set_granter_server() - pass a server's registration to the granter
  */
@@ -146,14 +162,6 @@
                   const struct bgap_edge_service *service, uint32_t key,
                   uint64_t *token);
 
-/**
- * bgap_edge_publish_router_message() - append a message of the router for the
- * other instances to the store
- */
-void
-bgap_edge_publish_router_message (struct bgap_edge *edge,
-                                  const struct bgap_router_action *action);
-
 /* edge_orders.c */
 
 /**
