Fix: a failed write leaves the end of a body without length unproved

Cause: a socket reports its pending error once. With bytes of the request waiting, the write took ECONNRESET; _bgap_backend_on_event() only marked the connection as not reusable, and the read after it returned an end of stream, which completes a body without a length.

Change: after a failed write the end of the stream completes nothing. It is the only framing that an end of stream completes, so lengths, chunks and answers without a body are not affected. The attempt's log line says that the connection broke before the request was sent.

--- a/packages/gateway/src/backend_connection.c
+++ b/packages/gateway/src/backend_connection.c
@@ -130,13 +130,17 @@
   else if (c->state == BACKEND_IDLE)
     bgap_backend_connection_close (c);
   else if ((events & BEV_EVENT_WRITING) != 0)
-    /* The server closed the connection before it read the whole request. Its
-       response, for example a refusal, can still be read.  */
-    c->not_reusable = true;
+    {
+      /* The server closed or reset the connection before it read the whole
+         request. Its response, for example a refusal, can still be read.  */
+      c->not_reusable = true;
+      c->write_failed = true;
+    }
   else
     {
       c->peer_closed = true;
-      c->peer_closed_cleanly = (events & BEV_EVENT_EOF) != 0;
+      c->peer_closed_cleanly
+          = (events & BEV_EVENT_EOF) != 0 && !c->write_failed;
       bgap_backend_connection_process (c);
     }
 }
--- a/packages/gateway/src/backend_private.h
+++ b/packages/gateway/src/backend_private.h
@@ -59,6 +59,9 @@
  * @peer_closed: the server has closed or reset the connection; input that was
  *   read before is still processed
  * @peer_closed_cleanly: the server has closed it with a FIN, not a reset
+ * @write_failed: part of the request could not be sent. The failed write takes
+ *   the pending error from the socket, so that the read after it sees an end
+ * of stream also if the connection was reset.
  * @close_delimited: the body ends with the connection
  * @connection_refused: the connection was refused (ECONNREFUSED)
  * @is_server_error: the head was classified as BGAP_HEAD_ERROR; the body is
@@ -85,6 +88,7 @@
   bool not_reusable;
   bool peer_closed;
   bool peer_closed_cleanly;
+  bool write_failed;
   bool close_delimited;
   bool is_stale;
   bool is_server_error;
--- a/packages/gateway/src/backend_response.c
+++ b/packages/gateway/src/backend_response.c
@@ -242,6 +242,13 @@
   return false;
 }
 
+static const char *
+_bgap_backend_broken_message (const struct backend_connection *c)
+{
+  return c->write_failed ? "the connection broke before the request was sent"
+                         : "the connection broke";
+}
+
 /* Reads a body that ends with the connection. It is complete only if the
    server closed the connection cleanly.  */
 static bool
@@ -259,7 +266,7 @@
         _bgap_backend_finish (c);
       else
         bgap_backend_connection_fail (c, BGAP_FAILURE_BROKEN,
-                                      "the connection broke");
+                                      _bgap_backend_broken_message (c));
       return false;
     }
   size_t size = piece.iov_len;
@@ -343,5 +350,5 @@
   else if (c->peer_closed && !c->paused
            && (c->state == BACKEND_HEAD || c->state == BACKEND_BODY))
     bgap_backend_connection_fail (c, BGAP_FAILURE_BROKEN,
-                                  "the connection broke");
+                                  _bgap_backend_broken_message (c));
 }
