Fix: continue an answer that was paused for a slow caller

Callers saw: on the users' platform, an answer longer than about 256 KB to a caller that does not read for a moment stops halfway and is reset at the deadline. Found by reading, while looking at resets of paused answers.

Cause: the instance pauses the server's connection when the caller's buffer is full, and continues it in the frontend's ops.resume, which the platform mode had not set.

Change: the operation is set, as in the other mode.

--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -298,6 +298,7 @@
             .any_path = true,
             .ops = { .request = bgap_edge_on_request,
                      .cancel = bgap_edge_on_cancel,
+                     .resume = bgap_edge_on_resume,
                      .stopped = _bgap_edge_on_frontend_stopped,
                      .context = edge } },
         err);
--- a/programs/banyangapd/edge_parts.h
+++ b/programs/banyangapd/edge_parts.h
@@ -316,6 +316,7 @@
 void bgap_edge_on_request (void *context, struct bgap_exchange_id id,
                            const struct bgap_frontend_request *request);
 void bgap_edge_on_cancel (void *context, struct bgap_exchange_id id);
+void bgap_edge_on_resume (void *context, struct bgap_exchange_id id);
 
 /**
  * bgap_edge_finish() - send the caller the end of the response or an error,
--- a/programs/banyangapd/edge_request.c
+++ b/programs/banyangapd/edge_request.c
@@ -197,6 +197,16 @@
   _bgap_exchange_free (exchange);
 }
 
+void
+bgap_edge_on_resume (void *context, struct bgap_exchange_id id)
+{
+  struct bgap_edge *edge = context;
+  struct bgap_edge_exchange *exchange;
+  HASH_FIND_INT (edge->exchanges, &id.id, exchange);
+  if (exchange != NULL && exchange->server != NULL)
+    bgap_backend_resume (edge->backend, exchange->backend_attempt);
+}
+
 static void
 _bgap_request_log (const struct bgap_edge_exchange *exchange,
                    const struct bgap_router_action *action, int64_t took_ms)
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -279,6 +279,7 @@
         self.keyed = keyed
         self.lock = threading.Lock()
         self.work_s = 0.01
+        self.padding = b""  # at the end of its answers
         self.rate_limit = None  # requests per second that it states in its answers
         self.is_leaving = False  # it states that in its answers, whatever it has registered
         self.pause_s = None      # it refuses requests and wants none of the instance for so long
@@ -470,7 +471,7 @@
             self.repeat_refusal(handler)
             self.executed.append((time.time(), request_id, key, body))
         time.sleep(self.work_s)
-        handler.reply(200, b"%s:%s" % (self.name.encode(), body),
+        handler.reply(200, b"%s:%s%s" % (self.name.encode(), body, self.padding),
                       [("Backend-Signature", "s-" + self.name), ("Backend-Load", "1,0,4")])
 
 
