Bound the memory of all responses together by that of the machine

Cause: each caller that does not read could keep 256 KB of its response, and each exchange 64 KB of one that is not complete yet, at up to 2048 requests at a time: more than the 160 MB of the smallest machine.

Change: the frontend counts what waits to be sent on all connections; above unsent_size_max a connection is full from the low watermark on (16 KB in the platform mode). Responses are streamed instead of buffered once all buffers together have their share. Both shares are an eighth of the memory limit.

--- a/packages/gateway/include/banyangap/gateway/frontend.h
+++ b/packages/gateway/include/banyangap/gateway/frontend.h
@@ -111,6 +111,9 @@
  *   0 means 30000
  * @idle_timeout_ms: time limit for a connection without a request, and for a
  *   response of which the caller reads nothing; 0 means 60000
+ * @unsent_size_max: bytes of the buffered responses of all connections above
+ *   which bgap_frontend_is_full() is true from the low watermark on; 0 means
+ *   33554432
  * @any_path: do not parse targets; @parts of a request is not set, and
  *   rejections carry no Bgap-Outcome
  * @buffer_high: high watermark: bytes of buffered response above which
@@ -133,6 +136,7 @@
   uint32_t idle_timeout_ms;
   size_t buffer_high;
   size_t buffer_low;
+  size_t unsent_size_max;
   bool any_path;
 };
 
--- a/packages/gateway/src/frontend.c
+++ b/packages/gateway/src/frontend.c
@@ -15,6 +15,7 @@
 #define DEFAULT_IDLE_TIMEOUT_MS 60000
 #define DEFAULT_BUFFER_HIGH 262144
 #define DEFAULT_BUFFER_LOW 65536
+#define DEFAULT_UNSENT_SIZE_MAX 33554432
 
 /* Length of the queue of connections to be accepted.  */
 #define BACKLOG 1024
@@ -45,6 +46,8 @@
     desc->buffer_high = DEFAULT_BUFFER_HIGH;
   if (desc->buffer_low == 0)
     desc->buffer_low = DEFAULT_BUFFER_LOW;
+  if (desc->unsent_size_max == 0)
+    desc->unsent_size_max = DEFAULT_UNSENT_SIZE_MAX;
   if (desc->buffer_low > desc->buffer_high)
     desc->buffer_low = desc->buffer_high;
 }
--- a/packages/gateway/src/frontend_connection.c
+++ b/packages/gateway/src/frontend_connection.c
@@ -45,6 +45,25 @@
   c->body_reserved = 0;
 }
 
+static void
+_bgap_frontend_on_output (struct evbuffer *buffer,
+                          const struct evbuffer_cb_info *info, void *user)
+{
+  struct bgap_frontend *frontend = user;
+  (void)buffer;
+  frontend->unsent_size += info->n_added;
+  frontend->unsent_size -= info->n_deleted;
+}
+
+/* Bytes that are freed with the connection are not reported as deleted.  */
+static void
+_bgap_frontend_forget_output (struct frontend_connection *c)
+{
+  struct evbuffer *output = bufferevent_get_output (c->bev);
+  evbuffer_remove_cb (output, _bgap_frontend_on_output, c->frontend);
+  c->frontend->unsent_size -= evbuffer_get_length (output);
+}
+
 void
 bgap_frontend_connection_close (struct frontend_connection *c, bool reset)
 {
@@ -63,6 +82,7 @@
   event_del (&c->timer);
   event_del (&c->wake);
   bufferevent_disable (c->bev, EV_READ | EV_WRITE);
+  _bgap_frontend_forget_output (c);
   bufferevent_free (c->bev);
   LIST_REMOVE (c, next);
   LIST_INSERT_HEAD (&frontend->dead, c, next);
@@ -233,6 +253,8 @@
   bufferevent_set_timeouts (c->bev, NULL, &idle);
   bufferevent_setcb (c->bev, _bgap_frontend_on_read, _bgap_frontend_on_write,
                      _bgap_frontend_on_event, c);
+  evbuffer_add_cb (bufferevent_get_output (c->bev), _bgap_frontend_on_output,
+                   frontend);
   LIST_INSERT_HEAD (&frontend->connections, c, next);
   *frontend->connections_open = ++frontend->connection_count;
   bgap_frontend_connection_set_timer (c, frontend->desc.idle_timeout_ms);
--- a/packages/gateway/src/frontend_private.h
+++ b/packages/gateway/src/frontend_private.h
@@ -39,8 +39,8 @@
  * @body_reserved: bytes of the body counted in bodies_size
  * @close_after_response: close the connection after the exchange
  * @response_started: the head of the response was sent
- * @is_full: the response buffer has exceeded buffer_high and not yet fallen to
- *   buffer_low
+ * @is_full: the response buffer has exceeded buffer_high, or its part of
+ *   unsent_size_max, and not yet fallen to buffer_low
  * @body_remaining: bytes of the response's body still to be written, if
  *   has_length is set
  */
@@ -72,6 +72,11 @@
 
 LIST_HEAD (frontend_connection_list, frontend_connection);
 
+/**
+ * struct bgap_frontend - the server
+ * @bodies_size: bytes of the requests' bodies in memory
+ * @unsent_size: bytes in the output buffers of all connections
+ */
 struct bgap_frontend
 {
   struct bgap_frontend_desc desc;
@@ -82,6 +87,7 @@
   struct frontend_connection_list dead;
   uint32_t connection_count;
   size_t bodies_size;
+  size_t unsent_size;
   bool is_stopping;
   bool closes_after_response;
   struct event reap;
--- a/packages/gateway/src/frontend_response.c
+++ b/packages/gateway/src/frontend_response.c
@@ -112,7 +112,10 @@
     evbuffer_add (out, "\r\n", 2);
   if (c->has_length)
     c->body_remaining -= size;
-  if (evbuffer_get_length (out) > frontend->desc.buffer_high)
+  size_t limit = frontend->unsent_size > frontend->desc.unsent_size_max
+                     ? frontend->desc.buffer_low
+                     : frontend->desc.buffer_high;
+  if (evbuffer_get_length (out) > limit)
     c->is_full = true;
   return BGAP_OK;
 }
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -15,6 +15,13 @@
    file descriptors.  */
 #define CONNECTIONS_MAX 2000
 
+/* Part of the memory that responses may use which callers have not read, as a
+   divisor.  */
+#define UNSENT_SHARE 8
+
+/* Bytes of a response that each caller's connection may buffer in any case. */
+#define CALLER_BUFFER_LOW 16384
+
 /* Time-outs of connections to servers, and the number of their pools.  */
 #define CONNECT_TIMEOUT_MS 300
 #define SERVER_IDLE_TIMEOUT_MS 20000
@@ -265,6 +272,12 @@
   return edge->timer != NULL ? BGAP_OK : BGAP_ERR_NO_MEMORY;
 }
 
+size_t
+bgap_edge_memory_share (const struct bgap_edge *edge, uint32_t divisor)
+{
+  return ((size_t)edge->settings.memory_mb << 20) / divisor;
+}
+
 static enum bgap_status
 _bgap_edge_open_traffic (struct bgap_edge *edge, struct bgap_error *err)
 {
@@ -295,6 +308,8 @@
             .address = edge->settings.callers_address,
             .counters = &edge->counters,
             .connections_max = CONNECTIONS_MAX,
+            .buffer_low = CALLER_BUFFER_LOW,
+            .unsent_size_max = bgap_edge_memory_share (edge, UNSENT_SHARE),
             .any_path = true,
             .ops = { .request = bgap_edge_on_request,
                      .cancel = bgap_edge_on_cancel,
--- a/programs/banyangapd/edge_attempt.c
+++ b/programs/banyangapd/edge_attempt.c
@@ -10,6 +10,10 @@
    that a truncated one can still be retried.  */
 #define BUFFERED_RESPONSE_MAX 65536
 
+/* Part of the memory that the buffers of all responses may use together, as a
+   divisor.  */
+#define BUFFERED_SHARE 8
+
 /* The router cancels an attempt at its deadline. The backend client's time-out
    is longer by this margin and takes effect only if the router did not.  */
 #define CLIENT_TIMEOUT_MARGIN_MS 100
@@ -120,6 +124,28 @@
   return BGAP_HEAD_RESPONSE;
 }
 
+void
+bgap_edge_drop_body (struct bgap_edge_exchange *exchange)
+{
+  exchange->edge->buffered_size -= exchange->body.size;
+  bgap_buffer_shutdown (&exchange->body);
+}
+
+/* Buffers a part of the response. Returns false if it is to be streamed.  */
+static bool
+_bgap_attempt_buffer (struct bgap_edge_exchange *exchange, const void *bytes,
+                      size_t size)
+{
+  struct bgap_edge *edge = exchange->edge;
+  if (exchange->body.size + size > BUFFERED_RESPONSE_MAX
+      || edge->buffered_size + size
+             > bgap_edge_memory_share (edge, BUFFERED_SHARE)
+      || bgap_buffer_append (&exchange->body, bytes, size) != BGAP_OK)
+    return false;
+  edge->buffered_size += size;
+  return true;
+}
+
 static void
 _bgap_attempt_stream (struct bgap_edge_exchange *exchange)
 {
@@ -131,7 +157,7 @@
                        &exchange->headers);
   bgap_frontend_write (edge->frontend, id, exchange->body.data,
                        exchange->body.size);
-  bgap_buffer_shutdown (&exchange->body);
+  bgap_edge_drop_body (exchange);
 }
 
 static void
@@ -142,7 +168,7 @@
   (void)id;
   (void)status;
   bgap_headers_shutdown (&exchange->headers);
-  bgap_buffer_shutdown (&exchange->body);
+  bgap_edge_drop_body (exchange);
   /* If the copy fails for lack of memory, the forwarded response has no
      signature and thus does not count as a success.  */
   (void)bgap_headers_copy (&exchange->headers, headers);
@@ -155,16 +181,10 @@
   struct bgap_edge_exchange *exchange = user;
   struct bgap_edge *edge = exchange->edge;
   struct bgap_exchange_id caller = { exchange->id };
-  if (!exchange->streaming
-      && exchange->body.size + size > BUFFERED_RESPONSE_MAX)
-    _bgap_attempt_stream (exchange);
+  if (!exchange->streaming && _bgap_attempt_buffer (exchange, bytes, size))
+    return;
   if (!exchange->streaming)
-    {
-      if (bgap_buffer_append (&exchange->body, bytes, size) != BGAP_OK)
-        _bgap_attempt_stream (exchange);
-      else
-        return;
-    }
+    _bgap_attempt_stream (exchange);
   bgap_frontend_write (edge->frontend, caller, bytes, size);
   if (bgap_frontend_is_full (edge->frontend, caller))
     bgap_backend_pause (edge->backend, id);
--- a/programs/banyangapd/edge_parts.h
+++ b/programs/banyangapd/edge_parts.h
@@ -312,6 +312,14 @@
 bool bgap_edge_server_changed (const struct bgap_edge *edge,
                                const struct bgap_store_record *record);
 
+/**
+ * bgap_edge_memory_share() - part of the memory that the process may use
+ * @divisor: the part is 1 / @divisor
+ *
+ * Return: bytes.
+ */
+size_t bgap_edge_memory_share (const struct bgap_edge *edge, uint32_t divisor);
+
 /* edge_request.c */
 void bgap_edge_on_request (void *context, struct bgap_exchange_id id,
                            const struct bgap_frontend_request *request);
@@ -335,6 +343,11 @@
                          const struct bgap_router_action *action);
 void bgap_edge_cancel_attempt (struct bgap_edge_exchange *exchange);
 
+/**
+ * bgap_edge_drop_body() - free the buffered part of the response
+ */
+void bgap_edge_drop_body (struct bgap_edge_exchange *exchange);
+
 /* edge_limits.c */
 
 /**
--- a/programs/banyangapd/edge_request.c
+++ b/programs/banyangapd/edge_request.c
@@ -73,7 +73,7 @@
 {
   HASH_DEL (exchange->edge->exchanges, exchange);
   bgap_headers_shutdown (&exchange->headers);
-  bgap_buffer_shutdown (&exchange->body);
+  bgap_edge_drop_body (exchange);
   free (exchange);
 }
 
--- a/programs/banyangapd/edge_state.h
+++ b/programs/banyangapd/edge_state.h
@@ -190,6 +190,7 @@
  * @was_listed: this instance has been in the list of members
  * @histories: by topic, the records that relayed ones are encoded against
  * @subscribers: by topic, the receiving end of the relay
+ * @buffered_size: bytes of the responses that are buffered in exchanges
  * @relay_bytes_sent: size of the messages sent as relay or granter
  * @changed_servers: ids of servers whose registration changed in the read that
  *   is being reported
@@ -223,6 +224,7 @@
   struct bgap_edge_service *services;
   struct bgap_edge_server *servers;
   struct bgap_edge_exchange *exchanges;
+  size_t buffered_size;
   uint64_t incarnation;
   struct event *timer;
   struct event *signals[3];
