Fix: pass on during a stop only what is answered before its end

Report of other operators: requests late in the grace of a planned stop were passed on and cut at its end, among them requests that may not be repeated.

Callers saw here (process.test_stop before the fix): with graces of 1, 2 and 3 s the process did not end by itself and was killed, with no answer to what was open; with 4, 6 and 10 s a request that came at half of the grace and needed as much again was passed on and broken off with 502 (at 3.63, 5.63 and 9.72 s).

Cause: the steps of the stop had fixed times, and the check returned before it looked at the grace until 3 s had passed; nothing asked whether a request can be answered before the abort; the timer was up to 200 ms late.

Change: steps are parts of a short grace (edge_stop.c, taken out of edge.c), and the timer fires when one is due. The router refuses at once, as not run, what nine in ten of the recent answers of the service would not answer before the abort; after the first step it refuses all new requests. At the abort, requests that have not arrived in full get 503; responses that have begun go on to the end.

Platform.__exit__ of the stand-in stops its servers side by side, since six platforms took 30 s to end.

--- a/packages/gateway/include/banyangap/gateway/frontend.h
+++ b/packages/gateway/include/banyangap/gateway/frontend.h
@@ -256,6 +256,12 @@
  */
 void bgap_frontend_close_after_response (struct bgap_frontend *frontend);
 
+/**
+ * bgap_frontend_refuse_incomplete() - reject the requests that have not
+ * arrived in full with 503, for a process that ends soon
+ */
+void bgap_frontend_refuse_incomplete (struct bgap_frontend *frontend);
+
 /**
  * bgap_frontend_exchanges() - number of running exchanges
  */
--- a/packages/gateway/src/frontend.c
+++ b/packages/gateway/src/frontend.c
@@ -253,6 +253,20 @@
   bgap_frontend_check_stopped (frontend);
 }
 
+void
+bgap_frontend_refuse_incomplete (struct bgap_frontend *frontend)
+{
+  struct frontend_connection *c = LIST_FIRST (&frontend->connections);
+  while (c != NULL)
+    {
+      struct frontend_connection *next = LIST_NEXT (c, next);
+      if (c->state == FRONTEND_BODY
+          || (c->state == FRONTEND_HEAD && c->head_started))
+        bgap_frontend_connection_reject (c, 503, "the instance leaves");
+      c = next;
+    }
+}
+
 void
 bgap_frontend_shutdown (struct bgap_frontend *frontend)
 {
--- a/packages/routing/src/router.c
+++ b/packages/routing/src/router.c
@@ -184,6 +184,12 @@
   return bgap_action_queue_pop (&router->state->actions, action);
 }
 
+void
+bgap_router_end_by (struct bgap_router *router, int64_t end_ms)
+{
+  router->state->end_ms = end_ms;
+}
+
 void
 bgap_router_stop_accepting (struct bgap_router *router)
 {
@@ -216,7 +222,8 @@
       struct bgap_router_request *request
           = bgap_pool_get (&state->requests, id);
       id = bgap_pool_next (&state->requests, id);
-      if (request->state != BGAP_REQUEST_IN_FLIGHT || request->intent_won)
+      if (request->state != BGAP_REQUEST_IN_FLIGHT || request->intent_won
+          || request->started)
         continue;
       bgap_router_cancel_attempt (state, now_ms, request);
       request->maybe_ran = true;
--- a/packages/routing/src/router_dispatch.c
+++ b/packages/routing/src/router_dispatch.c
@@ -66,8 +66,9 @@
   return true;
 }
 
-/* Finishes a request that @server is not expected to answer in time; NULL for
-   any server, all of which are full. Returns whether it was finished.  */
+/* Finishes a request that @server is not expected to answer in time, or before
+   the process ends; NULL for any server, all of which are full. Returns
+   whether it was finished.  */
 static bool
 _bgap_router_end_late (struct bgap_router_state *state, int64_t now_ms,
                        struct bgap_router_request *request,
@@ -75,10 +76,13 @@
 {
   struct bgap_router_service *service
       = bgap_router_service (state, request->service);
-  if (!bgap_router_misses_deadline (
-          service, server != NULL ? &server->server : NULL, now_ms, request))
+  const struct bgap_server *at = server != NULL ? &server->server : NULL;
+  if (bgap_router_misses_deadline (service, at, now_ms, request))
+    bgap_router_finish (state, now_ms, request, BGAP_REASON_DEADLINE);
+  else if (bgap_router_misses_end (state, service, at, now_ms, request))
+    bgap_router_finish (state, now_ms, request, BGAP_REASON_SHUTDOWN);
+  else
     return false;
-  bgap_router_finish (state, now_ms, request, BGAP_REASON_DEADLINE);
   return true;
 }
 
--- a/packages/routing/src/router_estimate.c
+++ b/packages/routing/src/router_estimate.c
@@ -14,6 +14,11 @@
    for one.  */
 #define BUSY_WAIT 0.2
 
+/* Share of the recent answers that must have been fast enough for a request to
+   be sent by a process that stops. Another instance can serve it, and one that
+   is aborted may have run.  */
+#define STOP_SHARE 0.9
+
 /* Maximum number of requests ahead of another for which the deadlines of the
    running requests are compared.  */
 #define LATEST_AHEAD_MAX 16u
@@ -104,6 +109,26 @@
   return true;
 }
 
+bool
+bgap_router_misses_end (const struct bgap_router_state *state,
+                        struct bgap_router_service *service,
+                        const struct bgap_server *server, int64_t now_ms,
+                        struct bgap_router_request *request)
+{
+  if (state->end_ms == 0 || request->deadline_at_ms <= state->end_ms)
+    return false;
+  double answer_ms
+      = bgap_response_times_quantile (&service->all_times, now_ms, STOP_SHARE);
+  if (answer_ms <= 0)
+    answer_ms = service->response_ms;
+  double expected_ms
+      = fmax (answer_ms, bgap_router_expected_ms (service, server, now_ms));
+  if (expected_ms <= (double)(state->end_ms - now_ms))
+    return false;
+  request->expected_ms = (int64_t)expected_ms;
+  return true;
+}
+
 /* Slots that serve a queue of this instance.  */
 static uint32_t
 _bgap_estimate_capacity (const struct bgap_router_service *service,
--- a/packages/routing/src/router_parts.h
+++ b/packages/routing/src/router_parts.h
@@ -182,6 +182,16 @@
                                   int64_t now_ms,
                                   struct bgap_router_request *request);
 
+/**
+ * bgap_router_misses_end() - whether an attempt that starts now is expected to
+ * run longer than the process, see bgap_router_end_by()
+ * @server: as for bgap_router_expected_ms()
+ */
+bool bgap_router_misses_end (const struct bgap_router_state *state,
+                             struct bgap_router_service *service,
+                             const struct bgap_server *server, int64_t now_ms,
+                             struct bgap_router_request *request);
+
 /**
  * bgap_router_wait_misses_deadline() - the same for a request that would enter
  * a queue
--- a/packages/routing/src/router_state.h
+++ b/packages/routing/src/router_state.h
@@ -235,6 +235,7 @@
  * @instances: all instances, as bgap_router_set_instances() has set them
  * @issuer: permits that this instance hands out
  * @issuing: they are being handed out; prevents recursion
+ * @end_ms: see bgap_router_end_by(), 0 if the process does not stop
  */
 struct bgap_router_state
 {
@@ -261,6 +262,7 @@
   struct bgap_router_counts counts;
   int64_t loads_due_ms;
   bool shutting_down;
+  int64_t end_ms;
 };
 
 #endif
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -36,23 +36,7 @@
 /* Interval of tasks that are not urgent, such as reloading the settings.  */
 #define HOUSEKEEPING_MS 500
 
-/* During a graceful stop connections are accepted for STOP_ACCEPT_MS, because
-   the load balancer needs some seconds to see that the instance is not ready;
-   then idle ones are closed. The process exits STOP_MARGIN_MS before the
-   platform kills it.  */
-#define STOP_ACCEPT_MS 3000
-#define STOP_MARGIN_MS 250
-
-/* Time before it is killed at which the process refuses queued requests: most
-   requests need more time at a server, and other instances can serve them.  */
-#define STOP_REFUSE_MS 1500
-
-/* Time before it is killed at which the process aborts attempts in flight, so
-   that callers get an error response instead of a closed connection.  */
-#define STOP_ABORT_MS 500
-
 static struct bgap_event_kind event_start = { .name = "start" };
-static struct bgap_event_kind event_stop = { .name = "stop" };
 static struct bgap_event_kind event_reload = { .name = "reload" };
 
 /* Actions.  */
@@ -116,6 +100,9 @@
       most_ms = GRANTER_TICK_MS;
   if (wait_ms > most_ms)
     wait_ms = most_ms;
+  int64_t step_ms = bgap_edge_next_stop_step_ms (edge, now_ms);
+  if (wait_ms > step_ms)
+    wait_ms = step_ms;
   if (edge->timer_at_ms != 0 && edge->timer_at_ms <= now_ms + wait_ms)
     return;
   edge->timer_at_ms = now_ms + wait_ms;
@@ -140,7 +127,7 @@
   _bgap_edge_set_timer (edge);
 }
 
-/* Readiness, graceful stop and signals.  */
+/* Readiness and signals.  */
 
 bool
 bgap_edge_is_ready (const struct bgap_edge *edge)
@@ -150,50 +137,6 @@
          && bgap_follower_is_loaded (edge->internal);
 }
 
-static void
-_bgap_edge_begin_stop (struct bgap_edge *edge)
-{
-  if (edge->stopping_ms != 0)
-    return;
-  edge->stopping_ms = bgap_now_ms ();
-  bgap_event (&event_stop, "state=begun open=%u",
-              bgap_frontend_exchanges (edge->frontend));
-  bgap_frontend_close_after_response (edge->frontend);
-  for (struct bgap_edge_service *service = edge->services; service != NULL;
-       service = service->hh.next)
-    if (service->granter != NULL)
-      bgap_granter_step_down (service->granter, bgap_now_ms ());
-  bgap_membership_leave (edge->membership);
-  bgap_edge_run_actions (edge);
-}
-
-static void
-_bgap_edge_check_stop (struct bgap_edge *edge, int64_t now_ms)
-{
-  int64_t since_ms = now_ms - edge->stopping_ms;
-  uint32_t open = bgap_frontend_exchanges (edge->frontend);
-  if (since_ms < STOP_ACCEPT_MS)
-    return;
-  bgap_frontend_stop (edge->frontend);
-  if (since_ms >= edge->settings.grace_ms - STOP_REFUSE_MS)
-    {
-      bgap_router_stop_accepting (&edge->router);
-      bgap_router_refuse_waiting (&edge->router, now_ms);
-    }
-  if (since_ms >= edge->settings.grace_ms - STOP_ABORT_MS)
-    {
-      bgap_router_abort_attempts (&edge->router, now_ms);
-      bgap_router_refuse_waiting (&edge->router, now_ms);
-    }
-  /* Responses that were written may still be in the send buffers.  */
-  if (!edge->frontend_stopped
-      && since_ms < edge->settings.grace_ms - STOP_MARGIN_MS)
-    return;
-  bgap_event (&event_stop, "state=ended open=%u after_ms=%lld", open,
-              (long long)since_ms);
-  event_base_loopexit (edge->base, NULL);
-}
-
 static void
 _bgap_edge_reload (struct bgap_edge *edge, bool forced)
 {
@@ -219,7 +162,7 @@
   if (signal_number == SIGHUP)
     _bgap_edge_reload (edge, true);
   else
-    _bgap_edge_begin_stop (edge);
+    bgap_edge_begin_stop (edge);
 }
 
 static void
@@ -244,7 +187,7 @@
   bgap_edge_report_keys (edge, now_ms);
   bgap_edge_relay_heartbeat (edge, now_ms);
   if (edge->stopping_ms != 0)
-    _bgap_edge_check_stop (edge, now_ms);
+    bgap_edge_check_stop (edge, now_ms);
   bgap_edge_run_actions (edge);
 }
 
@@ -369,8 +312,7 @@
               (unsigned long long)edge->incarnation);
   bgap_edge_run_actions (edge);
   event_base_dispatch (edge->base);
-  bgap_event (&event_stop, "state=exit");
-  bgap_event_log_flush ();
+  bgap_edge_log_exit ();
 }
 
 void
--- a/programs/banyangapd/edge_parts.h
+++ b/programs/banyangapd/edge_parts.h
@@ -4,7 +4,8 @@
 /*
  * Functions of the parts of an instance in platform mode:
  *
- *   edge.c           setup, signals, graceful stop
+ *   edge.c           setup, signals
+ *   edge_stop.c      graceful stop
  *   edge_store.c     connection to the store, group of instances
  *   edge_config.c    configures the router's services from the route table
  *   edge_servers.c   adds registered servers to the router, with connections
@@ -37,6 +38,32 @@
  */
 bool bgap_edge_is_ready (const struct bgap_edge *edge);
 
+/* edge_stop.c */
+
+/**
+ * bgap_edge_begin_stop() - begin a graceful stop; nothing if it has begun
+ */
+void bgap_edge_begin_stop (struct bgap_edge *edge);
+
+/**
+ * bgap_edge_check_stop() - carry out the steps of the stop that are due, and
+ * end the event loop at its end
+ */
+void bgap_edge_check_stop (struct bgap_edge *edge, int64_t now_ms);
+
+/**
+ * bgap_edge_next_stop_step_ms() - time until the next step of the stop is due
+ *
+ * Return: milliseconds, INT64_MAX if there is none.
+ */
+int64_t bgap_edge_next_stop_step_ms (const struct bgap_edge *edge,
+                                     int64_t now_ms);
+
+/**
+ * bgap_edge_log_exit() - write the last line of the log
+ */
+void bgap_edge_log_exit (void);
+
 /* edge_store.c */
 
 /**
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -12,6 +12,7 @@
 """
 
 import base64
+import concurrent.futures
 import http.client
 import http.server
 import itertools
@@ -496,7 +497,7 @@
 terms:
   bounds:
     drainS: 2
-    graceS: 6
+    graceS: {grace}
     maxHoldS: 10
     retryBudgetRatio: 0.2
     retrySlack: 56
@@ -505,7 +506,7 @@
 
 
 class Instance:
-    def __init__(self, folder, name, zone, store):
+    def __init__(self, folder, name, zone, store, grace_s=6):
         self.name = name
         self.ip = "127.0.%d.%d" % (1 + os.getpid() % 250, next(HOST_NUMBERS) % 250 + 1)
         self.http = free_port()
@@ -515,7 +516,7 @@
         with open(self.settings, "w") as file:
             file.write(SETTINGS.format(name=name, ip=self.ip, zone=zone, http=self.http,
                                        ready=self.ready, peer=free_port(), store=store.address,
-                                       heartbeat=HEARTBEAT_S))
+                                       heartbeat=HEARTBEAT_S, grace=grace_s))
         self.process = None
 
     def start(self):
@@ -572,8 +573,8 @@
             if instance.process.poll() is None:
                 instance.process.kill()
             instance.process.wait()
-        for backend in self.backends.values():
-            backend.stop()
+        with concurrent.futures.ThreadPoolExecutor() as pool:
+            list(pool.map(lambda backend: backend.stop(), self.backends.values()))
         self.store.stop()
         self.folder.cleanup()
 
@@ -591,10 +592,10 @@
                        "headerTimeoutS": 3, "idleTimeoutS": 15},
             "listeners": [{"host": HOST, "rules": rules}], "clusters": clusters}).encode())
 
-    def start_instances(self, count):
+    def start_instances(self, count, **options):
         for number in range(count):
             instance = Instance(self.folder.name, "edge-%d" % len(self.instances),
-                                "z%d" % (number % 2 + 1), self.store)
+                                "z%d" % (number % 2 + 1), self.store, **options)
             self.instances.append(instance)
             instance.start()
         try:
@@ -612,12 +613,13 @@
                 raise AssertionError("not within %g s: %s" % (duration_s, what))
             time.sleep(0.02)
 
-    def request(self, number, method, path, key=None, body=None, timeout=5, host=HOST):
+    def request(self, number, method, path, key=None, body=None, timeout=5, host=HOST,
+                deadline_s=DEADLINE_S):
         instance = self.instances[number]
         connection = http.client.HTTPConnection(instance.ip, instance.http, timeout=timeout)
         request_id = "r-%d" % next(self.ids)
         headers = {"Host": host, "Attempt-Id": request_id,
-                   "Deadline-Ms": "%d" % (DEADLINE_S * 1000)}
+                   "Deadline-Ms": "%d" % (deadline_s * 1000)}
         if key is not None:
             headers["Shard-Key"] = str(key)
         sent_at = time.time()
