Fix: do not reset a response that is on its way when the process ends

Callers would see: a response that was written shortly before the process ends is cut, if the caller or the network has not taken all of it yet.

Cause: bgap_frontend_shutdown() reset all connections; a reset discards what the socket still has to send.

Change: only a connection with an incomplete response is reset, so that it does not look complete.

--- a/packages/gateway/src/frontend.c
+++ b/packages/gateway/src/frontend.c
@@ -1,5 +1,6 @@
 #include "banyangap/gateway/frontend.h"
 
+#include <event2/buffer.h>
 #include <stdlib.h>
 #include <string.h>
 
@@ -267,6 +268,18 @@
     }
 }
 
+/* Closes a connection at the end of the process. A response that is not
+   complete must not look like it; one that is on its way must not be lost by a
+   reset.  */
+static void
+_bgap_frontend_end_connection (struct frontend_connection *c)
+{
+  bool is_complete
+      = c->state != FRONTEND_RUNNING
+        && evbuffer_get_length (bufferevent_get_output (c->bev)) == 0;
+  bgap_frontend_connection_close (c, !is_complete);
+}
+
 void
 bgap_frontend_shutdown (struct bgap_frontend *frontend)
 {
@@ -279,7 +292,7 @@
   while (c != NULL)
     {
       struct frontend_connection *next = LIST_NEXT (c, next);
-      bgap_frontend_connection_close (c, true);
+      _bgap_frontend_end_connection (c);
       c = next;
     }
   bgap_frontend_reap (frontend);
