Show by tests that a cut head is no response

Report of other operators: a backend stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body.

--- a/packages/logservice/tests/test_http_client.c
+++ b/packages/logservice/tests/test_http_client.c
@@ -138,12 +138,33 @@
   assert_int_equal (outcome.status, 200);
 }
 
+/* Guards against a response that breaks off, at any byte of its head or its
+   body, and counts as complete.  */
+static void
+test_cut_response_is_no_response (void **state)
+{
+  static const char *const responses[] = {
+    "HTTP/1.1 200 OK\r\nX: y\r\nContent-Length: 4\r\n\r\nbody",
+    CHUNKED "4\r\nbody\r\n0\r\n\r\n",
+  };
+  (void)state;
+  for (size_t i = 0; i < sizeof responses / sizeof *responses; i++)
+    for (size_t size = 0; size <= strlen (responses[i]); size++)
+      {
+        char *bytes = strndup (responses[i], size);
+        int status = _run (bytes).status;
+        free (bytes);
+        assert_int_equal (status, size < strlen (responses[i]) ? 0 : 200);
+      }
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_responses_without_end),
     cmocka_unit_test (test_largest_response_in_small_chunks),
+    cmocka_unit_test (test_cut_response_is_no_response),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
