--- a/tests/process/test_statements.py
+++ b/tests/process/test_statements.py
@@ -184,6 +184,26 @@
             self.assertEqual(set(statuses), {200})
             self.assertNotIn("\nts=1 event=forged", platform.instances[0].log())
 
+    def test_odd_keys_cost_only_themselves(self):
+        """Guards against instances that learn of no server when they start again, because the key
+        of one entry is no text, and against an entry that displaces the server whose id its key
+        begins with."""
+        with Platform() as platform:
+            self.start(platform, "reads", 2, 2)
+            for name in platform.backends:
+                for key in (name + "\0", name + "\0" * 20, "\0", "z\0"):
+                    platform.store.append("keyed.servers", key, b"\xff{")
+            statuses = [response.status for response in self.call_all(platform, "/reads/1", 1)]
+            self.assertEqual(set(statuses), {200})
+            for instance in platform.instances:
+                instance.process.kill()
+                instance.process.wait()
+                instance.start()
+            platform.wait(lambda: all(instance.is_ready() for instance in platform.instances), 15,
+                          "ready")
+            statuses = [response.status for response in self.call_all(platform, "/reads/1", 1)]
+            self.assertEqual(set(statuses), {200})
+
 
 if __name__ == "__main__":
     unittest.main()
