Fix: an answer to an order has to show which order it answers

Cause: orders carried no id, and any 421 to a grant ended all leases of its server at once. Evidence: the record of the case, and the new tests, where the copy is all that differs. A repeated 200 to a release lets keys move while their holder works on them in the same way.

Change: orders carry an id; answers with another id are skipped, and answers without one from a server that has returned ids count as none.

--- a/packages/registry/include/banyangap/registry/wire.h
+++ b/packages/registry/include/banyangap/registry/wire.h
@@ -112,6 +112,8 @@
  * @write_request: set the fields of an attempt: the remaining time and the id
  *   of the intended server
  * @read_response: read the fields of a server's response to the request @id
+ * @request_id: name of the field with the id of a request or an order, which
+ *   the server returns in its response
  * @grant_path, @release_path: paths to which grants and releases are sent
  * @encode_grant, @encode_release: append the body of a grant or release
  * @read_handover: proof from the response to a release, "" if there is none
@@ -131,6 +133,7 @@
                                      int64_t remaining_ms, const char *server);
   void (*read_response) (const struct bgap_headers *headers, int status,
                          const char *id, struct bgap_wire_response *response);
+  const char *request_id;
   const char *grant_path;
   const char *release_path;
   enum bgap_status (*encode_grant) (const struct bgap_wire_grant *grant,
--- a/programs/banyangapd/edge_orders.c
+++ b/programs/banyangapd/edge_orders.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "banyangap/base/hash.h"
 #include "edge_parts.h"
 #include "now.h"
 
@@ -16,6 +17,9 @@
 /* Limit of the body of an answer, which is not used.  */
 #define ANSWER_SIZE_MAX 65536
 
+/* Size of the text of an order's id.  */
+#define ORDER_ID_SIZE 17
+
 /* Id that no server has. A call meant for it is refused without effect.  */
 #define NO_SERVER "-"
 
@@ -42,6 +46,7 @@
  * @checking: in place of a grant, a call without effect is sent over a new
  *   connection
  * @call: the granter's number of the order
+ * @id: of the call, unique among all instances; the server returns it
  * @status, @responder, @handover: from the response's head
  * @not_executed: the server refused the order without executing it
  */
@@ -57,6 +62,7 @@
   bool checking;
   uint32_t call;
   int64_t sent_ms;
+  char id[ORDER_ID_SIZE];
   int status;
   char responder[BGAP_REGISTRY_NAME_SIZE];
   char handover[BGAP_HANDOVER_SIZE];
@@ -149,7 +155,13 @@
   struct bgap_edge_order *order = user;
   struct bgap_wire_response response;
   *refusal = BGAP_REFUSAL_NONE;
-  order->edge->desc.wire->read_response (headers, status, "", &response);
+  order->edge->desc.wire->read_response (headers, status, order->id,
+                                         &response);
+  if (response.id_differs)
+    return BGAP_HEAD_STALE;
+  if (!response.id_matches && order->server->returns_order_ids)
+    return BGAP_HEAD_INVALID;
+  order->server->returns_order_ids = response.id_matches;
   order->status = status;
   bgap_edge_on_limit (order->edge, order->server, &response);
   bgap_edge_on_statements (order->edge, order->server, &response);
@@ -170,6 +182,50 @@
   (void)headers;
 }
 
+/* Whether another process has the address of the server. An answer that does
+   not say whose it is may be a late copy of one to an earlier check, which the
+   server itself turns away.  */
+static bool
+_bgap_order_shows_other_server (const struct bgap_edge_order *order)
+{
+  return order->responder[0] != '\0'
+         && strcmp (order->responder, order->server->id) != 0;
+}
+
+/* Whether the answer to a release is a late copy of the answer to another one:
+   each has a proof of its own.  */
+static bool
+_bgap_order_is_copy (const struct bgap_edge_order *order, uint64_t proof)
+{
+  for (uint32_t i = 0; i < BGAP_EDGE_RELEASES_KEPT; i++)
+    {
+      const struct bgap_edge_release *done = &order->server->releases_done[i];
+      if (done->proof == proof
+          && (done->first != order->grant.first
+              || done->token != order->grant.token))
+        return true;
+    }
+  return false;
+}
+
+static enum bgap_granter_result
+_bgap_order_accepted (struct bgap_edge_order *order)
+{
+  struct bgap_edge_server *server = order->server;
+  if (order->kind != ORDER_RELEASE || order->handover[0] == '\0')
+    return BGAP_GRANTER_DONE;
+  uint64_t proof = bgap_hash64 (order->handover, strlen (order->handover));
+  if (_bgap_order_is_copy (order, proof))
+    return BGAP_GRANTER_LOST;
+  uint32_t at = server->releases_done_count++ % BGAP_EDGE_RELEASES_KEPT;
+  server->releases_done[at] = (struct bgap_edge_release){
+    .first = order->grant.first,
+    .token = order->grant.token,
+    .proof = proof,
+  };
+  return BGAP_GRANTER_DONE;
+}
+
 static void
 _bgap_order_on_complete (void *user, struct bgap_backend_attempt_id id)
 {
@@ -182,11 +238,12 @@
       result = BGAP_GRANTER_RECONNECTED;
     }
   else if (order->status == 200)
-    result = BGAP_GRANTER_DONE;
+    result = _bgap_order_accepted (order);
   else if (order->status == 409)
     result = BGAP_GRANTER_FENCED;
   else if (order->status == 421)
-    result = BGAP_GRANTER_REPLACED;
+    result = _bgap_order_shows_other_server (order) ? BGAP_GRANTER_REPLACED
+                                                    : BGAP_GRANTER_LOST;
   else if (order->status >= 500 && !order->not_executed)
     result = BGAP_GRANTER_LOST;
   _bgap_order_end (order, result);
@@ -242,6 +299,15 @@
   return order->checking || order->kind == ORDER_KEEPALIVE;
 }
 
+static void
+_bgap_order_set_id (struct bgap_edge_order *order)
+{
+  struct bgap_edge *edge = order->edge;
+  const uint64_t parts[] = { edge->incarnation, ++edge->order_count };
+  snprintf (order->id, sizeof order->id, "%016llx",
+            (unsigned long long)bgap_hash64 (parts, sizeof parts));
+}
+
 static enum bgap_status
 _bgap_order_encode (struct bgap_edge_order *order)
 {
@@ -277,6 +343,9 @@
     status = wire->write_request (
         &headers, left_ms,
         _bgap_order_has_no_effect (order) ? NO_SERVER : order->server->id);
+  _bgap_order_set_id (order);
+  if (status == BGAP_OK)
+    status = bgap_headers_add (&headers, wire->request_id, order->id);
   if (status == BGAP_OK)
     status = bgap_headers_add (&headers, "Content-Type", "application/json");
   if (status == BGAP_OK)
--- a/programs/banyangapd/edge_state.h
+++ b/programs/banyangapd/edge_state.h
@@ -31,6 +31,10 @@
 #define BGAP_EDGE_GRANT_CONNECTIONS 1u
 #define BGAP_EDGE_RELEASE_CONNECTIONS 4u
 
+/* Number of releases of a server whose proofs are remembered; more than can be
+   answered between a late copy and its original.  */
+#define BGAP_EDGE_RELEASES_KEPT (2 * BGAP_EDGE_RELEASE_CONNECTIONS)
+
 struct bgap_edge;
 struct bgap_edge_order;
 
@@ -104,6 +108,18 @@
   UT_hash_handle hh;
 };
 
+/**
+ * struct bgap_edge_release - a release that a server has carried out
+ * @first, @token: of the grant that was released
+ * @proof: hash of the proof that the server has given
+ */
+struct bgap_edge_release
+{
+  uint32_t first;
+  uint64_t token;
+  uint64_t proof;
+};
+
 /**
  * struct bgap_edge_server - a backend server with its connections
  * @known: its registration, NULL after it was removed
@@ -112,6 +128,8 @@
  * @requests, @grants, @releases: connection pools
  * @waiting_orders: orders that wait for a connection, oldest first
  * @releases_used_ms: when an order was last sent over @releases
+ * @releases_done: the last releases that it has carried out, with their proofs
+ * @returns_order_ids: it has returned the id of an order
  * @calls: attempts and orders in flight, each of which refers to the server
  * @refused_connections: consecutive refused connections
  * @attempt_broken_ms: when the connection of an attempt last broke, 0 if it
@@ -129,6 +147,9 @@
   struct bgap_backend_server_id releases;
   struct bgap_edge_order *waiting_orders;
   int64_t releases_used_ms;
+  struct bgap_edge_release releases_done[BGAP_EDGE_RELEASES_KEPT];
+  uint32_t releases_done_count;
+  bool returns_order_ids;
   uint32_t calls;
   uint32_t refused_connections;
   int64_t attempt_broken_ms;
@@ -190,6 +211,7 @@
  * @was_listed: this instance has been in the list of members
  * @histories: by topic, the records that relayed ones are encoded against
  * @subscribers: by topic, the receiving end of the relay
+ * @order_count: orders sent so far
  * @buffered_size: bytes of the responses that are buffered in exchanges
  * @relay_bytes_sent: size of the messages sent as relay or granter
  * @changed_servers: ids of servers whose registration changed in the read that
@@ -224,6 +246,7 @@
   struct bgap_edge_service *services;
   struct bgap_edge_server *servers;
   struct bgap_edge_exchange *exchanges;
+  uint64_t order_count;
   size_t buffered_size;
   uint64_t incarnation;
   struct event *timer;
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -286,6 +286,11 @@
         self.pause_s = None      # it refuses requests and wants none of the instance for so long
         self.refusals_left = 0   # requests that it refuses
         self.repeats_refusals = False  # sends a refusal again, after the next request's arrival
+        self.repeats_orders = None  # sends its answers with these statuses to orders once more
+        self.release_s = 0          # time until the work on released keys has ended
+        self.closes_orders = 0      # answers to so many orders end their connection
+        self.echoes_order_ids = True
+        self.order_answers = {}  # last answer to an order on each connection
         self.refused = []   # (time, request id)
         self.refused_on = {}  # last refusal on each connection
         self.arrivals = []  # times of requests, executed or not
@@ -378,6 +383,8 @@
             return
         body = handler.body()
         handler.more_headers = self.stated_headers(handler)
+        if handler.path in ("/grant", "/release"):
+            self.repeat_order(handler)
         expected = handler.headers.get("Expected-Instance")
         if expected is not None and expected != self.name:
             handler.reply(421, headers=[("Instance-Id", self.name)])
@@ -390,7 +397,8 @@
 
     def stated_headers(self, handler):
         headers = []
-        if "Attempt-Id" in handler.headers:
+        is_order = handler.path in ("/grant", "/release")
+        if "Attempt-Id" in handler.headers and (self.echoes_order_ids or not is_order):
             headers.append(("Attempt-Id", handler.headers["Attempt-Id"]))
         if self.rate_limit is not None:
             headers.append(("Server-Limit", "%g" % self.rate_limit))
@@ -423,6 +431,25 @@
         handler.reply(503, headers=headers)
         handler.more_headers = stated
 
+    def repeat_order(self, handler):
+        """Sends the last answer to an order on this connection once more, and keeps the next."""
+        last = self.order_answers.get(handler.client_address)
+        if last is not None and last[0] in (self.repeats_orders or ()):
+            stated, handler.more_headers = handler.more_headers, last[2]
+            handler.reply(last[0], headers=last[1])
+            handler.more_headers = stated
+        reply = handler.reply
+
+        def keep_and_reply(status, body=b"", headers=()):
+            self.order_answers[handler.client_address] = (status, headers, handler.more_headers)
+            handler.reply = reply
+            if self.closes_orders > 0 and status == 200:
+                self.closes_orders -= 1
+                headers = [*headers, ("Connection", "close")]
+                handler.close_connection = True
+            reply(status, body, headers)
+        handler.reply = keep_and_reply
+
     def has_newer_token(self, call):
         return any(token > call["fence"] and first <= call["to"] and last >= call["from"]
                    for (first, last), token in self.tokens.items())
@@ -452,10 +479,12 @@
         handler.reply(200)
 
     def on_release(self, handler, call):
+        time.sleep(self.release_s)
         with self.lock:
             self.tokens[(call["from"], call["to"])] = call["fence"]
             self.end_leases(call, time.time())
-        handler.reply(200, headers=[("Handover", "h-%s" % self.name)])
+        handler.reply(200, headers=[("Handover", "h-%s-%d-%d" % (
+            self.name, call["from"], call["fence"]))])
 
     def on_request(self, handler, body):
         key = handler.headers.get("Shard-Key")
