Fix: an attempt that reached no server takes nothing from the retry budget

Cause: a refused connection was charged like a failure; the shared budget, which limits the arrivals at servers, starts empty.

Change: where instances share slots and budget, such a retry is free; it counts as an attempt as before, so that attempts_max bounds it. The flag "charged", which meant two things, is the cause of the retry now. Services of the other mode are charged as before.

Result: routing.test_shared, test_unsent_attempts_take_nothing_from_the_budget failed before and passes.

--- a/packages/routing/include/banyangap/routing/service.h
+++ b/packages/routing/include/banyangap/routing/service.h
@@ -38,7 +38,8 @@
  * @charge_refusals: every retry takes from the retry budget, also one after a
  *   refusal, and refused attempts count towards @attempts_max
  * @shared_slots: the load that servers report with their answers counts
- *   against their slots, because other instances use them too
+ *   against their slots, because other instances use them too; an attempt that
+ *   was not sent takes nothing from the retry budget
  * @drain_grace_ms: time after a holder began to drain during which it still
  *   gets requests for its keys, while they move; default BGAP_DRAIN_GRACE_MS,
  *   negative for none
--- a/packages/routing/src/router_attempt.c
+++ b/packages/routing/src/router_attempt.c
@@ -44,25 +44,45 @@
   bgap_router_end_attempt (state, now_ms, request);
 }
 
-/* Retries a request in state NEW, or finishes it with @reason. @charged is
-   false after a refusal by a live server: such a retry takes nothing from the
-   retry budget, because the instances share slots and this one chose the wrong
-   server. These retries are bounded by the pauses of bgap_server_back_off()
-   and by the limits of refusals and attempts of a request.  */
+/**
+ * enum retry_cause - how the attempt ended that is followed by another one
+ */
+enum retry_cause
+{
+  RETRY_FAILED,
+  RETRY_REFUSED, /* by a live server */
+  RETRY_UNSENT   /* no byte reached a server */
+};
+
+/* Whether a retry takes from the retry budget. After a refusal it does not if
+   the instances share slots and this one chose the wrong server; these retries
+   are bounded by the pauses of bgap_server_back_off() and by the limits of
+   refusals and attempts of a request. If the instances share the budget, it
+   limits the arrivals at servers, of which an unsent attempt is none.  */
+static bool
+_bgap_router_charges (const struct bgap_router_service *service,
+                      enum retry_cause cause)
+{
+  if (cause == RETRY_REFUSED)
+    return service->desc.charge_refusals;
+  return cause == RETRY_FAILED || !service->desc.shared_slots;
+}
+
+/* Retries a request in state NEW, or finishes it with @reason.  */
 static void
 _bgap_router_retry (struct bgap_router_state *state, int64_t now_ms,
                     struct bgap_router_request *request,
-                    enum bgap_reason reason, bool charged)
+                    enum bgap_reason reason, enum retry_cause cause)
 {
   struct bgap_router_service *service
       = bgap_router_service (state, request->service);
   bool limited = service->desc.policy->limited;
   uint32_t counted = request->attempts;
-  bool refused = !charged;
-  charged = charged || service->desc.charge_refusals;
+  bool refused = cause == RETRY_REFUSED;
+  bool charged = _bgap_router_charges (service, cause);
   if (limited)
     {
-      request->refusals += !charged;
+      request->refusals += refused && !charged;
       counted -= request->refusals;
     }
   if (request->detached || counted >= request->attempts_max
@@ -101,7 +121,7 @@
   if (!request->idempotent || request->started || request->broken_attempts > 1)
     bgap_router_finish (state, now_ms, request, reason);
   else
-    _bgap_router_retry (state, now_ms, request, reason, true);
+    _bgap_router_retry (state, now_ms, request, reason, RETRY_FAILED);
 }
 
 bool
@@ -261,12 +281,15 @@
         }
       else
         _bgap_router_retry (state, now_ms, request, BGAP_REASON_REFUSED,
-                            false);
+                            RETRY_REFUSED);
       return;
     case BGAP_RESULT_SHED:
+      _bgap_router_retry (state, now_ms, request, BGAP_REASON_REFUSED,
+                          RETRY_REFUSED);
+      return;
     case BGAP_RESULT_NO_CONNECT:
       _bgap_router_retry (state, now_ms, request, BGAP_REASON_REFUSED,
-                          result->kind == BGAP_RESULT_NO_CONNECT);
+                          RETRY_UNSENT);
       return;
     case BGAP_RESULT_FAILED:
       if (!request->idempotent)
@@ -276,7 +299,8 @@
           return;
         }
       request->maybe_ran = true;
-      _bgap_router_retry (state, now_ms, request, BGAP_REASON_FAILED, true);
+      _bgap_router_retry (state, now_ms, request, BGAP_REASON_FAILED,
+                          RETRY_FAILED);
       return;
     case BGAP_RESULT_TIMEOUT:
       bgap_router_attempt_broken (state, now_ms, request,
--- a/packages/routing/tests/test_shared.c
+++ b/packages/routing/tests/test_shared.c
@@ -142,6 +142,60 @@
   fixture_shutdown (&f);
 }
 
+/* Guards against a request that is refused because the budget is used up,
+   although its attempt reached no server: the connection was refused.  */
+static void
+test_unsent_attempts_take_nothing_from_the_budget (void **state)
+{
+  (void)state;
+  struct fixture f;
+  struct bgap_service_desc desc = fixture_shared_service;
+  desc.retry_percent = 1;
+  desc.attempts_max = 3;
+  fixture_setup (&f, &desc);
+  for (int i = 0; i < 8; i++)
+    {
+      const char name[] = { (char)('a' + i), '\0' };
+      add_server (&f, name, "z1");
+    }
+  for (int i = 0; i < 20; i++)
+    {
+      struct bgap_request_id request = fixture_request (&f, NULL);
+      struct bgap_router_action d
+          = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+      fixture_result (&f, d.attempt, BGAP_RESULT_NO_CONNECT);
+      d = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+      fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
+      fixture_expect_finish (&f, request, BGAP_OUTCOME_ANSWERED, 200);
+      fixture_wait (&f, 500);
+    }
+  fixture_shutdown (&f);
+}
+
+/* Guards against a request that goes from one unreachable server to the next
+   without end.  */
+static void
+test_unsent_attempts_count (void **state)
+{
+  (void)state;
+  struct fixture f;
+  struct bgap_service_desc desc = fixture_shared_service;
+  desc.attempts_max = 2;
+  fixture_setup (&f, &desc);
+  add_server (&f, "a", "z1");
+  add_server (&f, "b", "z1");
+  add_server (&f, "c", "z1");
+  struct bgap_request_id request = fixture_request (&f, NULL);
+  for (int i = 0; i < 2; i++)
+    {
+      struct bgap_router_action d
+          = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+      fixture_result (&f, d.attempt, BGAP_RESULT_NO_CONNECT);
+    }
+  fixture_expect_finish (&f, request, BGAP_OUTCOME_NOT_RUN, 503);
+  fixture_shutdown (&f);
+}
+
 /* Guards against instances whose retry budgets together exceed the limit:
    after a restart of all instances, each knows few others, and each change of
    their number refilled the budget.  */
@@ -336,6 +390,8 @@
     cmocka_unit_test (test_load_of_others_counts),
     cmocka_unit_test (test_queue_of_the_server_is_bounded),
     cmocka_unit_test (test_refusals_take_from_the_budget),
+    cmocka_unit_test (test_unsent_attempts_take_nothing_from_the_budget),
+    cmocka_unit_test (test_unsent_attempts_count),
     cmocka_unit_test (test_retry_budget_is_not_refilled_by_a_change),
     cmocka_unit_test (test_open_requests_are_answered_at_shutdown),
     cmocka_unit_test (test_attempts_max_of_a_request),
