Fix: room for added fields in a head that has the most

Cause: a list of fields holds 128, which is also the limit of a head that is received; adding Content-Length, or the fields of an attempt, failed, and bgap_edge_finish() ignored the result. Evidence: the new test on, a time-out and 429.

Change: a list holds 16 fields more than a received head may have, and a response that cannot be passed on gets 502.

Result: process.test_full_heads (127, 128, 129 fields, both ways) failed before and passes in two runs; the gateway's tests pass.

--- a/packages/gateway/include/banyangap/gateway/headers.h
+++ b/packages/gateway/include/banyangap/gateway/headers.h
@@ -14,8 +14,12 @@
 
 #include "banyangap/base/status.h"
 
-/* Limits of a list: number of fields, and bytes of all names and values.  */
-#define BGAP_HEADERS_COUNT_MAX 128
+/* Maximum number of fields of a head that is received.  */
+#define BGAP_HEADERS_RECEIVED_MAX 128
+
+/* Limits of a list: number of fields, with room for those that are added to a
+   head that is passed on, and bytes of all names and values.  */
+#define BGAP_HEADERS_COUNT_MAX (BGAP_HEADERS_RECEIVED_MAX + 16)
 #define BGAP_HEADERS_SIZE_MAX 32768
 
 /**
--- a/packages/gateway/src/http_head.c
+++ b/packages/gateway/src/http_head.c
@@ -104,6 +104,8 @@
       size--;
     }
   parse->has_value = true;
+  if (parse->head->headers.count >= BGAP_HEADERS_RECEIVED_MAX)
+    return _bgap_head_stop (parse, BGAP_ERR_FULL);
   enum bgap_status status = bgap_headers_add_bytes (
       &parse->head->headers, parse->name, parse->name_size, bytes, size);
   if (status == BGAP_ERR_INVALID)
--- a/programs/banyangapd/edge_request.c
+++ b/programs/banyangapd/edge_request.c
@@ -233,6 +233,25 @@
               (long long)exchange->edge->table->version);
 }
 
+/* Sends the caller the end of a complete response, or the whole of it if it
+   was buffered.  */
+static void
+_bgap_request_deliver (struct bgap_edge_exchange *exchange)
+{
+  struct bgap_edge *edge = exchange->edge;
+  struct bgap_exchange_id id = { exchange->id };
+  enum bgap_status status
+      = exchange->streaming
+            ? bgap_frontend_finish (edge->frontend, id)
+            : bgap_frontend_reply (edge->frontend, id, exchange->status,
+                                   &exchange->headers, exchange->body.data,
+                                   exchange->body.size);
+  /* If the response has begun, the exchange has ended and this has no
+     effect.  */
+  if (status != BGAP_OK)
+    _bgap_request_reply (edge, id, 502, "the response cannot be passed on", 0);
+}
+
 void
 bgap_edge_finish (struct bgap_edge_exchange *exchange,
                   const struct bgap_router_action *action)
@@ -243,14 +262,10 @@
   bool answered = action->reason == BGAP_REASON_ANSWERED;
   bgap_edge_observe (&exchange->service->metrics, action->outcome, took_ms);
   _bgap_request_log (exchange, action, took_ms);
-  if (exchange->streaming && answered)
-    bgap_frontend_finish (edge->frontend, id);
+  if (answered)
+    _bgap_request_deliver (exchange);
   else if (exchange->streaming)
     bgap_frontend_abort (edge->frontend, id);
-  else if (answered)
-    bgap_frontend_reply (edge->frontend, id, exchange->status,
-                         &exchange->headers, exchange->body.data,
-                         exchange->body.size);
   else
     {
       /* A request in quarantine may be valid, so that its status must not say
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -281,6 +281,7 @@
         self.lock = threading.Lock()
         self.work_s = 0.01
         self.padding = b""  # at the end of its answers
+        self.field_count = 0  # of the heads of its answers, which then have no length
         self.rate_limit = None  # requests per second that it states in its answers
         self.is_leaving = False  # it states that in its answers, whatever it has registered
         self.pause_s = None      # it refuses requests and wants none of the instance for so long
@@ -501,8 +502,19 @@
             self.repeat_refusal(handler)
             self.executed.append((time.time(), request_id, key, body))
         time.sleep(self.work_s)
-        handler.reply(200, b"%s:%s%s" % (self.name.encode(), body, self.padding),
-                      [("Backend-Signature", "s-" + self.name), ("Backend-Load", "1,0,4")])
+        content = b"%s:%s%s" % (self.name.encode(), body, self.padding)
+        headers = [("Backend-Signature", "s-" + self.name), ("Backend-Load", "1,0,4")]
+        if self.field_count > 0:
+            self.reply_with_fields(handler, content, [*headers, *handler.more_headers])
+        else:
+            handler.reply(200, content, headers)
+
+    def reply_with_fields(self, handler, content, headers):
+        headers += [("X-%d" % number, "y") for number in range(self.field_count - len(headers))]
+        handler.close_connection = True
+        handler.wfile.write(b"HTTP/1.1 200 OK\r\n%s\r\n%s" % (
+            b"".join(b"%s: %s\r\n" % (name.encode(), value.encode())
+                     for name, value in headers), content))
 
 
 SETTINGS = """grants: "rpc"
