Fix: no overflow by the idle timeout that a server announces

Found by the review's sanitizer build: "Keep-Alive: timeout=" beyond 64 bits overflows when it is scaled. Harmless so far in the release build, undefined.

Result: gateway.test_backend, test_very_long_idle_timeout, failed with "signed integer overflow" in the sanitizer build and passes.

--- a/packages/gateway/src/backend_response.c
+++ b/packages/gateway/src/backend_response.c
@@ -20,6 +20,10 @@
    connection would be lost.  */
 #define IDLE_REUSE_PERCENT 70
 
+/* Longer idle timeouts are taken for this one, which exceeds that of the
+   client.  */
+#define IDLE_TIMEOUT_MAX_S 86400
+
 void
 bgap_backend_connection_fail (struct backend_connection *c,
                               enum bgap_failure_kind kind, const char *message)
@@ -112,6 +116,8 @@
   if (timeout == NULL)
     return;
   long seconds = strtol (timeout + strlen ("timeout="), NULL, 10);
+  if (seconds > IDLE_TIMEOUT_MAX_S)
+    seconds = IDLE_TIMEOUT_MAX_S;
   int64_t limit_ms = (int64_t)seconds * 10 * IDLE_REUSE_PERCENT;
   if (seconds <= 0)
     c->not_reusable = true;
--- a/packages/gateway/tests/backend_fixture.c
+++ b/packages/gateway/tests/backend_fixture.c
@@ -111,6 +111,10 @@
     { "/close",
       "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 2\r\n\r\nok",
       true },
+    { "/kept",
+      "HTTP/1.1 200 OK\r\nKeep-Alive: timeout=99999999999999999999\r\n"
+      "Content-Length: 2\r\n\r\nok",
+      false },
     { "/extra", "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok!", false },
     { "/fenced",
       "HTTP/1.1 409 Conflict\r\nBgap-Refused: fenced\r\n"
--- a/packages/gateway/tests/test_backend.c
+++ b/packages/gateway/tests/test_backend.c
@@ -65,6 +65,20 @@
   assert_int_equal (bgap_refusal_parse ("Fenced"), BGAP_REFUSAL_NONE);
 }
 
+/* Guards against an overflow by the idle timeout that a server announces: a
+   connection that may stay open for ever is reused.  */
+static void
+test_very_long_idle_timeout (void **state)
+{
+  (void)state;
+  struct backend_fixture f;
+  backend_fixture_start (&f, &(struct bgap_backend_desc){ 0 }, 1);
+  assert_true (backend_fixture_run (&f, "/kept").complete);
+  assert_true (backend_fixture_run (&f, "/ok").complete);
+  assert_int_equal (f.server.accepted, 1);
+  backend_fixture_stop (&f);
+}
+
 /* Guards against incomplete or malformed responses reported as complete, and
    against a wrong "sent" in the failure.  */
 static void
@@ -234,6 +248,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_connections_are_reused),
+    cmocka_unit_test (test_very_long_idle_timeout),
     cmocka_unit_test (test_refusals),
     cmocka_unit_test (test_invalid_responses_fail),
     cmocka_unit_test (test_connect_failure_is_not_sent),
