--- /dev/null
+++ b/packages/routing/include/banyangap/routing/router_stop.h
@@ -0,0 +1,57 @@
+#ifndef BANYANGAP_ROUTING_ROUTER_STOP_H
+#define BANYANGAP_ROUTING_ROUTER_STOP_H
+
+/*
+ * Steps of a graceful stop of a router, in this order:
+ *
+ *   bgap_router_end_by (&router, end_ms);
+ *   ...
+ *   bgap_router_stop_accepting (&router);
+ *   bgap_router_refuse_waiting (&router, now_ms);
+ *   ...
+ *   bgap_router_abort_attempts (&router, now_ms);
+ *
+ * Each emits actions that the owner carries out, as after any other event.
+ */
+
+#include "banyangap/routing/router.h"
+
+/**
+ * bgap_router_end_by() - pass on only what is answered before the process ends
+ * @end_ms: when attempts will be aborted
+ *
+ * A request that the recent answers of its service let expect too late is
+ * refused at once, while another instance can still serve it.
+ */
+void bgap_router_end_by (struct bgap_router *router, int64_t end_ms);
+
+/**
+ * bgap_router_stop_accepting() - refuse new requests from now on
+ *
+ * They end with outcome NOT_RUN. First step of a shutdown.
+ */
+void bgap_router_stop_accepting (struct bgap_router *router);
+
+/**
+ * bgap_router_refuse_waiting() - end the requests that are not at a server
+ *
+ * For a process that stops before a server could answer them. They end with
+ * outcome NOT_RUN, or UNKNOWN if an attempt may have run.
+ */
+void bgap_router_refuse_waiting (struct bgap_router *router, int64_t now_ms);
+
+/**
+ * bgap_router_abort_attempts() - end the requests that are at a server
+ *
+ * For a process that stops now: their callers would otherwise get no answer.
+ * They end with outcome UNKNOWN, since they may have run. A request whose
+ * response has begun goes on: nothing else can be answered in its place.
+ */
+void bgap_router_abort_attempts (struct bgap_router *router, int64_t now_ms);
+
+/**
+ * bgap_router_idle() - whether no request, action or append is pending
+ */
+bool bgap_router_idle (const struct bgap_router *router);
+
+#endif
--- a/packages/routing/tests/test_end_by.c
+++ b/packages/routing/tests/test_end_by.c
@@ -1,3 +1,4 @@
+#include "banyangap/routing/router_stop.h"
 #include "fixture.h"
 
 #define ANSWER_MS 200
--- a/packages/routing/tests/test_router.c
+++ b/packages/routing/tests/test_router.c
@@ -1,5 +1,7 @@
 #include "fixture.h"
 
+#include "banyangap/routing/router_stop.h"
+
 static const struct bgap_service_desc default_service = { .name = "s" };
 
 /* Guards against more attempts than slots, and against a request that stays
--- a/packages/routing/tests/test_shared.c
+++ b/packages/routing/tests/test_shared.c
@@ -2,6 +2,7 @@
 
 #include "banyangap/routing/balancer.h"
 #include "banyangap/routing/retry_budget.h"
+#include "banyangap/routing/router_stop.h"
 
 static struct bgap_server_id
 add_new_server (struct fixture *f, const char *name, const char *zone,
--- a/programs/banyangapd/edge_stop.c
+++ b/programs/banyangapd/edge_stop.c
@@ -1,3 +1,4 @@
+#include "banyangap/routing/router_stop.h"
 #include "edge_parts.h"
 #include "now.h"
 
--- a/programs/banyangapd/requests.c
+++ b/programs/banyangapd/requests.c
@@ -6,6 +6,7 @@
 #include "banyangap/base/hash.h"
 #include "banyangap/base/log.h"
 #include "banyangap/base/random.h"
+#include "banyangap/routing/router_stop.h"
 #include "message_kinds.h"
 #include "now.h"
 #include "requests_private.h"
