--- a/packages/gateway/tests/test_backend_head_cut.c
+++ b/packages/gateway/tests/test_backend_head_cut.c
@@ -79,7 +79,7 @@
   const char *id = bgap_headers_find (headers, "Id");
   (void)user;
   (void)status;
-  (void)refusal;
+  *refusal = BGAP_REFUSAL_NONE;
   return id != NULL && strcmp (id, "old") == 0 ? BGAP_HEAD_STALE
                                                : BGAP_HEAD_RESPONSE;
 }
--- a/packages/routing/tests/test_end_by.c
+++ b/packages/routing/tests/test_end_by.c
@@ -1,7 +1,7 @@
 #include "banyangap/routing/router_stop.h"
 #include "fixture.h"
 
-#define ANSWER_MS 200
+#define ANSWER_MS INT64_C (200)
 #define DEADLINE_MS 2000
 
 static const struct bgap_request_desc request_desc
