Log foreign answers to orders; forget at a restart that a server returns ids

An answer that is skipped because it belongs to another order had no line. A server that starts again under its id may be of a version that returns no ids of orders; all its answers would have counted as none.

process.test_repeated_orders passes.

--- a/packages/gateway/include/banyangap/gateway/backend.h
+++ b/packages/gateway/include/banyangap/gateway/backend.h
@@ -153,8 +153,8 @@
  * @identity: the same number for all attempts whose responses cannot be told
  *   apart, 0 if there are no others. An attempt is not sent on a connection on
  *   which another of them was refused: the server may send the refusal again.
- * @response_size_max: limit of the response's body in bytes, a longer one
- * fails as BGAP_FAILURE_PROTOCOL; 0 means none
+ * @response_size_max: limit of the response's body in bytes; a longer one
+ *   makes the attempt fail as BGAP_FAILURE_PROTOCOL; 0 means none
  * @ops: must stay valid until the attempt ends
  * @user: first argument of the functions in @ops
  */
--- a/packages/gateway/src/backend_private.h
+++ b/packages/gateway/src/backend_private.h
@@ -60,8 +60,8 @@
  *   read before is still processed
  * @peer_closed_cleanly: the server has closed it with a FIN, not a reset
  * @write_failed: part of the request could not be sent. The failed write takes
- *   the pending error from the socket, so that the read after it sees an end
- * of stream also if the connection was reset.
+ *   the pending error from the socket, so that the next read sees an end of
+ *   stream even if the connection was reset.
  * @close_delimited: the body ends with the connection
  * @connection_refused: the connection was refused (ECONNREFUSED)
  * @is_server_error: the head was classified as BGAP_HEAD_ERROR; the body is
--- a/programs/banyangapd/edge_orders.c
+++ b/programs/banyangapd/edge_orders.c
@@ -25,6 +25,9 @@
 
 static struct bgap_event_kind event_order = { .name = "order" };
 
+/* An answer that is not the one to the order.  */
+static struct bgap_event_kind event_foreign = { .name = "foreign-answer" };
+
 /**
  * enum order_kind - type of a call
  */
@@ -157,10 +160,15 @@
   *refusal = BGAP_REFUSAL_NONE;
   order->edge->desc.wire->read_response (headers, status, order->id,
                                          &response);
-  if (response.id_differs)
-    return BGAP_HEAD_STALE;
-  if (!response.id_matches && order->server->returns_order_ids)
-    return BGAP_HEAD_INVALID;
+  if (response.id_differs
+      || (!response.id_matches && order->server->returns_order_ids))
+    {
+      bgap_event (&event_foreign,
+                  "order=%s server=%s status=%d id=%s has_id=%d",
+                  _bgap_order_name (order->kind), order->server->id, status,
+                  order->id, response.id_differs);
+      return response.id_differs ? BGAP_HEAD_STALE : BGAP_HEAD_INVALID;
+    }
   order->server->returns_order_ids = response.id_matches;
   order->status = status;
   bgap_edge_on_limit (order->edge, order->server, &response);
--- a/programs/banyangapd/edge_parts.h
+++ b/programs/banyangapd/edge_parts.h
@@ -38,6 +38,14 @@
  */
 bool bgap_edge_is_ready (const struct bgap_edge *edge);
 
+/**
+ * bgap_edge_memory_share() - part of the memory that the process may use
+ * @divisor: the part is 1 / @divisor
+ *
+ * Return: bytes.
+ */
+size_t bgap_edge_memory_share (const struct bgap_edge *edge, uint32_t divisor);
+
 /* edge_stop.c */
 
 /**
@@ -339,14 +347,6 @@
 bool bgap_edge_server_changed (const struct bgap_edge *edge,
                                const struct bgap_store_record *record);
 
-/**
- * bgap_edge_memory_share() - part of the memory that the process may use
- * @divisor: the part is 1 / @divisor
- *
- * Return: bytes.
- */
-size_t bgap_edge_memory_share (const struct bgap_edge *edge, uint32_t divisor);
-
 /* edge_request.c */
 void bgap_edge_on_request (void *context, struct bgap_exchange_id id,
                            const struct bgap_frontend_request *request);
--- a/programs/banyangapd/edge_servers.c
+++ b/programs/banyangapd/edge_servers.c
@@ -343,6 +343,7 @@
       server->lost_ms = 0;
       server->refused_connections = 0;
       server->attempt_broken_ms = 0;
+      server->returns_order_ids = false;
       bgap_router_server_alive (&edge->router, now_ms, server->router_id,
                                 (uint64_t)entry->started_ms);
     }
--- a/programs/banyangapd/edge_state.h
+++ b/programs/banyangapd/edge_state.h
@@ -129,7 +129,7 @@
  * @waiting_orders: orders that wait for a connection, oldest first
  * @releases_used_ms: when an order was last sent over @releases
  * @releases_done: the last releases that it has carried out, with their proofs
- * @returns_order_ids: it has returned the id of an order
+ * @returns_order_ids: it has returned the id of an order since its start
  * @calls: attempts and orders in flight, each of which refers to the server
  * @refused_connections: consecutive refused connections
  * @attempt_broken_ms: when the connection of an attempt last broke, 0 if it
