Fix: answer what still runs when the time of a graceful stop is over

Callers saw, off the users' platform: a request that still runs when shutdown_ms is over gets a closed connection.

Cause: the daemon left the event loop, and the frontend reset what was open.

Change: when the time is over, callers whose response has not begun get 502 "unknown", and the process ends 250 ms later. Requests that run at most once go on meanwhile, so that their outcome can be recorded. Exchanges that run without their caller are freed at the end, which the sanitizer asked for.

Only files of this mode changed: the platform mode is as before.

--- a/programs/banyangapd/daemon.c
+++ b/programs/banyangapd/daemon.c
@@ -13,6 +13,9 @@
 
 #define STOP_CHECK_INTERVAL_MS 50
 
+/* Time in which the answers to aborted requests are sent.  */
+#define STOP_FLUSH_MS 250
+
 /**
  * enum stop_state - progress of a graceful stop
  */
@@ -20,7 +23,8 @@
 {
   STOP_NOT_REQUESTED,
   STOP_UNREADY, /* /readyz fails; requests are still accepted */
-  STOP_DRAINING
+  STOP_DRAINING,
+  STOP_ABORTED /* callers were answered that their requests are aborted */
 };
 
 struct bgap_daemon
@@ -131,12 +135,17 @@
       bgap_requests_stop (daemon->requests);
       bgap_cells_leave (daemon->cells);
     }
-  bool drained = daemon->stop_state == STOP_DRAINING
+  bool drained = daemon->stop_state >= STOP_DRAINING
                  && bgap_requests_stopped (daemon->requests)
                  && bgap_cells_may_exit (daemon->cells);
-  bool timed_out
-      = waited_ms >= (int64_t)limits->readiness_wait_ms + limits->shutdown_ms;
-  if (!drained && !timed_out)
+  int64_t late_ms
+      = waited_ms - limits->readiness_wait_ms - limits->shutdown_ms;
+  if (!drained && late_ms >= 0 && daemon->stop_state == STOP_DRAINING)
+    {
+      daemon->stop_state = STOP_ABORTED;
+      bgap_requests_abort (daemon->requests);
+    }
+  if (!drained && late_ms < STOP_FLUSH_MS)
     return;
   if (!drained)
     bgap_log_warn ("daemon", "graceful stop timed out; exiting");
--- a/programs/banyangapd/exchange.c
+++ b/programs/banyangapd/exchange.c
@@ -54,6 +54,8 @@
 {
   if (!exchange->caller_gone)
     HASH_DEL (exchange->requests->exchanges, exchange);
+  if (exchange->detached)
+    LIST_REMOVE (exchange, next_detached);
   bgap_headers_shutdown (&exchange->headers);
   bgap_buffer_shutdown (&exchange->body);
   bgap_buffer_shutdown (&exchange->kept_body);
--- a/programs/banyangapd/requests.c
+++ b/programs/banyangapd/requests.c
@@ -208,7 +208,12 @@
   /* An attempt of a request that runs at most once continues without its
      caller.  */
   if (!exchange->calling)
-    bgap_exchange_free (exchange);
+    {
+      bgap_exchange_free (exchange);
+      return;
+    }
+  exchange->detached = true;
+  LIST_INSERT_HEAD (&requests->detached, exchange, next_detached);
 }
 
 static void
@@ -308,6 +313,8 @@
   struct bgap_exchange *next;
   HASH_ITER (hh, requests->exchanges, exchange, next)
   bgap_exchange_free (exchange);
+  while (!LIST_EMPTY (&requests->detached))
+    bgap_exchange_free (LIST_FIRST (&requests->detached));
   bgap_requests_free_services (requests);
   if (requests->router.state != NULL)
     bgap_router_shutdown (&requests->router);
@@ -343,6 +350,37 @@
   bgap_frontend_stop (requests->frontend);
 }
 
+/* Requests that run at most once are not ended by the router, so that their
+   outcome is still recorded. Their callers learn that it is unknown.  */
+static void
+_bgap_requests_answer_rest (struct bgap_requests *requests)
+{
+  struct bgap_exchange *exchange;
+  struct bgap_exchange *next;
+  HASH_ITER (hh, requests->exchanges, exchange, next)
+  {
+    const struct bgap_exchange_id id = { exchange->id };
+    if (exchange->streaming)
+      continue;
+    bgap_exchange_reply_error (requests->frontend, id, 502,
+                               BGAP_OUTCOME_UNKNOWN,
+                               bgap_reason_name (BGAP_REASON_SHUTDOWN), 0);
+    _bgap_requests_on_cancel (requests, id);
+  }
+}
+
+void
+bgap_requests_abort (struct bgap_requests *requests)
+{
+  int64_t now_ms = bgap_now_ms ();
+  bgap_router_stop_accepting (&requests->router);
+  bgap_router_refuse_waiting (&requests->router, now_ms);
+  bgap_router_abort_attempts (&requests->router, now_ms);
+  bgap_requests_run (requests);
+  _bgap_requests_answer_rest (requests);
+  bgap_frontend_refuse_incomplete (requests->frontend);
+}
+
 bool
 bgap_requests_stopped (const struct bgap_requests *requests)
 {
--- a/programs/banyangapd/requests.h
+++ b/programs/banyangapd/requests.h
@@ -88,6 +88,12 @@
  */
 void bgap_requests_stop (struct bgap_requests *requests);
 
+/**
+ * bgap_requests_abort() - answer all callers whose response has not begun, for
+ * a process that ends soon
+ */
+void bgap_requests_abort (struct bgap_requests *requests);
+
 /**
  * bgap_requests_stopped() - whether all requests have ended after
  * bgap_requests_stop()
--- a/programs/banyangapd/requests_private.h
+++ b/programs/banyangapd/requests_private.h
@@ -5,6 +5,7 @@
  * Declarations shared by the source files of the request path.
  */
 
+#include <sys/queue.h>
 #include <uthash.h>
 
 #include "banyangap/gateway/frontend.h"
@@ -44,6 +45,7 @@
  * @lease: handle of bgap_cells_begin_request()
  * @streaming: the answer's head was sent to the caller
  * @caller_gone: the caller has disconnected
+ * @detached: it is in the list of those that run without their caller
  */
 struct bgap_exchange
 {
@@ -72,8 +74,10 @@
   uint32_t lease;
   bool streaming;
   bool caller_gone;
+  bool detached;
   int forward_end;
   UT_hash_handle hh;
+  LIST_ENTRY (bgap_exchange) next_detached;
 };
 
 /**
@@ -91,6 +95,7 @@
   struct bgap_router router;
   struct bgap_frontend *frontend;
   struct bgap_exchange *exchanges;
+  LIST_HEAD (, bgap_exchange) detached;
   struct bgap_requests_service *services;
   struct bgap_probes *probes;
   struct bgap_idempotency_streams *idempotency_streams;
--- a/tests/process/deployment.py
+++ b/tests/process/deployment.py
@@ -184,10 +184,11 @@
     ZONES = ("a", "b", "c")
 
     def __init__(self, witnesses="region", archive=3, reads=3, register=3, checks_grants=True,
-                 readiness_wait_ms=100, per_zone=1):
+                 readiness_wait_ms=100, per_zone=1, shutdown_ms=30000):
         self.witnesses = witnesses
         self.checks_grants = checks_grants
         self.readiness_wait_ms = readiness_wait_ms
+        self.shutdown_ms = shutdown_ms
         self.per_zone = per_zone
         self.folder = tempfile.TemporaryDirectory(prefix="bgap-test-")
         self.counts = {"archive": archive, "reads": reads, "register": register}
@@ -329,10 +330,12 @@
             settings.write(
                 "name: %s\nzone: %s\ndeployment: acme\ncallers_address: %s\npeers_address: %s\n"
                 "operators_address: %s\nlog_address: %s\nhost_list_address: %s\nlog_level: info\n"
-                "operator_token_sha256: %s\nlimits:\n  readiness_wait_ms: %d\n" % (
+                "operator_token_sha256: %s\nlimits:\n  readiness_wait_ms: %d\n"
+                "  shutdown_ms: %d\n" % (
                     name, info["zone"], info["callers"], info["peers"], info["operators"],
                     info["log"].address, info["hosts"].address,
-                    hashlib.sha256(TOKEN.encode()).hexdigest(), self.readiness_wait_ms))
+                    hashlib.sha256(TOKEN.encode()).hexdigest(), self.readiness_wait_ms,
+                    self.shutdown_ms))
         self.instances[name] = self._program(name, "banyangapd", "--settings", path)
 
     def put_hosts(self):
--- a/tests/process/test_instance_loss.py
+++ b/tests/process/test_instance_loss.py
@@ -69,6 +69,25 @@
                     self.assertGreaterEqual(len(response.result().body), 40000)
             self.assertEqual(deployment.instances["entry-b"].process.wait(timeout=20), 0)
 
+    def test_request_that_outlasts_a_graceful_stop_is_answered(self):
+        """Guards against a closed connection, instead of an answer, for a request that runs when the
+        time for running requests is over."""
+        with Deployment(archive=0, shutdown_ms=1500) as deployment:
+            key = uuid7()
+            calls = (("GET", "/acme/reads/1?late_ms=8000", None, {}),
+                     ("POST", "/acme/register/1?late_ms=8000", b"1", {"Idempotency-Key": key}))
+            with concurrent.futures.ThreadPoolExecutor(2) as pool:
+                running = [pool.submit(deployment.request, "entry-b", *call, timeout=30)
+                           for call in calls]
+                deployment.wait(lambda: b"in_flight 2" in deployment.operator_request(
+                    "entry-b", "GET", "/metrics").body, 10, "requests in flight")
+                deployment.instances["entry-b"].signal(signal.SIGTERM)
+                for response in running:
+                    self.assertEqual((response.result().status, response.result().outcome),
+                                     (502, "unknown"))
+            self.assertEqual(deployment.instances["entry-b"].process.wait(timeout=20), 0)
+            self.assertEqual(deployment.run_counts("register")[key], 1)
+
     def repeat_after_restart(self, deployment, key, recorded):
         """Sends a write, restarts its instance, and returns the first and the repeated response."""
         def send(instance):
