Stop test: callers before the cases, the signal before their threads

The grace period begins with the signal; under load the start of 77 threads took a part of a grace of 1 s first.

--- a/tests/process/test_stop.py
+++ b/tests/process/test_stop.py
@@ -21,38 +21,84 @@
 CALLERS_COME_S = 3  # time after the signal until which callers are sent to the instance
 
 
-class StopTest(unittest.TestCase):
+def connect(instance, timeout_s=ANSWER_S):
+    connection = socket.create_connection((instance.ip, instance.http), timeout=timeout_s)
+    connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return connection
+
+
+def answers(connection, count=1):
+    """Statuses of the complete answers on the connection."""
+    data, statuses = b"", []
+    try:
+        while len(statuses) < count:
+            head, separator, rest = data.partition(b"\r\n\r\n")
+            length = next((int(line.split(b":")[1]) for line in head.split(b"\r\n")
+                           if line.lower().startswith(b"content-length")), 0)
+            if separator and len(rest) >= length:
+                statuses.append(int(head.split()[1]))
+                data = rest[length:]
+                continue
+            piece = connection.recv(65536)
+            if not piece:
+                break
+            data += piece
+    except OSError:
+        pass
+    connection.close()
+    return statuses
 
-    def connect(self, instance, timeout_s=ANSWER_S):
-        connection = socket.create_connection((instance.ip, instance.http), timeout=timeout_s)
-        connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        return connection
 
-    def request(self, number, body=b""):
-        return (b"POST /reads/%d HTTP/1.1\r\nHost: %s\r\nAttempt-Id: s-%d\r\n"
-                b"Deadline-Ms: 4000\r\nContent-Length: %d\r\n\r\n" % (
-                    number, HOST.encode(), number, len(body))) + body
+class LateCaller:
+    """Sends the last bytes of its request some time after the signal, or never, over a connection
+    that it opens then, or that was opened before and has sent a part of it."""
 
-    def answers(self, connection, count=1):
-        """Statuses of the complete answers on the connection."""
-        data, statuses = b"", []
+    def __init__(self, instance, request_id, path, opens_late, delay_s):
+        self.instance = instance
+        self.request_id = request_id
+        self.path = path
+        self.delay_s = delay_s
+        self.sent_s = self.ended_s = self.status = None
+        request = (b"POST /%s/1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\n"
+                   b"Deadline-Ms: 20000\r\nContent-Length: %d\r\n\r\n" % (
+                       path.encode(), HOST.encode(), request_id.encode(), len(BODY))) + BODY
+        self.parts = (b"", request) if opens_late else (request[:-10], request[-10:])
+        self.connection = None if opens_late else connect(instance, 30)
+        if not opens_late:
+            self.connection.sendall(self.parts[0])
+
+    def __str__(self):
+        return "%s: sent %s, status %s, ended %s" % (self.request_id, self.sent_s, self.status,
+                                                     self.ended_s)
+
+    def begin(self, since):
+        self.since = since
+        self.thread = threading.Thread(target=self.run)
+        self.thread.start()
+
+    def run(self):
+        if self.delay_s is not None:
+            time.sleep(max(0, self.since + self.delay_s - time.time()))
+            self.sent_s = time.time() - self.since
         try:
-            while len(statuses) < count:
-                head, separator, rest = data.partition(b"\r\n\r\n")
-                length = next((int(line.split(b":")[1]) for line in head.split(b"\r\n")
-                               if line.lower().startswith(b"content-length")), 0)
-                if separator and len(rest) >= length:
-                    statuses.append(int(head.split()[1]))
-                    data = rest[length:]
-                    continue
-                piece = connection.recv(65536)
-                if not piece:
-                    break
-                data += piece
+            if self.connection is None:
+                self.connection = connect(self.instance, 30)
+            if self.delay_s is not None:
+                self.connection.sendall(self.parts[1])
         except OSError:
             pass
-        connection.close()
-        return statuses
+        if self.connection is not None:
+            statuses = answers(self.connection)
+            self.status = statuses[0] if statuses else None
+        self.ended_s = time.time() - self.since
+
+
+class StopTest(unittest.TestCase):
+
+    def request(self, number, body=b""):
+        return (b"POST /reads/%d HTTP/1.1\r\nHost: %s\r\nAttempt-Id: s-%d\r\n"
+                b"Deadline-Ms: 4000\r\nContent-Length: %d\r\n\r\n" % (
+                    number, HOST.encode(), number, len(body))) + body
 
     def test_requests_that_arrive_with_the_signal_are_answered(self):
         """Guards against requests that are cut off without an answer by a planned stop: accepted
@@ -67,7 +113,7 @@
                 backend.work_s = 0.2
             instance = platform.instances[0]
             whole, pipelined, half, idle = (
-                [self.connect(instance) for _ in range(CALLERS)] for _ in range(4))
+                [connect(instance) for _ in range(CALLERS)] for _ in range(4))
             for number, connection in enumerate(half):
                 connection.sendall(self.request(300 + number, BODY)[:-1500])
             for number, connection in enumerate(pipelined):
@@ -83,7 +129,7 @@
             for name, connections, count in (("whole", whole, 1), ("pipelined", pipelined, 2),
                                              ("half", half, 1), ("idle", idle, 1)):
                 for connection in connections:
-                    statuses = self.answers(connection, count)
+                    statuses = answers(connection, count)
                     self.assertGreaterEqual(len(statuses), 1, name)
                     self.assertLessEqual(set(statuses), {200, 503}, name)
             self.assertEqual(instance.process.wait(timeout=8), 0)
@@ -111,17 +157,18 @@
         self.stop(platform, grace_s)
 
     def stop(self, platform, grace_s):
-        process = platform.instances[0].process
-        callers = [LateCaller(self, platform.instances[0], "%s-%d-%d" % (path, opens_late, step),
-                              path, opens_late, step * grace_s / LATE_STEPS)
+        instance = platform.instances[0]
+        process = instance.process
+        callers = [LateCaller(instance, "%s-%d-%d" % (path, opens_late, step), path, opens_late,
+                              step * grace_s / LATE_STEPS)
                    for path in ("quick", "slow") for opens_late in (False, True)
                    for step in range(1, LATE_STEPS)]
-        callers.append(LateCaller(self, platform.instances[0], "never", "quick", False, None))
+        callers.append(LateCaller(instance, "never", "quick", False, None))
         time.sleep(0.1)
         since = time.time()
+        platform.terminate(0)
         for caller in callers:
             caller.begin(since)
-        platform.terminate(0)
         try:
             status = process.wait(timeout=max(0, since + grace_s - time.time()))
         except subprocess.TimeoutExpired:
@@ -173,50 +220,5 @@
                     result.result()
 
 
-class LateCaller:
-    """Sends the last bytes of its request some time after the signal, or never, over a connection
-    that it opens then, or that was opened before and has sent a part of it."""
-
-    def __init__(self, test, instance, request_id, path, opens_late, delay_s):
-        self.test = test
-        self.instance = instance
-        self.request_id = request_id
-        self.path = path
-        self.delay_s = delay_s
-        self.sent_s = self.ended_s = self.status = None
-        request = (b"POST /%s/1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\n"
-                   b"Deadline-Ms: 20000\r\nContent-Length: %d\r\n\r\n" % (
-                       path.encode(), HOST.encode(), request_id.encode(), len(BODY))) + BODY
-        self.parts = (b"", request) if opens_late else (request[:-10], request[-10:])
-        self.connection = None if opens_late else test.connect(instance, 30)
-        if not opens_late:
-            self.connection.sendall(self.parts[0])
-
-    def __str__(self):
-        return "%s: sent %s, status %s, ended %s" % (self.request_id, self.sent_s, self.status,
-                                                     self.ended_s)
-
-    def begin(self, since):
-        self.since = since
-        self.thread = threading.Thread(target=self.run)
-        self.thread.start()
-
-    def run(self):
-        if self.delay_s is not None:
-            time.sleep(max(0, self.since + self.delay_s - time.time()))
-            self.sent_s = time.time() - self.since
-        try:
-            if self.connection is None:
-                self.connection = self.test.connect(self.instance, 30)
-            if self.delay_s is not None:
-                self.connection.sendall(self.parts[1])
-        except OSError:
-            pass
-        if self.connection is not None:
-            statuses = self.test.answers(self.connection)
-            self.status = statuses[0] if statuses else None
-        self.ended_s = time.time() - self.since
-
-
 if __name__ == "__main__":
     unittest.main()
