--- a/review/common-2/server.py
+++ b/review/common-2/server.py
@@ -274,12 +274,11 @@
         return super().answer(connection, request)
 
 
-def call(instance, request_id, path, method="GET", key=None, body=None, deadline_s=2,
-         headers=()):
+def call(instance, request_id, path, method="GET", key=None, body=None, deadline_s=2):
     """Sends a request of a client to an instance over a new connection. Returns the status."""
     connection = http.client.HTTPConnection(instance.ip, instance.http, timeout=deadline_s + 1)
     fields = {"Host": platform_standin.HOST, "Attempt-Id": request_id,
-              "Deadline-Ms": "%d" % (deadline_s * 1000), **dict(headers)}
+              "Deadline-Ms": "%d" % (deadline_s * 1000)}
     if key is not None:
         fields["Shard-Key"] = str(key)
     try:
