Quarantine: log the evidence of each decision

Cause: the log named the reason of a refusal, "quarantined", but not the servers whose crashes stand behind it, nor when the attempts on them were sent. Whether two crashes were independent could not be seen.

Change: one line "quarantine" for each decision about a fingerprint and for each refusal (rate-limited like all events): fingerprint, server, ages of the attempt, of its broken connection and of the first crash.

--- a/packages/routing/include/banyangap/routing/router.h
+++ b/packages/routing/include/banyangap/routing/router.h
@@ -47,6 +47,7 @@
 #include "banyangap/base/status.h"
 #include "banyangap/routing/action.h"
 #include "banyangap/routing/attempt.h"
+#include "banyangap/routing/quarantine.h"
 #include "banyangap/routing/router_servers.h"
 #include "banyangap/routing/service.h"
 #include "banyangap/routing/types.h"
@@ -63,6 +64,7 @@
  * @servers_max: servers of all services; default 1024
  * @peers_max: peers whose in-flight counts are kept; default 16
  * @quarantine_max: fingerprints remembered; default 1024
+ * @quarantine_ops: calls for logs
  * @load_interval_ms: interval of the in-flight counts sent to peers; default
  *   500, negative to send none
  */
@@ -76,6 +78,7 @@
   uint32_t servers_max;
   uint32_t peers_max;
   uint32_t quarantine_max;
+  struct bgap_quarantine_ops quarantine_ops;
   int64_t load_interval_ms;
 };
 
@@ -434,6 +437,15 @@
                                             struct bgap_service_id service_id,
                                             struct bgap_service_costs *costs);
 
+/**
+ * bgap_router_quarantine() - why requests with a fingerprint are refused
+ *
+ * Return: false if the fingerprint is not in quarantine.
+ */
+bool bgap_router_quarantine (const struct bgap_router *router, int64_t now_ms,
+                             uint64_t fingerprint,
+                             struct bgap_quarantine_event *event);
+
 /**
  * bgap_router_counts() - current totals and gauges
  */
--- a/packages/routing/include/banyangap/routing/server.h
+++ b/packages/routing/include/banyangap/routing/server.h
@@ -53,6 +53,7 @@
 struct bgap_server_broken
 {
   uint64_t fingerprint;
+  int64_t sent_ms;
   int64_t at_ms;
 };
 
--- a/packages/routing/src/quarantine.c
+++ b/packages/routing/src/quarantine.c
@@ -8,12 +8,17 @@
 
 /**
  * struct bgap_quarantine_entry - a fingerprint
- * @server: hash of the first server that crashed; valid for suspects only
+ * @server: hash of the first server that crashed; 0 if a peer has put the
+ *   fingerprint in quarantine
+ * @known_ms: when its crash became known
+ * @last: the last decision, if @quarantined
  */
 struct bgap_quarantine_entry
 {
   uint64_t fingerprint;
   uint64_t server;
+  int64_t known_ms;
+  struct bgap_quarantine_event last;
   int64_t until_ms;
   bool quarantined;
 };
@@ -115,27 +120,65 @@
 
 /* Events.  */
 
+const char *
+bgap_quarantine_change_name (enum bgap_quarantine_change change)
+{
+  static const char *const names[BGAP_QUARANTINE_CHANGE_COUNT] = {
+    [BGAP_QUARANTINE_SUSPECTED] = "suspected",
+    [BGAP_QUARANTINE_STARTED] = "started",
+    [BGAP_QUARANTINE_TAKEN] = "taken",
+    [BGAP_QUARANTINE_CLEARED] = "cleared",
+  };
+  if ((unsigned int)change >= BGAP_QUARANTINE_CHANGE_COUNT)
+    return "unknown";
+  return names[change];
+}
+
+static void
+_bgap_quarantine_report (const struct bgap_quarantine *quarantine,
+                         enum bgap_quarantine_change change,
+                         struct bgap_quarantine_entry *entry,
+                         const struct bgap_quarantine_evidence *evidence)
+{
+  const struct bgap_quarantine_ops *ops = &quarantine->desc.ops;
+  entry->last
+      = (struct bgap_quarantine_event){ .change = change,
+                                        .fingerprint = entry->fingerprint,
+                                        .server = evidence->server,
+                                        .first_server = entry->server,
+                                        .sent_ms = evidence->sent_ms,
+                                        .broken_ms = evidence->broken_ms,
+                                        .first_ms = entry->known_ms };
+  if (ops->changed != NULL)
+    ops->changed (ops->context, &entry->last);
+}
+
 static bool
 _bgap_quarantine_start (struct bgap_quarantine *quarantine, int64_t now_ms,
-                        struct bgap_quarantine_entry *entry, uint64_t server)
+                        struct bgap_quarantine_entry *entry,
+                        const struct bgap_quarantine_evidence *evidence)
 {
+  _bgap_quarantine_report (quarantine, BGAP_QUARANTINE_STARTED, entry,
+                           evidence);
   entry->quarantined = true;
   entry->until_ms = now_ms + quarantine->desc.quarantine_ms;
   _bgap_quarantine_queue_update (
       quarantine,
       &(struct bgap_routing_suspicion){
           .fingerprint = entry->fingerprint,
-          .server = server,
+          .server = evidence->server,
           .kind = BGAP_SUSPICION_QUARANTINED,
           .remaining_ms = (uint32_t)quarantine->desc.quarantine_ms });
   return true;
 }
 
 static bool
-_bgap_quarantine_add_suspicion (struct bgap_quarantine *quarantine,
-                                int64_t now_ms, uint64_t fingerprint,
-                                uint64_t server, bool tell)
+_bgap_quarantine_add_suspicion (
+    struct bgap_quarantine *quarantine, int64_t now_ms,
+    const struct bgap_quarantine_evidence *evidence, bool tell)
 {
+  uint64_t fingerprint = evidence->fingerprint;
+  uint64_t server = evidence->server;
   if (fingerprint == 0)
     return false;
   struct bgap_quarantine_entry *entry
@@ -143,10 +186,15 @@
   if (entry != NULL && entry->quarantined)
     return true;
   if (entry != NULL && entry->server != server)
-    return _bgap_quarantine_start (quarantine, now_ms, entry, server);
+    return _bgap_quarantine_start (quarantine, now_ms, entry, evidence);
   if (entry == NULL)
-    entry = _bgap_quarantine_add (quarantine, now_ms, fingerprint);
-  entry->server = server;
+    {
+      entry = _bgap_quarantine_add (quarantine, now_ms, fingerprint);
+      entry->server = server;
+      entry->known_ms = now_ms;
+      _bgap_quarantine_report (quarantine, BGAP_QUARANTINE_SUSPECTED, entry,
+                               evidence);
+    }
   entry->until_ms = now_ms + quarantine->desc.suspect_ms;
   if (tell)
     _bgap_quarantine_queue_update (
@@ -159,20 +207,21 @@
 
 bool
 bgap_quarantine_suspect (struct bgap_quarantine *quarantine, int64_t now_ms,
-                         uint64_t fingerprint, uint64_t server)
+                         const struct bgap_quarantine_evidence *evidence)
 {
-  return _bgap_quarantine_add_suspicion (quarantine, now_ms, fingerprint,
-                                         server, true);
+  return _bgap_quarantine_add_suspicion (quarantine, now_ms, evidence, true);
 }
 
 static bool
 _bgap_quarantine_clear (struct bgap_quarantine *quarantine, int64_t now_ms,
                         uint64_t fingerprint)
 {
-  const struct bgap_quarantine_entry *entry
+  struct bgap_quarantine_entry *entry
       = _bgap_quarantine_find (quarantine, now_ms, fingerprint);
   if (entry == NULL || entry->quarantined)
     return false;
+  _bgap_quarantine_report (quarantine, BGAP_QUARANTINE_CLEARED, entry,
+                           &(struct bgap_quarantine_evidence){ 0 });
   _bgap_quarantine_remove (quarantine,
                            (uint32_t)(entry - quarantine->entries));
   return true;
@@ -205,6 +254,19 @@
   return _bgap_quarantine_find (quarantine, now_ms, fingerprint) != NULL;
 }
 
+bool
+bgap_quarantine_cause (const struct bgap_quarantine *quarantine,
+                       int64_t now_ms, uint64_t fingerprint,
+                       struct bgap_quarantine_event *event)
+{
+  const struct bgap_quarantine_entry *entry
+      = _bgap_quarantine_find (quarantine, now_ms, fingerprint);
+  if (entry == NULL || !entry->quarantined)
+    return false;
+  *event = entry->last;
+  return true;
+}
+
 /* Peers.  */
 
 bool
@@ -229,8 +291,11 @@
   switch (item->kind)
     {
     case BGAP_SUSPICION_SUSPECT:
-      _bgap_quarantine_add_suspicion (quarantine, now_ms, item->fingerprint,
-                                      item->server, false);
+      _bgap_quarantine_add_suspicion (
+          quarantine, now_ms,
+          &(struct bgap_quarantine_evidence){ .fingerprint = item->fingerprint,
+                                              .server = item->server },
+          false);
       return;
     case BGAP_SUSPICION_CLEARED:
       _bgap_quarantine_clear (quarantine, now_ms, item->fingerprint);
@@ -243,6 +308,9 @@
     return;
   if (entry == NULL)
     entry = _bgap_quarantine_add (quarantine, now_ms, item->fingerprint);
+  _bgap_quarantine_report (
+      quarantine, BGAP_QUARANTINE_TAKEN, entry,
+      &(struct bgap_quarantine_evidence){ .server = item->server });
   int64_t left_ms = item->remaining_ms;
   if (left_ms > quarantine->desc.quarantine_ms)
     left_ms = quarantine->desc.quarantine_ms;
--- a/packages/routing/src/router.c
+++ b/packages/routing/src/router.c
@@ -102,7 +102,7 @@
   if (status == BGAP_OK && state->issuer == NULL)
     status = BGAP_ERR_NO_MEMORY;
   const struct bgap_quarantine_desc quarantine
-      = { .capacity = desc->quarantine_max };
+      = { .capacity = desc->quarantine_max, .ops = desc->quarantine_ops };
   if (status == BGAP_OK)
     status = bgap_quarantine_setup (&state->quarantine, &quarantine);
   if (status != BGAP_OK)
@@ -115,6 +115,15 @@
   return BGAP_OK;
 }
 
+bool
+bgap_router_quarantine (const struct bgap_router *router, int64_t now_ms,
+                        uint64_t fingerprint,
+                        struct bgap_quarantine_event *event)
+{
+  return bgap_quarantine_cause (&router->state->quarantine, now_ms,
+                                fingerprint, event);
+}
+
 static void
 _bgap_router_free_services (struct bgap_router_state *state)
 {
--- a/packages/routing/src/router_attempt.c
+++ b/packages/routing/src/router_attempt.c
@@ -151,10 +151,11 @@
 
 static void
 _bgap_router_remember_broken (struct bgap_server *server, int64_t now_ms,
-                              uint64_t fingerprint)
+                              const struct bgap_router_request *request)
 {
   server->broken[server->broken_next] = (struct bgap_server_broken){
-    .fingerprint = fingerprint,
+    .fingerprint = request->fingerprint,
+    .sent_ms = request->dispatched_at_ms,
     .at_ms = now_ms,
   };
   server->broken_next = (server->broken_next + 1) % BGAP_SERVER_BROKEN_MAX;
@@ -201,8 +202,7 @@
   if (kind == BGAP_RESULT_TIMEOUT && duration_ms < 2 * service->response_ms)
     return;
   if (kind == BGAP_RESULT_BROKEN)
-    _bgap_router_remember_broken (&server->server, now_ms,
-                                  request->fingerprint);
+    _bgap_router_remember_broken (&server->server, now_ms, request);
   if (kind == BGAP_RESULT_SHED)
     bgap_server_back_off (&server->server, now_ms,
                           _bgap_router_pause_ms (state, service));
--- a/packages/routing/src/router_server.c
+++ b/packages/routing/src/router_server.c
@@ -245,7 +245,11 @@
       if (broken->fingerprint != 0
           && now_ms - broken->at_ms <= BGAP_ROUTER_CRASH_WINDOW_MS)
         bgap_quarantine_suspect (&state->quarantine, now_ms,
-                                 broken->fingerprint, hash);
+                                 &(struct bgap_quarantine_evidence){
+                                     .fingerprint = broken->fingerprint,
+                                     .server = hash,
+                                     .sent_ms = broken->sent_ms,
+                                     .broken_ms = broken->at_ms });
       *broken = (struct bgap_server_broken){ 0 };
     }
   uint32_t next;
@@ -260,7 +264,10 @@
       struct bgap_router_request *request
           = bgap_router_open_request (state, attempt->request);
       bgap_quarantine_suspect (&state->quarantine, now_ms,
-                               request->fingerprint, hash);
+                               &(struct bgap_quarantine_evidence){
+                                   .fingerprint = request->fingerprint,
+                                   .server = hash,
+                                   .sent_ms = request->dispatched_at_ms });
     }
   for (uint32_t id = bgap_pool_next (&state->attempts, BGAP_INVALID_ID);
        id != BGAP_INVALID_ID; id = next)
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -246,6 +246,8 @@
       &(struct bgap_router_desc){ .instance = edge->settings.name,
                                   .zone = edge->settings.zone,
                                   .requests_max = REQUESTS_MAX,
+                                  .quarantine_ops
+                                  = bgap_edge_quarantine_ops (edge),
                                   .load_interval_ms = -1 },
       err);
   if (status == BGAP_OK)
--- a/programs/banyangapd/edge_parts.h
+++ b/programs/banyangapd/edge_parts.h
@@ -16,6 +16,7 @@
  *   edge_relay.c     forwards records that a relay has read from the store
  *   edge_request.c   passes callers' requests to the router
  *   edge_attempt.c   sends attempts to servers and handles their responses
+ *   edge_quarantine.c  log of requests that are refused after crashes
  *   edge_zones.c     evacuated zones
  *   edge_responses.c  memory for responses
  *   edge_report.c    readiness, metrics and dumps
@@ -401,6 +402,20 @@
                             const struct bgap_frontend_request *request,
                             int64_t deadline_ms);
 
+/* edge_quarantine.c */
+
+/**
+ * bgap_edge_quarantine_ops() - calls that log the decisions of the router
+ */
+struct bgap_quarantine_ops bgap_edge_quarantine_ops (struct bgap_edge *edge);
+
+/**
+ * bgap_edge_log_quarantined() - log why a request was refused
+ * @request: its id
+ */
+void bgap_edge_log_quarantined (const struct bgap_edge *edge,
+                                const char *request, uint64_t fingerprint);
+
 /* edge_explain.c */
 
 /**
--- a/programs/banyangapd/edge_request.c
+++ b/programs/banyangapd/edge_request.c
@@ -132,6 +132,7 @@
   struct bgap_request_desc desc = bgap_edge_describe_request (
       exchange->service, route, host, request, exchange->deadline_ms);
   desc.context = exchange;
+  exchange->fingerprint = desc.fingerprint;
   if (exchange->service->granter != NULL)
     {
       bgap_edge_count_key (edge, exchange->service, exchange->wire.key);
@@ -315,6 +316,8 @@
   bool answered = action->reason == BGAP_REASON_ANSWERED;
   bgap_edge_observe (&exchange->service->metrics, action->outcome, took_ms);
   _bgap_request_log (exchange, action, took_ms);
+  if (action->reason == BGAP_REASON_QUARANTINED)
+    bgap_edge_log_quarantined (edge, exchange->wire.id, exchange->fingerprint);
   if (answered)
     _bgap_request_deliver (exchange);
   else if (exchange->streaming)
--- a/programs/banyangapd/edge_state.h
+++ b/programs/banyangapd/edge_state.h
@@ -212,6 +212,7 @@
   int64_t objective_ms;
   int64_t deadline_ms;
   bool idempotent;
+  uint64_t fingerprint;
   uint32_t attempts;
 
   struct bgap_attempt_id attempt;
