Fix: quarantine a request only after a crash, a repeat and a crash

Cause: losses of two servers counted as two pieces of evidence without an order of events. Both restarts were read in one page, answers in between were noted only for fingerprints that were suspects already, attempts at the restarted processes were blamed for the crash, and instances added up each other's reports. All requests had one fingerprint, since it left out the key. Nothing but time ended a quarantine, and its record in the store started anew with each process.

Change: broken attempts are numbered and each attempt knows the last number before it was sent; a proof is a crash, an attempt that was sent later, and another crash, all without an answer since. A report of a peer counts as known from its arrival. One request is sent as a trial after 15 s, then at doubled intervals, and at once after a start from a stored record; an answer ends the quarantine everywhere. The key is part of the fingerprint in services divided by key.

Why it works: requests that are answered anywhere have no evidence left when the crashes become known, and what is wrong nevertheless ends with the first trial.

--- a/packages/routing/include/banyangap/routing/quarantine.h
+++ b/packages/routing/include/banyangap/routing/quarantine.h
@@ -2,15 +2,20 @@
 #define BANYANGAP_ROUTING_QUARANTINE_H
 
 /*
- * Quarantine for requests that crash servers. A fingerprint that was in flight
- * when two distinct servers crashed, and was not answered since the first
- * crash, is refused for some minutes.
+ * Quarantine for requests that crash servers. The proof is an order of events:
+ * a server crashed while it had the request, the request was sent again after
+ * that, and another server crashed while it had it. An answer disproves it.
+ * Requests with such a fingerprint are refused for some minutes, but for one
+ * trial from time to time, whose answer ends the quarantine.
  *
  *   struct bgap_quarantine quarantine;
  *   bgap_quarantine_setup (&quarantine, &(struct bgap_quarantine_desc){ 0 });
- *   bgap_quarantine_suspect (&quarantine, now_ms, fingerprint, server_hash);
  *   if (bgap_quarantine_refuses (&quarantine, now_ms, fingerprint))
  *     ...   refuse
+ *   attempt.stamp = quarantine.broken_count;
+ *   ... send it ...
+ *   bgap_quarantine_broken (&quarantine, now_ms, &attempt);
+ *   bgap_quarantine_crashed (&quarantine, now_ms, server_hash);
  *   bgap_quarantine_answered (&quarantine, now_ms, fingerprint);
  *   ... send the message of bgap_quarantine_encode to the zone's routers ...
  *   bgap_quarantine_shutdown (&quarantine);
@@ -29,9 +34,11 @@
  */
 enum bgap_quarantine_change
 {
-  BGAP_QUARANTINE_SUSPECTED, /* in flight at a first crash */
-  BGAP_QUARANTINE_STARTED,   /* in flight at a second crash; refused now */
+  BGAP_QUARANTINE_SUSPECTED, /* in flight at a crash */
+  BGAP_QUARANTINE_STARTED,   /* crash, sent again, crash; refused now */
   BGAP_QUARANTINE_TAKEN,     /* a peer has put it in quarantine */
+  BGAP_QUARANTINE_TRIAL,     /* one request is sent in spite of it */
+  BGAP_QUARANTINE_RENEWED,   /* a server has crashed in quarantine */
   BGAP_QUARANTINE_CLEARED,   /* answered */
   BGAP_QUARANTINE_CHANGE_COUNT
 };
@@ -44,10 +51,11 @@
 /**
  * struct bgap_quarantine_event - a decision with its evidence, for logs
  * @server: XXH3 hash of the name of the server that crashed last; 0 if none
- * @first_server: the same of the first one; 0 if none
+ * @first_server: the same of the one that crashed before the attempt on
+ *   @server was sent; 0 if none
  * @sent_ms: when the attempt on @server was sent; 0 if a peer reported it
- * @broken_ms: when its connection broke; 0 if it was still open
- * @first_ms: when the crash of @first_server became known
+ * @broken_ms: when its connection broke, or the peer's report arrived
+ * @first_ms: the same as @broken_ms of the attempt on @first_server
  */
 struct bgap_quarantine_event
 {
@@ -70,25 +78,16 @@
   void *context;
 };
 
-/**
- * struct bgap_quarantine_evidence - an attempt that was in flight at a crash
- * @server: XXH3 hash of the server's name
- * @sent_ms, @broken_ms: see struct bgap_quarantine_event
- */
-struct bgap_quarantine_evidence
-{
-  uint64_t fingerprint;
-  uint64_t server;
-  int64_t sent_ms;
-  int64_t broken_ms;
-};
-
 /**
  * struct bgap_quarantine_desc - options; zero means the default
  * @capacity: maximum number of fingerprints; default 1024. When the table is
  *   full, the one that expires first is evicted.
  * @quarantine_ms: how long a fingerprint is refused; default 300 000
  * @suspect_ms: how long a fingerprint remains a suspect; default 300 000
+ * @crash_window_ms: maximum time from a broken attempt to the report that its
+ *   server has crashed; default 3000
+ * @trial_ms: time from the start of a quarantine to the first trial, which
+ *   doubles with each; default 15 000
  * @ops: calls for logs
  */
 struct bgap_quarantine_desc
@@ -96,16 +95,37 @@
   uint32_t capacity;
   int64_t quarantine_ms;
   int64_t suspect_ms;
+  int64_t crash_window_ms;
+  int64_t trial_ms;
   struct bgap_quarantine_ops ops;
 };
 
+/**
+ * struct bgap_quarantine_attempt - an attempt whose connection broke
+ * @server: XXH3 hash of the server's name
+ * @stamp: broken_count of the table when it was sent
+ * @sent_ms: when it was sent
+ * @broken_ms: when its connection broke
+ */
+struct bgap_quarantine_attempt
+{
+  uint64_t fingerprint;
+  uint64_t server;
+  uint64_t stamp;
+  int64_t sent_ms;
+  int64_t broken_ms;
+};
+
 struct bgap_quarantine_entry;
 
 /**
- * struct bgap_quarantine - the table; fields are private
+ * struct bgap_quarantine - the table; other fields are private
+ * @broken_count: number of broken attempts so far
  */
 struct bgap_quarantine
 {
+  uint64_t broken_count;
+
   struct bgap_quarantine_entry *entries;
   struct bgap_routing_suspicion *updates;
   uint32_t count;
@@ -128,29 +148,53 @@
 void bgap_quarantine_shutdown (struct bgap_quarantine *quarantine);
 
 /**
- * bgap_quarantine_suspect() - report a fingerprint in flight at a crash
+ * bgap_quarantine_broken() - report a broken attempt
  *
- * Return: true if the fingerprint is in quarantine now.
+ * It is evidence only if its server is reported as crashed soon after, and the
+ * fingerprint is not answered in between.
  */
-bool bgap_quarantine_suspect (struct bgap_quarantine *quarantine,
-                              int64_t now_ms,
-                              const struct bgap_quarantine_evidence *evidence);
+void bgap_quarantine_broken (struct bgap_quarantine *quarantine,
+                             int64_t now_ms,
+                             const struct bgap_quarantine_attempt *attempt);
+
+/**
+ * bgap_quarantine_crashed() - report that a server has crashed
+ * @server: XXH3 hash of its name
+ */
+void bgap_quarantine_crashed (struct bgap_quarantine *quarantine,
+                              int64_t now_ms, uint64_t server);
 
 /**
  * bgap_quarantine_answered() - report that a server answered without crashing
  *
- * Clears a suspicion; a quarantine stays until it expires.
+ * Ends a suspicion or a quarantine.
  */
 void bgap_quarantine_answered (struct bgap_quarantine *quarantine,
                                int64_t now_ms, uint64_t fingerprint);
 
 /**
- * bgap_quarantine_refuses() - whether the fingerprint is in quarantine; false
- * for 0
+ * bgap_quarantine_refuses() - whether the fingerprint is in quarantine and no
+ * trial is due; false for 0
  */
 bool bgap_quarantine_refuses (const struct bgap_quarantine *quarantine,
                               int64_t now_ms, uint64_t fingerprint);
 
+/**
+ * bgap_quarantine_begin_trial() - note that a request is sent
+ *
+ * Return: true if it is a trial of a fingerprint in quarantine. Others are
+ * refused until the next one is due.
+ */
+bool bgap_quarantine_begin_trial (struct bgap_quarantine *quarantine,
+                                  int64_t now_ms, uint64_t fingerprint);
+
+/**
+ * bgap_quarantine_drop_trial() - note that the request of a trial did not run;
+ * another one may be sent at once
+ */
+void bgap_quarantine_drop_trial (struct bgap_quarantine *quarantine,
+                                 int64_t now_ms, uint64_t fingerprint);
+
 /**
  * bgap_quarantine_suspected() - whether the fingerprint is a suspect or in
  * quarantine
@@ -159,8 +203,8 @@
                                 int64_t now_ms, uint64_t fingerprint);
 
 /**
- * bgap_quarantine_cause() - the evidence of a fingerprint in quarantine
- * @event: with the change STARTED, or TAKEN from a peer
+ * bgap_quarantine_cause() - the last decision about a fingerprint in
+ * quarantine, with the evidence
  *
  * Return: false if it is not in quarantine.
  */
@@ -177,6 +221,15 @@
 bool bgap_quarantine_encode (struct bgap_quarantine *quarantine,
                              struct bgap_buffer *out);
 
+/**
+ * enum bgap_quarantine_source - where a message comes from
+ */
+enum bgap_quarantine_source
+{
+  BGAP_QUARANTINE_SENT,  /* by an instance, just now */
+  BGAP_QUARANTINE_STORED /* some time ago; a trial is due at once */
+};
+
 /**
  * bgap_quarantine_on_message() - apply the message of another instance
  *
@@ -185,6 +238,7 @@
  */
 enum bgap_status
 bgap_quarantine_on_message (struct bgap_quarantine *quarantine, int64_t now_ms,
+                            enum bgap_quarantine_source source,
                             const void *bytes, size_t size,
                             struct bgap_error *err);
 
--- a/packages/routing/include/banyangap/routing/router.h
+++ b/packages/routing/include/banyangap/routing/router.h
@@ -348,6 +348,19 @@
                                       int kind, const void *bytes, size_t size,
                                       struct bgap_error *err);
 
+/**
+ * bgap_router_on_stored() - handle a message that another instance has stored
+ * at an unknown time
+ *
+ * A quarantine that it states is checked with the next request.
+ *
+ * Return: BGAP_OK or BGAP_ERR_PROTOCOL; then the message had no effect.
+ */
+enum bgap_status bgap_router_on_stored (struct bgap_router *router,
+                                        int64_t now_ms, int kind,
+                                        const void *bytes, size_t size,
+                                        struct bgap_error *err);
+
 /**
  * bgap_router_peer_lost() - report that another instance has stopped or is
  * unreachable
--- a/packages/routing/include/banyangap/routing/server.h
+++ b/packages/routing/include/banyangap/routing/server.h
@@ -43,20 +43,6 @@
 /* Longest pause between requests that a server can ask for.  */
 #define BGAP_SERVER_PAUSE_MAX_MS 60000
 
-/* Maximum number of recent broken attempts kept for each server. They become
-   suspects if it turns out that the server crashed.  */
-#define BGAP_SERVER_BROKEN_MAX 16
-
-/**
- * struct bgap_server_broken - an attempt whose connection broke
- */
-struct bgap_server_broken
-{
-  uint64_t fingerprint;
-  int64_t sent_ms;
-  int64_t at_ms;
-};
-
 /**
  * struct bgap_server - a backend server; fields are private to the package
  * @hash: XXH3 hash of @name
@@ -143,8 +129,6 @@
   bool removed;
   bool has_load;
   bool has_incarnation;
-  struct bgap_server_broken broken[BGAP_SERVER_BROKEN_MAX];
-  uint32_t broken_next;
 };
 
 /**
--- a/packages/routing/src/router_attempt.c
+++ b/packages/routing/src/router_attempt.c
@@ -121,7 +121,8 @@
   request->broken_attempts++;
   /* A request whose attempts broke twice may itself be the cause; it is not
      retried.  */
-  if (!request->idempotent || request->started || request->broken_attempts > 1)
+  if (!request->idempotent || request->started || request->trial
+      || request->broken_attempts > 1)
     bgap_router_finish (state, now_ms, request, reason);
   else
     _bgap_router_retry (state, now_ms, request, reason, RETRY_FAILED);
@@ -149,16 +150,20 @@
              || bgap_retry_budget_has (&service->budget));
 }
 
-static void
-_bgap_router_remember_broken (struct bgap_server *server, int64_t now_ms,
-                              const struct bgap_router_request *request)
+void
+bgap_router_report_broken (struct bgap_router_state *state, int64_t now_ms,
+                           const struct bgap_router_request *request,
+                           const struct bgap_server *server)
 {
-  server->broken[server->broken_next] = (struct bgap_server_broken){
-    .fingerprint = request->fingerprint,
-    .sent_ms = request->dispatched_at_ms,
-    .at_ms = now_ms,
-  };
-  server->broken_next = (server->broken_next + 1) % BGAP_SERVER_BROKEN_MAX;
+  const struct bgap_router_attempt *attempt
+      = bgap_pool_get (&state->attempts, request->attempt);
+  bgap_quarantine_broken (
+      &state->quarantine, now_ms,
+      &(struct bgap_quarantine_attempt){ .fingerprint = request->fingerprint,
+                                         .server = server->hash,
+                                         .stamp = attempt->stamp,
+                                         .sent_ms = request->dispatched_at_ms,
+                                         .broken_ms = now_ms });
 }
 
 /* Ejects a server unless more than half of the service's servers would then
@@ -202,7 +207,13 @@
   if (kind == BGAP_RESULT_TIMEOUT && duration_ms < 2 * service->response_ms)
     return;
   if (kind == BGAP_RESULT_BROKEN)
-    _bgap_router_remember_broken (&server->server, now_ms, request);
+    bgap_router_report_broken (state, now_ms, request, &server->server);
+  if (kind == BGAP_RESULT_COMPLETE || kind == BGAP_RESULT_FAILED)
+    {
+      bgap_quarantine_answered (&state->quarantine, now_ms,
+                                request->fingerprint);
+      bgap_router_send_suspicions (state);
+    }
   if (kind == BGAP_RESULT_SHED)
     bgap_server_back_off (&server->server, now_ms,
                           _bgap_router_pause_ms (state, service));
@@ -223,13 +234,6 @@
       (int64_t)(duration_ms * bgap_router_mean_cost_ms (service)
                 / bgap_router_cost_ms (service, request)),
       request->uncontended);
-  if (bgap_quarantine_suspected (&state->quarantine, now_ms,
-                                 request->fingerprint))
-    {
-      bgap_quarantine_answered (&state->quarantine, now_ms,
-                                request->fingerprint);
-      bgap_router_send_suspicions (state);
-    }
 }
 
 void
--- a/packages/routing/src/router_dispatch.c
+++ b/packages/routing/src/router_dispatch.c
@@ -23,12 +23,16 @@
   struct bgap_router_attempt *attempt = bgap_pool_get (&state->attempts, id);
   attempt->request = request->id;
   attempt->server = server->id;
+  attempt->stamp = state->quarantine.broken_count;
   attempt->cost_ms = bgap_router_cost_ms (service, request);
   request->attempt = id;
   request->state = BGAP_REQUEST_IN_FLIGHT;
   request->dispatched_at_ms = now_ms;
   request->tried[request->attempts % BGAP_ROUTER_TRIED_MAX] = server->id;
   request->attempts++;
+  if (!request->trial)
+    request->trial = bgap_quarantine_begin_trial (&state->quarantine, now_ms,
+                                                  request->fingerprint);
   request->suspect_counted = bgap_quarantine_suspected (
       &state->quarantine, now_ms, request->fingerprint);
   server->server.suspects += request->suspect_counted;
@@ -56,6 +60,7 @@
                                .cost_ms = (int64_t)request->cost_ms,
                                .work_ms = (int64_t)work_ms,
                                .keep_body = request->intent_won });
+  bgap_router_send_suspicions (state);
 }
 
 bool
@@ -66,8 +71,9 @@
 {
   if (request->deadline_at_ms <= now_ms)
     *reason = BGAP_REASON_DEADLINE;
-  else if (bgap_quarantine_refuses (&state->quarantine, now_ms,
-                                    request->fingerprint))
+  else if (!request->trial
+           && bgap_quarantine_refuses (&state->quarantine, now_ms,
+                                       request->fingerprint))
     *reason = BGAP_REASON_QUARANTINED;
   else if (bgap_router_is_evacuated (service))
     *reason = BGAP_REASON_EVACUATED;
--- a/packages/routing/src/router_finish.c
+++ b/packages/routing/src/router_finish.c
@@ -98,6 +98,9 @@
                      ? BGAP_REASON_IDEMPOTENCY_WINNER_LOST
                      : BGAP_REASON_IDEMPOTENCY_NO_RECORD;
     }
+  if (request->trial && !request->maybe_ran)
+    bgap_quarantine_drop_trial (&state->quarantine, now_ms,
+                                request->fingerprint);
   const struct bgap_idempotency_answer answer = {
     .outcome
     = request->maybe_ran ? BGAP_OUTCOME_UNKNOWN : BGAP_OUTCOME_NOT_RUN,
--- a/packages/routing/src/router_parts.h
+++ b/packages/routing/src/router_parts.h
@@ -216,6 +216,15 @@
                                  int64_t now_ms,
                                  struct bgap_router_request *request);
 
+/**
+ * bgap_router_report_broken() - tell the quarantine that the attempt of a
+ * request broke; before the attempt is freed
+ */
+void bgap_router_report_broken (struct bgap_router_state *state,
+                                int64_t now_ms,
+                                const struct bgap_router_request *request,
+                                const struct bgap_server *server);
+
 /**
  * bgap_router_attempt_timed_out() - cancel the attempt of a request whose
  * deadline has passed, and finish the request
--- a/packages/routing/src/router_peer.c
+++ b/packages/routing/src/router_peer.c
@@ -123,6 +123,18 @@
   return status;
 }
 
+enum bgap_status
+bgap_router_on_stored (struct bgap_router *router, int64_t now_ms, int kind,
+                       const void *bytes, size_t size, struct bgap_error *err)
+{
+  struct bgap_router_state *state = router->state;
+  if (kind != BGAP_ROUTING_MESSAGE_SUSPICIONS)
+    return bgap_error_set (err, BGAP_ERR_PROTOCOL,
+                           "messages of kind %d are not stored", kind);
+  return bgap_quarantine_on_message (&state->quarantine, now_ms,
+                                     BGAP_QUARANTINE_STORED, bytes, size, err);
+}
+
 enum bgap_status
 bgap_router_on_peer (struct bgap_router *router, int64_t now_ms,
                      const char *from, int kind, const void *bytes,
@@ -135,8 +147,8 @@
     status = bgap_error_set (err, BGAP_ERR_PROTOCOL,
                              "sender name is empty or too long");
   else if (kind == BGAP_ROUTING_MESSAGE_SUSPICIONS)
-    status = bgap_quarantine_on_message (&state->quarantine, now_ms, bytes,
-                                         size, err);
+    status = bgap_quarantine_on_message (
+        &state->quarantine, now_ms, BGAP_QUARANTINE_SENT, bytes, size, err);
   else if (kind == BGAP_ROUTING_MESSAGE_LOADS)
     status = _bgap_router_on_loads (state, from, bytes, size, err);
   else if (kind == BGAP_ROUTING_MESSAGE_PERMITS_WANTED
--- a/packages/routing/src/router_server.c
+++ b/packages/routing/src/router_server.c
@@ -232,43 +232,31 @@
   bgap_router_server_changed (router->state, now_ms, server);
 }
 
-/* Ends the attempts on a server whose process has ended. The requests that
-   were in flight on it become suspects.  */
+/* Reports the attempts in flight on a server without a process as broken.
+   Those that were sent in this millisecond, as retries of attempts on another
+   server that was lost at the same time, cannot have run.  */
 static void
-_bgap_server_fail_attempts (struct bgap_router_state *state, int64_t now_ms,
-                            struct bgap_router_server *server)
+_bgap_server_report_broken (struct bgap_router_state *state, int64_t now_ms,
+                            const struct bgap_router_server *server)
 {
-  uint64_t hash = server->server.hash;
-  for (uint32_t i = 0; i < BGAP_SERVER_BROKEN_MAX; i++)
-    {
-      struct bgap_server_broken *broken = &server->server.broken[i];
-      if (broken->fingerprint != 0
-          && now_ms - broken->at_ms <= BGAP_ROUTER_CRASH_WINDOW_MS)
-        bgap_quarantine_suspect (&state->quarantine, now_ms,
-                                 &(struct bgap_quarantine_evidence){
-                                     .fingerprint = broken->fingerprint,
-                                     .server = hash,
-                                     .sent_ms = broken->sent_ms,
-                                     .broken_ms = broken->at_ms });
-      *broken = (struct bgap_server_broken){ 0 };
-    }
-  uint32_t next;
   for (uint32_t id = bgap_pool_next (&state->attempts, BGAP_INVALID_ID);
-       id != BGAP_INVALID_ID; id = next)
+       id != BGAP_INVALID_ID; id = bgap_pool_next (&state->attempts, id))
     {
-      next = bgap_pool_next (&state->attempts, id);
       const struct bgap_router_attempt *attempt
           = bgap_pool_get (&state->attempts, id);
-      if (attempt->server != server->id)
-        continue;
-      struct bgap_router_request *request
+      const struct bgap_router_request *request
           = bgap_router_open_request (state, attempt->request);
-      bgap_quarantine_suspect (&state->quarantine, now_ms,
-                               &(struct bgap_quarantine_evidence){
-                                   .fingerprint = request->fingerprint,
-                                   .server = hash,
-                                   .sent_ms = request->dispatched_at_ms });
+      if (attempt->server == server->id && request->dispatched_at_ms < now_ms)
+        bgap_router_report_broken (state, now_ms, request, &server->server);
     }
+}
+
+/* Ends the attempts on a server whose process has ended.  */
+static void
+_bgap_server_fail_attempts (struct bgap_router_state *state, int64_t now_ms,
+                            const struct bgap_router_server *server)
+{
+  uint32_t next;
   for (uint32_t id = bgap_pool_next (&state->attempts, BGAP_INVALID_ID);
        id != BGAP_INVALID_ID; id = next)
     {
@@ -286,15 +274,13 @@
   bgap_router_send_suspicions (state);
 }
 
-void
-bgap_router_server_lost (struct bgap_router *router, int64_t now_ms,
-                         struct bgap_server_id server_id)
+/* Handles the end of a server's process.  */
+static void
+_bgap_server_end (struct bgap_router_state *state, int64_t now_ms,
+                  struct bgap_router_server *server)
 {
-  struct bgap_router_state *state = router->state;
-  struct bgap_router_server *server = bgap_router_server (state, server_id.id);
-  if (server == NULL || server->server.lost)
-    return;
   server->server.lost = true;
+  bgap_quarantine_crashed (&state->quarantine, now_ms, server->server.hash);
   /* A removed server is freed with its last attempt. Count one more attempt,
      so that it stays allocated until the end of this function.  */
   server->server.in_flight++;
@@ -308,6 +294,18 @@
   bgap_router_server_changed (state, now_ms, server);
 }
 
+void
+bgap_router_server_lost (struct bgap_router *router, int64_t now_ms,
+                         struct bgap_server_id server_id)
+{
+  struct bgap_router_state *state = router->state;
+  struct bgap_router_server *server = bgap_router_server (state, server_id.id);
+  if (server == NULL || server->server.lost)
+    return;
+  _bgap_server_report_broken (state, now_ms, server);
+  _bgap_server_end (state, now_ms, server);
+}
+
 void
 bgap_router_server_alive (struct bgap_router *router, int64_t now_ms,
                           struct bgap_server_id server_id,
@@ -319,7 +317,9 @@
     return;
   if (server->server.has_incarnation && !server->server.lost
       && server->server.incarnation != incarnation)
-    bgap_router_server_lost (router, now_ms, server_id);
+    /* Attempts in flight may be at the new process, so that they are no
+       evidence.  */
+    _bgap_server_end (state, now_ms, server);
   server = bgap_router_server (state, server_id.id);
   if (server == NULL)
     return;
--- a/packages/routing/src/router_state.h
+++ b/packages/routing/src/router_state.h
@@ -38,10 +38,6 @@
    with each attempt up to sixteenfold.  */
 #define BGAP_ROUTER_BACKOFF_MS 10
 
-/* Attempts that broke at most this long before a crash of the server was
-   detected count as in flight at the crash, in milliseconds.  */
-#define BGAP_ROUTER_CRASH_WINDOW_MS 3000
-
 /* Cost for which response times are kept; those of requests with another cost
    enter as if they had this one.  */
 #define BGAP_ROUTER_COST_UNIT_MS 100.0
@@ -123,17 +119,20 @@
   bool resolve_on_wake;
   bool fenced_by_holder;
   bool suspect_counted;
+  bool trial; /* of a fingerprint in quarantine */
   bool uncontended;
 };
 
 /**
  * struct bgap_router_attempt - an attempt in flight
+ * @stamp: see struct bgap_quarantine_attempt
  * @cost_ms: expected cost when it was sent
  */
 struct bgap_router_attempt
 {
   uint32_t request;
   uint32_t server;
+  uint64_t stamp;
   double cost_ms;
 };
 
--- a/packages/routing/tests/fuzz/fuzz_router.c
+++ b/packages/routing/tests/fuzz/fuzz_router.c
@@ -109,6 +109,8 @@
     a->orphan = true; /* the server may still execute it */
   if (result.kind == BGAP_RESULT_COMPLETE)
     world_answered (w, a->call);
+  else
+    world_broken (w, a);
   struct server_view *view = &w->nodes[a->router].views[a->server];
   view->broken |= 1u << a->call->fingerprint;
   if (result.kind == BGAP_RESULT_DRAINING && !a->started)
--- a/programs/banyangapd/edge_explain.c
+++ b/programs/banyangapd/edge_explain.c
@@ -254,7 +254,7 @@
   const struct bgap_frontend_request request
       = { .method = query->method, .target = query->path };
   struct bgap_request_desc desc = bgap_edge_describe_request (
-      answer->service, answer->route, query->host, &request,
+      answer->service, answer->route, query->host, &request, query->key,
       bgap_edge_deadline_ms (answer->route, query->deadline_ms));
   struct bgap_explain_result result;
   int64_t outage_ms = 0;
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -92,9 +92,13 @@
   const uint8_t *kind = record->value;
   if (strcmp (from, edge->settings.name) == 0 || record->size == 0)
     return;
-  if (bgap_router_on_peer (&edge->router, bgap_now_ms (), from, *kind,
-                           kind + 1, record->size - 1, &err)
-      != BGAP_OK)
+  enum bgap_status status
+      = edge->internal_loading
+            ? bgap_router_on_stored (&edge->router, bgap_now_ms (), *kind,
+                                     kind + 1, record->size - 1, &err)
+            : bgap_router_on_peer (&edge->router, bgap_now_ms (), from, *kind,
+                                   kind + 1, record->size - 1, &err);
+  if (status != BGAP_OK)
     bgap_event (&event_bad_record, "key=%.64s offset=%llu reason=\"%s\"",
                 record->key, (unsigned long long)record->offset, err.message);
 }
@@ -115,6 +119,13 @@
     _bgap_keys_on_router_message (edge, record);
 }
 
+static void
+_bgap_keys_on_load_started (void *context)
+{
+  struct bgap_edge *edge = context;
+  edge->internal_loading = true;
+}
+
 static void
 _bgap_keys_on_load_read (void *context,
                          const struct bgap_store_record *records, size_t count)
@@ -126,6 +137,7 @@
 _bgap_keys_on_loaded (void *context)
 {
   struct bgap_edge *edge = context;
+  edge->internal_loading = false;
   for (struct bgap_edge_service *service = edge->services; service != NULL;
        service = service->hh.next)
     if (service->granter != NULL)
@@ -187,7 +199,8 @@
           .page_kb = INTERNAL_PAGE_KB,
           /* Assignments of unknown services cannot be kept.  */
           .deferred = true,
-          .ops = { .record = _bgap_keys_on_record,
+          .ops = { .load_started = _bgap_keys_on_load_started,
+                   .record = _bgap_keys_on_record,
                    .load_read = _bgap_keys_on_load_read,
                    .loaded = _bgap_keys_on_loaded,
                    .synced = _bgap_keys_on_synced,
--- a/programs/banyangapd/edge_parts.h
+++ b/programs/banyangapd/edge_parts.h
@@ -395,12 +395,13 @@
 /**
  * bgap_edge_describe_request() - options of a request for the router, without
  * the holder of its key
+ * @key: only used if the service is divided by key
  */
 struct bgap_request_desc
 bgap_edge_describe_request (const struct bgap_edge_service *service,
                             const struct bgap_route *route, const char *host,
                             const struct bgap_frontend_request *request,
-                            int64_t deadline_ms);
+                            uint32_t key, int64_t deadline_ms);
 
 /* edge_quarantine.c */
 
--- a/programs/banyangapd/edge_request.c
+++ b/programs/banyangapd/edge_request.c
@@ -41,10 +41,13 @@
 }
 
 /* Hash by which a repeated request is recognized. It covers the host, method,
-   target and body, but not the request's id.  */
+   target and body and, if the service is divided by key, the key, but not the
+   request's id.  */
 static uint64_t
-_bgap_request_fingerprint (const char *host,
-                           const struct bgap_frontend_request *request)
+_bgap_request_fingerprint (const struct bgap_edge_service *service,
+                           const char *host,
+                           const struct bgap_frontend_request *request,
+                           uint32_t key)
 {
   uint64_t parts[] = {
     bgap_hash64 (host, strlen (host)),
@@ -52,6 +55,7 @@
     bgap_hash64 (request->target, strlen (request->target)),
     request->body_size > 0 ? bgap_hash64 (request->body, request->body_size)
                            : 0,
+    service->granter != NULL ? key : 0,
   };
   return bgap_hash64 (parts, sizeof parts);
 }
@@ -107,7 +111,7 @@
 bgap_edge_describe_request (const struct bgap_edge_service *service,
                             const struct bgap_route *route, const char *host,
                             const struct bgap_frontend_request *request,
-                            int64_t deadline_ms)
+                            uint32_t key, int64_t deadline_ms)
 {
   return (struct bgap_request_desc){
     .service = service->id,
@@ -116,7 +120,7 @@
     .objective_ms = route->desc.objective_ms,
     .attempts_max = route->desc.attempts_max,
     .idempotent = route->desc.idempotent,
-    .fingerprint = _bgap_request_fingerprint (host, request),
+    .fingerprint = _bgap_request_fingerprint (service, host, request, key),
     .body_size = request->body_size,
     .cost_class = bgap_edge_cost_class (route),
     .cost_detail = _bgap_request_cost_detail (request),
@@ -129,8 +133,9 @@
                      const struct bgap_frontend_request *request)
 {
   struct bgap_edge *edge = exchange->edge;
-  struct bgap_request_desc desc = bgap_edge_describe_request (
-      exchange->service, route, host, request, exchange->deadline_ms);
+  struct bgap_request_desc desc
+      = bgap_edge_describe_request (exchange->service, route, host, request,
+                                    exchange->wire.key, exchange->deadline_ms);
   desc.context = exchange;
   exchange->fingerprint = desc.fingerprint;
   if (exchange->service->granter != NULL)
--- a/programs/banyangapd/edge_state.h
+++ b/programs/banyangapd/edge_state.h
@@ -317,6 +317,7 @@
   size_t config_bytes;
   int64_t config_synced_ms;
   int64_t internal_synced_ms;
+  bool internal_loading;
   int64_t servers_synced_ms;
   int64_t housekeeping_ms;
   int64_t limits_logged_ms;
