--- a/packages/routing/tests/test_quarantine.c
+++ b/packages/routing/tests/test_quarantine.c
@@ -163,6 +163,59 @@
   fixture_shutdown (&f);
 }
 
+/* Guards against a quarantine of a request that a server answered with an
+   error: it has run it and has not crashed.  */
+static void
+test_error_is_an_answer (void **state)
+{
+  (void)state;
+  struct fixture f;
+  add_servers (&f);
+  struct bgap_server_id broken[2];
+  break_twice (&f, broken);
+  const struct bgap_request_desc once
+      = { .fingerprint = 66, .idempotent = true, .attempts_max = 1 };
+  struct bgap_router_action d = send_request (&f, &once);
+  fixture_result (&f, d.attempt, BGAP_RESULT_FAILED);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_FINISH);
+  bgap_router_server_lost (&f.router, f.now_ms, broken[0]);
+  bgap_router_server_lost (&f.router, f.now_ms, broken[1]);
+  expect_sent (&f, &crashing);
+  fixture_shutdown (&f);
+}
+
+/* Guards against connections that broke on a live server and are taken for
+   its crash.  */
+static void
+test_reset_connection_is_no_crash (void **state)
+{
+  (void)state;
+  struct fixture f;
+  add_servers (&f);
+  struct bgap_server_id broken[2];
+  break_twice (&f, broken);
+  bgap_router_server_lost (&f.router, f.now_ms, broken[1]);
+  expect_sent (&f, &crashing);
+  fixture_shutdown (&f);
+}
+
+/* Guards against one crash that is counted twice, because the request was sent
+   to the same server again before its end was known.  */
+static void
+test_one_crash_is_no_proof (void **state)
+{
+  (void)state;
+  struct fixture f;
+  fixture_setup (&f, &plain);
+  struct bgap_server_id a = fixture_server (&f, "a", "z1", 4);
+  struct bgap_server_id broken[2];
+  break_twice (&f, broken);
+  bgap_router_server_lost (&f.router, f.now_ms, a);
+  bgap_router_server_alive (&f.router, f.now_ms, a, 1);
+  expect_sent (&f, &crashing);
+  fixture_shutdown (&f);
+}
+
 /* Guards against attempts on a restarted server that are taken for evidence:
    they may have been sent to its new process.  */
 static void
@@ -260,6 +313,22 @@
   fixture_shutdown (&f);
 }
 
+/* The same, of a fingerprint that is a suspect already.  */
+static void
+test_late_reports_about_a_suspect (void **state)
+{
+  (void)state;
+  struct fixture f;
+  add_servers (&f);
+  struct bgap_server_id broken[2];
+  break_twice (&f, broken);
+  bgap_router_server_lost (&f.router, f.now_ms, broken[0]);
+  fixture_wait (&f, CRASH_WINDOW_MS + 1);
+  bgap_router_server_lost (&f.router, f.now_ms, broken[1]);
+  expect_sent (&f, &crashing);
+  fixture_shutdown (&f);
+}
+
 /* Guards against a quarantine that nothing can end: one request at a time is
    sent as a trial, and an answer to it ends the quarantine everywhere.  */
 static void
@@ -413,11 +482,15 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_servers_that_crash_together),
     cmocka_unit_test (test_answers_before_restarts_are_read),
+    cmocka_unit_test (test_error_is_an_answer),
+    cmocka_unit_test (test_reset_connection_is_no_crash),
+    cmocka_unit_test (test_one_crash_is_no_proof),
     cmocka_unit_test (test_attempts_at_the_new_process),
     cmocka_unit_test (test_crashes_seen_by_two_instances),
     cmocka_unit_test (test_crashing_request_is_refused),
     cmocka_unit_test (test_crashing_request_of_two_instances),
     cmocka_unit_test (test_late_reports_are_no_evidence),
+    cmocka_unit_test (test_late_reports_about_a_suspect),
     cmocka_unit_test (test_answered_trial_ends_quarantine),
     cmocka_unit_test (test_trial_that_crashes_a_server),
     cmocka_unit_test (test_trial_that_did_not_run),
