Fix: an expired registration confirms a crash

Cause: broken connections were evidence only after two refused connections of other requests, or a new start under the same id, within 3 s. In quiet hours there are no other requests, and new processes have new ids.

Change: the expiry of a registration, of a server that does not drain, confirms the broken attempts on it, which are remembered until then (4.5 s with heartbeats of 0.87 s). Attempts in flight prove nothing.

Why it works: a registration always expires. That it may expire for another reason does no harm, since a quarantine needs a crash, a repeat and a crash without an answer.

--- a/packages/routing/include/banyangap/routing/router.h
+++ b/packages/routing/include/banyangap/routing/router.h
@@ -65,6 +65,7 @@
  * @peers_max: peers whose in-flight counts are kept; default 16
  * @quarantine_max: fingerprints remembered; default 1024
  * @quarantine_ops: calls for logs
+ * @crash_window_ms: see struct bgap_quarantine_desc
  * @load_interval_ms: interval of the in-flight counts sent to peers; default
  *   500, negative to send none
  */
@@ -79,6 +80,7 @@
   uint32_t peers_max;
   uint32_t quarantine_max;
   struct bgap_quarantine_ops quarantine_ops;
+  int64_t crash_window_ms;
   int64_t load_interval_ms;
 };
 
--- a/packages/routing/include/banyangap/routing/router_servers.h
+++ b/packages/routing/include/banyangap/routing/router_servers.h
@@ -133,6 +133,16 @@
 void bgap_router_server_lost (struct bgap_router *router, int64_t now_ms,
                               struct bgap_server_id server_id);
 
+/**
+ * bgap_router_server_expired() - report that the registration of a server has
+ * expired or was removed; before bgap_router_remove_server()
+ *
+ * Unless the server drains, attempts that broke on it shortly before are taken
+ * for signs of a crash. Those in flight run on.
+ */
+void bgap_router_server_expired (struct bgap_router *router, int64_t now_ms,
+                                 struct bgap_server_id server_id);
+
 /**
  * bgap_router_server_alive() - report that a server responds
  * @incarnation: of its process; a change means that the server restarted: slow
--- a/packages/routing/src/router.c
+++ b/packages/routing/src/router.c
@@ -102,7 +102,9 @@
   if (status == BGAP_OK && state->issuer == NULL)
     status = BGAP_ERR_NO_MEMORY;
   const struct bgap_quarantine_desc quarantine
-      = { .capacity = desc->quarantine_max, .ops = desc->quarantine_ops };
+      = { .capacity = desc->quarantine_max,
+          .crash_window_ms = desc->crash_window_ms,
+          .ops = desc->quarantine_ops };
   if (status == BGAP_OK)
     status = bgap_quarantine_setup (&state->quarantine, &quarantine);
   if (status != BGAP_OK)
--- a/packages/routing/src/router_server.c
+++ b/packages/routing/src/router_server.c
@@ -306,6 +306,19 @@
   _bgap_server_end (state, now_ms, server);
 }
 
+void
+bgap_router_server_expired (struct bgap_router *router, int64_t now_ms,
+                            struct bgap_server_id server_id)
+{
+  struct bgap_router_state *state = router->state;
+  const struct bgap_router_server *server
+      = bgap_router_server (state, server_id.id);
+  if (server == NULL || bgap_server_draining (&server->server))
+    return;
+  bgap_quarantine_crashed (&state->quarantine, now_ms, server->server.hash);
+  bgap_router_send_suspicions (state);
+}
+
 void
 bgap_router_server_alive (struct bgap_router *router, int64_t now_ms,
                           struct bgap_server_id server_id,
--- a/packages/routing/tests/fuzz/fuzz_router.c
+++ b/packages/routing/tests/fuzz/fuzz_router.c
@@ -238,6 +238,9 @@
       bgap_router_server_load (&node->router, w->now_ms, view->id, &load);
       break;
     case 6:
+      if (view->drain == 0)
+        world_server_died (w, index, server);
+      bgap_router_server_expired (&node->router, w->now_ms, view->id);
       bgap_router_remove_server (&node->router, w->now_ms, view->id);
       world_take_actions (w);
       world_set_server (w, node, server, on);
--- a/packages/routing/tests/test_quarantine.c
+++ b/packages/routing/tests/test_quarantine.c
@@ -297,6 +297,55 @@
   fixture_shutdown (&f);
 }
 
+/* Guards against a request that crashes one server after another in hours with
+   so little traffic that only their expired registrations show the crashes. */
+static void
+test_expired_registration_after_broken_attempt (void **state)
+{
+  (void)state;
+  struct fixture f;
+  add_servers (&f);
+  struct bgap_server_id broken[2];
+  break_twice (&f, broken);
+  fixture_wait (&f, CRASH_WINDOW_MS - 100);
+  for (int i = 0; i < 2; i++)
+    {
+      bgap_router_server_expired (&f.router, f.now_ms, broken[i]);
+      bgap_router_remove_server (&f.router, f.now_ms, broken[i]);
+    }
+  expect_refused (&f, &crashing);
+  expect_sent (&f, &harmless);
+  fixture_shutdown (&f);
+}
+
+/* Guards against servers that leave as planned and are taken for crashed ones,
+   and against live ones: a registration can expire while its server cannot
+   reach the store.  */
+static void
+test_expired_registration_alone (void **state)
+{
+  (void)state;
+  struct fixture f;
+  struct servers servers = add_servers (&f);
+  struct bgap_server_id broken[2];
+  break_twice (&f, broken);
+  bgap_router_server_drain (&f.router, f.now_ms, broken[0],
+                            BGAP_DRAIN_HOST_LIST, true);
+  bgap_router_server_expired (&f.router, f.now_ms, broken[0]);
+  bgap_router_server_expired (&f.router, f.now_ms, broken[1]);
+  expect_sent (&f, &crashing);
+
+  struct bgap_router_action d = send_request (&f, &harmless);
+  fixture_wait (&f, 100);
+  bgap_router_server_expired (&f.router, f.now_ms, servers.a);
+  bgap_router_server_expired (&f.router, f.now_ms, servers.b);
+  bgap_router_server_expired (&f.router, f.now_ms, servers.c);
+  fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_FINISH);
+  expect_sent (&f, &harmless);
+  fixture_shutdown (&f);
+}
+
 /* Guards against broken connections that are taken for a crash long after.  */
 static void
 test_late_reports_are_no_evidence (void **state)
@@ -489,6 +538,8 @@
     cmocka_unit_test (test_crashes_seen_by_two_instances),
     cmocka_unit_test (test_crashing_request_is_refused),
     cmocka_unit_test (test_crashing_request_of_two_instances),
+    cmocka_unit_test (test_expired_registration_after_broken_attempt),
+    cmocka_unit_test (test_expired_registration_alone),
     cmocka_unit_test (test_late_reports_are_no_evidence),
     cmocka_unit_test (test_late_reports_about_a_suspect),
     cmocka_unit_test (test_answered_trial_ends_quarantine),
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -243,12 +243,13 @@
 {
   enum bgap_status status = bgap_router_setup (
       &edge->router,
-      &(struct bgap_router_desc){ .instance = edge->settings.name,
-                                  .zone = edge->settings.zone,
-                                  .requests_max = REQUESTS_MAX,
-                                  .quarantine_ops
-                                  = bgap_edge_quarantine_ops (edge),
-                                  .load_interval_ms = -1 },
+      &(struct bgap_router_desc){
+          .instance = edge->settings.name,
+          .zone = edge->settings.zone,
+          .requests_max = REQUESTS_MAX,
+          .crash_window_ms = bgap_edge_crash_window_ms (edge),
+          .quarantine_ops = bgap_edge_quarantine_ops (edge),
+          .load_interval_ms = -1 },
       err);
   if (status == BGAP_OK)
     status = bgap_backend_setup (
--- a/programs/banyangapd/edge_server_parts.h
+++ b/programs/banyangapd/edge_server_parts.h
@@ -36,6 +36,12 @@
  */
 void bgap_edge_sync_servers (struct bgap_edge *edge);
 
+/**
+ * bgap_edge_crash_window_ms() - time from the crash of a server to the read
+ * that shows its registration expired, at most
+ */
+int64_t bgap_edge_crash_window_ms (const struct bgap_edge *edge);
+
 /**
  * bgap_edge_reinstate_servers() - use servers again that were wrongly
  * considered dead
--- a/programs/banyangapd/edge_servers.c
+++ b/programs/banyangapd/edge_servers.c
@@ -195,6 +195,8 @@
                                 server->id);
   server->known = NULL;
   server->calls++;
+  bgap_router_server_expired (&edge->router, bgap_now_ms (),
+                              server->router_id);
   bgap_router_remove_server (&edge->router, bgap_now_ms (), server->router_id);
   bgap_edge_run_actions (edge);
   bgap_edge_call_ended (edge, server);
@@ -250,12 +252,24 @@
   bgap_router_server_lost (&edge->router, now_ms, server->router_id);
 }
 
+static int64_t
+_bgap_servers_expiry_ms (const struct bgap_edge *edge)
+{
+  return edge->settings.heartbeat_ms * EXPIRY_HEARTBEATS;
+}
+
+int64_t
+bgap_edge_crash_window_ms (const struct bgap_edge *edge)
+{
+  return _bgap_servers_expiry_ms (edge) + REGISTRATIONS_PAUSE_MS;
+}
+
 /* A server that was considered dead is alive if it is still registered after
    the time in which the registration of a dead server expires.  */
 void
 bgap_edge_reinstate_servers (struct bgap_edge *edge, int64_t now_ms)
 {
-  int64_t expiry_ms = edge->settings.heartbeat_ms * EXPIRY_HEARTBEATS;
+  int64_t expiry_ms = _bgap_servers_expiry_ms (edge);
   for (struct bgap_edge_server *server = edge->servers; server != NULL;
        server = server->hh.next)
     {
--- a/tests/process/backend_standin.py
+++ b/tests/process/backend_standin.py
@@ -54,6 +54,7 @@
         self.state = "ready"
         self.alive = True
         self.is_registered = True
+        self.is_expiring = False
         self.registration_lock = threading.Lock()
         self.sequence = 0
         self.incarnation = int(time.time() * 1000)
@@ -131,6 +132,11 @@
                 lease[3] = min(lease[3], now)
         self.http.shutdown()
         self.http.server_close()
+        self.expire()
+
+    def expire(self):
+        """Has the store remove the registration after three heartbeat intervals."""
+        self.is_expiring = True
         threading.Timer(3 * HEARTBEAT_S,
                         lambda: self.store.append("keyed.servers", self.name, b"")).start()
 
--- a/tests/process/test_crashing_requests.py
+++ b/tests/process/test_crashing_requests.py
@@ -67,6 +67,22 @@
             for key in KEYS:
                 self.assertEqual(platform.request(0, "GET", "/r/page", key=key).status, 200)
 
+    def test_crashing_request_in_quiet_hours(self):
+        """Guards against a request that crashes servers for ever, if no other request finds out
+        that they have ended and they do not come back under their ids."""
+        with Platform() as platform:
+            self.start(platform, 12, 2)
+            platform.call_all_instances("/r/1", WARM_UP_S, 4)
+            self.set_crash_path(platform, "/r/crash")
+            for number in range(8):
+                platform.request(number % 2, "GET", "/r/crash")
+                for backend in self.crashed(platform):
+                    if not backend.is_expiring:
+                        backend.expire()
+                time.sleep(1)
+            self.assertGreater(len(self.crashed(platform)), 1)
+            self.assertLessEqual(len(self.crashed(platform)), 6)
+
     def test_crashing_request_is_held_back_until_it_is_harmless(self):
         """Guards against a request that crashes one server after another, and against a
         quarantine that refuses it also after new processes of the system have started."""
