Quarantine: of stored messages only quarantines count

Cause: the last message of each instance stays in the store and is read by each process that starts. A stored suspicion of any age counted as a crash that had just become known, so that one crash more would have put the fingerprint in quarantine; a stored answer of before the crashes would have ended one.

Change: only quarantines are taken from them, which begin with a trial.

Found by reading, not reported.

--- a/packages/routing/src/quarantine.c
+++ b/packages/routing/src/quarantine.c
@@ -442,6 +442,11 @@
                         enum bgap_quarantine_source source,
                         const struct bgap_routing_suspicion *item)
 {
+  /* Of stored items only quarantines count, which begin with a trial: a crash
+     or an answer of an unknown age says nothing about the present.  */
+  if (source == BGAP_QUARANTINE_STORED
+      && item->kind != BGAP_SUSPICION_QUARANTINED)
+    return;
   switch (item->kind)
     {
     case BGAP_SUSPICION_SUSPECT:
--- a/packages/routing/tests/test_quarantine.c
+++ b/packages/routing/tests/test_quarantine.c
@@ -76,6 +76,19 @@
   bgap_buffer_shutdown (&message);
 }
 
+static void
+on_stored (struct fixture *f, const struct bgap_routing_suspicion *item)
+{
+  struct bgap_buffer message = { 0 };
+  assert_int_equal (bgap_routing_encode_suspicions (&message, item, 1),
+                    BGAP_OK);
+  assert_int_equal (bgap_router_on_stored (&f->router, f->now_ms,
+                                           BGAP_ROUTING_MESSAGE_SUSPICIONS,
+                                           message.data, message.size, NULL),
+                    BGAP_OK);
+  bgap_buffer_shutdown (&message);
+}
+
 static void
 expect_told (struct fixture *f, enum bgap_suspicion_kind kind)
 {
@@ -481,22 +494,43 @@
           .server = bgap_hash64 ("x", 1),
           .kind = BGAP_SUSPICION_QUARANTINED,
           .remaining_ms = 300000 };
-  struct bgap_buffer message = { 0 };
-  bgap_routing_encode_suspicions (&message, &item, 1);
-  assert_int_equal (bgap_router_on_stored (&f.router, f.now_ms,
-                                           BGAP_ROUTING_MESSAGE_SUSPICIONS,
-                                           message.data, message.size, NULL),
-                    BGAP_OK);
+  on_stored (&f, &item);
   struct bgap_router_action d = send_request (&f, &crashing);
   expect_refused (&f, &crashing);
   fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
   fixture_expect (&f, BGAP_ROUTER_ACTION_FINISH);
   expect_sent (&f, &crashing);
   assert_int_equal (bgap_router_on_stored (&f.router, f.now_ms,
-                                           BGAP_ROUTING_MESSAGE_LOADS,
-                                           message.data, message.size, NULL),
+                                           BGAP_ROUTING_MESSAGE_LOADS, "", 0,
+                                           NULL),
                     BGAP_ERR_PROTOCOL);
-  bgap_buffer_shutdown (&message);
+  fixture_shutdown (&f);
+}
+
+/* Guards against stored suspicions and answers that are taken for new ones: a
+   crash of long ago and one crash now prove nothing, and an answer of before
+   the crashes does not end a quarantine.  */
+static void
+test_other_stored_messages_are_ignored (void **state)
+{
+  (void)state;
+  struct fixture f;
+  add_servers (&f);
+  on_stored (&f, &(struct bgap_routing_suspicion){
+                     .fingerprint = 77, .server = bgap_hash64 ("x", 1) });
+  struct bgap_router_action d = send_request (&f, &harmless);
+  fixture_wait (&f, 100);
+  bgap_router_server_lost (&f.router, f.now_ms, d.server);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_CANCEL_ATTEMPT);
+  d = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+  fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
+  fixture_expect (&f, BGAP_ROUTER_ACTION_FINISH);
+  bgap_router_server_alive (&f.router, f.now_ms, d.server, 1);
+
+  quarantine (&f);
+  on_stored (&f, &(struct bgap_routing_suspicion){
+                     .fingerprint = 66, .kind = BGAP_SUSPICION_CLEARED });
+  expect_refused (&f, &crashing);
   fixture_shutdown (&f);
 }
 
@@ -547,6 +581,7 @@
     cmocka_unit_test (test_trial_that_did_not_run),
     cmocka_unit_test (test_trial_of_a_peer),
     cmocka_unit_test (test_stored_quarantine_starts_with_a_trial),
+    cmocka_unit_test (test_other_stored_messages_are_ignored),
     cmocka_unit_test (test_quarantine_expires),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
