Routing messages: the form of a started trial

Cause: the doc comment of struct bgap_routing_suspicion did not say what a quarantine without a server means.

Change: a comment.

Result: no change of the program.

--- a/packages/routing/include/banyangap/routing/message.h
+++ b/packages/routing/include/banyangap/routing/message.h
@@ -44,7 +44,8 @@
 
 /**
  * struct bgap_routing_suspicion - state change of a fingerprint
- * @server: XXH3 hash of the name of the server that crashed; 0 with CLEARED
+ * @server: XXH3 hash of the name of the server that crashed; 0 with CLEARED,
+ *   and with QUARANTINED if the sender starts a trial
  * @remaining_ms: with QUARANTINED, remaining time of the quarantine
  */
 struct bgap_routing_suspicion
