--- a/packages/routing/include/banyangap/routing/quarantine.h
+++ b/packages/routing/include/banyangap/routing/quarantine.h
@@ -86,8 +86,8 @@
  * @suspect_ms: how long a fingerprint remains a suspect; default 300 000
  * @crash_window_ms: maximum time from a broken attempt to the report that its
  *   server has crashed; default 3000
- * @trial_ms: time from the start of a quarantine to the first trial, which
- *   doubles with each; default 15 000
+ * @trial_ms: time from the start of a quarantine to the first trial, and from
+ *   that to the second; doubles with each further one; default 15 000
  * @ops: calls for logs
  */
 struct bgap_quarantine_desc
