Stop: log when each step was due and carried out

Cause: the logs of a planned stop could not tell a late step from a late signal or from a cut of another origin: no line said when a step ran, how old the stop was when a request was taken, or what the abort broke off.

Change: the times of the steps move to routing/stop_schedule, which reads no clock. Each step logs when it was due and when it was carried out and how late the timer has been at most. Requests that are taken during a stop are logged with the age of the stop, the age of their last attempt, and the time that their answer was expected to need. No decision changes.

--- a/packages/routing/src/router_estimate.c
+++ b/packages/routing/src/router_estimate.c
@@ -140,10 +140,8 @@
     answer_ms = service->response_ms;
   double expected_ms = fmax (
       answer_ms, bgap_router_expected_ms (service, server, now_ms, cost_ms));
-  if (expected_ms <= (double)(state->end_ms - now_ms))
-    return false;
   request->expected_ms = (int64_t)expected_ms;
-  return true;
+  return expected_ms > (double)(state->end_ms - now_ms);
 }
 
 /* Slots that serve a queue of this instance.  */
--- a/packages/routing/src/router_state.h
+++ b/packages/routing/src/router_state.h
@@ -64,7 +64,7 @@
  * @objective_at_ms: time of its latency objective; 0 for none
  * @wake_at_ms: BACKOFF, time at which it continues
  * @expected_ms: time that its answer was expected to take when it was refused
- *   because of that, 0 otherwise
+ *   because of that or compared with the end of the process, 0 otherwise
  * @cost_class, @cost_detail: see struct bgap_request_desc
  * @cost_ms: expected cost, 0 if not known
  * @tried: servers of its last attempts
--- /dev/null
+++ b/packages/routing/src/stop_schedule.c
@@ -0,0 +1,82 @@
+#include "banyangap/routing/stop_schedule.h"
+
+#include <stddef.h>
+
+/* Time for which connections are accepted: the load balancer needs some
+   seconds to see that the instance is not ready.  */
+#define ACCEPT_MS 3000
+
+/* Times before the end of the grace period at which the later steps are
+   due.  */
+#define REFUSE_LEAD_MS 1500
+#define ABORT_LEAD_MS 500
+#define EXIT_LEAD_MS 250
+
+static int64_t
+_bgap_stop_min (int64_t a, int64_t b)
+{
+  return a < b ? a : b;
+}
+
+/* In a short grace period each step takes a part of it instead. Attempts are
+   not aborted before its last sixth.  */
+void
+bgap_stop_schedule_begin (struct bgap_stop_schedule *schedule, int64_t now_ms,
+                          int64_t grace_ms)
+{
+  if (schedule->begun)
+    return;
+  schedule->begun = true;
+  schedule->begun_ms = now_ms;
+  schedule->due_ms[BGAP_STOP_STEP_CLOSE]
+      = _bgap_stop_min (ACCEPT_MS, grace_ms / 2);
+  schedule->due_ms[BGAP_STOP_STEP_REFUSE]
+      = grace_ms - _bgap_stop_min (REFUSE_LEAD_MS, grace_ms / 4);
+  schedule->due_ms[BGAP_STOP_STEP_ABORT]
+      = grace_ms - _bgap_stop_min (ABORT_LEAD_MS, grace_ms / 6);
+  schedule->due_ms[BGAP_STOP_STEP_EXIT]
+      = grace_ms - _bgap_stop_min (EXIT_LEAD_MS, grace_ms / 10);
+}
+
+int64_t
+bgap_stop_schedule_age_ms (const struct bgap_stop_schedule *schedule,
+                           int64_t now_ms)
+{
+  return schedule->begun ? now_ms - schedule->begun_ms : -1;
+}
+
+bool
+bgap_stop_schedule_take (struct bgap_stop_schedule *schedule, int64_t now_ms,
+                         enum bgap_stop_step *step)
+{
+  if (!schedule->begun || schedule->taken == BGAP_STOP_STEP_COUNT
+      || now_ms - schedule->begun_ms < schedule->due_ms[schedule->taken])
+    return false;
+  *step = (enum bgap_stop_step)schedule->taken++;
+  return true;
+}
+
+int64_t
+bgap_stop_schedule_wait_ms (const struct bgap_stop_schedule *schedule,
+                            int64_t now_ms)
+{
+  int64_t since_ms = now_ms - schedule->begun_ms;
+  if (!schedule->begun)
+    return INT64_MAX;
+  for (size_t i = 0; i < BGAP_STOP_STEP_COUNT; i++)
+    if (since_ms < schedule->due_ms[i])
+      return schedule->due_ms[i] - since_ms;
+  return INT64_MAX;
+}
+
+const char *
+bgap_stop_step_name (enum bgap_stop_step step)
+{
+  static const char *const names[] = {
+    [BGAP_STOP_STEP_CLOSE] = "close",
+    [BGAP_STOP_STEP_REFUSE] = "refuse",
+    [BGAP_STOP_STEP_ABORT] = "abort",
+    [BGAP_STOP_STEP_EXIT] = "exit",
+  };
+  return step < BGAP_STOP_STEP_COUNT ? names[step] : "?";
+}
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -112,7 +112,7 @@
       most_ms = GRANTER_TICK_MS;
   if (wait_ms > most_ms)
     wait_ms = most_ms;
-  int64_t step_ms = bgap_edge_next_stop_step_ms (edge, now_ms);
+  int64_t step_ms = bgap_stop_schedule_wait_ms (&edge->stop, now_ms);
   if (wait_ms > step_ms)
     wait_ms = step_ms;
   if (edge->timer_at_ms != 0 && edge->timer_at_ms <= now_ms + wait_ms)
@@ -144,7 +144,7 @@
 bool
 bgap_edge_is_ready (const struct bgap_edge *edge)
 {
-  return edge->stopping_ms == 0 && edge->table != NULL
+  return !edge->stop.begun && edge->table != NULL
          && bgap_follower_is_loaded (edge->config)
          && bgap_follower_is_loaded (edge->registrations)
          && bgap_follower_is_loaded (edge->internal);
@@ -187,6 +187,8 @@
   int64_t now_ms = bgap_now_ms ();
   (void)fd;
   (void)what;
+  if (edge->stop.begun && now_ms - edge->timer_at_ms > edge->timer_late_max_ms)
+    edge->timer_late_max_ms = now_ms - edge->timer_at_ms;
   edge->timer_at_ms = 0;
   bgap_router_tick (&edge->router, now_ms, bgap_wall_ms ());
   if (now_ms - edge->housekeeping_ms >= HOUSEKEEPING_MS)
@@ -203,7 +205,7 @@
   bgap_edge_report_keys (edge, now_ms);
   bgap_edge_apply_service_times (edge, now_ms);
   bgap_edge_relay_heartbeat (edge, now_ms);
-  if (edge->stopping_ms != 0)
+  if (edge->stop.begun)
     bgap_edge_check_stop (edge, now_ms);
   bgap_edge_run_actions (edge);
 }
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -217,7 +217,7 @@
 bgap_edge_update_successors (struct bgap_edge *edge)
 {
   int64_t now_ms = bgap_now_ms ();
-  bool is_successor = edge->stopping_ms == 0
+  bool is_successor = !edge->stop.begun
                       && bgap_membership_is_first (edge->membership)
                       && bgap_membership_listed_ms (edge->membership) != 0;
   bool any_missing = false;
--- a/programs/banyangapd/edge_parts.h
+++ b/programs/banyangapd/edge_parts.h
@@ -107,12 +107,11 @@
 void bgap_edge_check_stop (struct bgap_edge *edge, int64_t now_ms);
 
 /**
- * bgap_edge_next_stop_step_ms() - time until the next step of the stop is due
+ * bgap_edge_stop_age_ms() - time since the graceful stop began
  *
- * Return: milliseconds, INT64_MAX if there is none.
+ * Return: milliseconds, -1 before the stop.
  */
-int64_t bgap_edge_next_stop_step_ms (const struct bgap_edge *edge,
-                                     int64_t now_ms);
+int64_t bgap_edge_stop_age_ms (const struct bgap_edge *edge, int64_t now_ms);
 
 /**
  * bgap_edge_log_exit() - write the last line of the log
--- a/programs/banyangapd/edge_request.c
+++ b/programs/banyangapd/edge_request.c
@@ -33,10 +33,11 @@
 {
   bgap_event (&event_rejected,
               "request=%s status=%d reason=\"%s\" config=%lld "
-              "retry_after_ms=%lld",
+              "retry_after_ms=%lld stop_age_ms=%lld",
               wire->id, status, reason,
               edge->table != NULL ? (long long)edge->table->version : -1LL,
-              (long long)retry_after_ms);
+              (long long)retry_after_ms,
+              (long long)bgap_edge_stop_age_ms (edge, bgap_now_ms ()));
   _bgap_request_reply (edge, id, status, reason, retry_after_ms);
 }
 
@@ -269,27 +270,32 @@
 _bgap_request_log (const struct bgap_edge_exchange *exchange,
                    const struct bgap_router_action *action, int64_t took_ms)
 {
-  bool is_ordinary = action->reason == BGAP_REASON_ANSWERED
+  const struct bgap_edge *edge = exchange->edge;
+  int64_t stop_age_ms = bgap_edge_stop_age_ms (edge, exchange->began_ms);
+  bool is_ordinary = stop_age_ms < 0 && action->reason == BGAP_REASON_ANSWERED
                      && exchange->status < 500 && exchange->attempts <= 1
                      && took_ms <= exchange->objective_ms;
   if (is_ordinary)
     return;
-  bgap_event (&event_request,
-              "request=%s route=%s service=%s outcome=%s reason=\"%s\" "
-              "status=%d took_ms=%lld objective_ms=%lld deadline_ms=%lld "
-              "expected_ms=%lld cost_ms=%lld work_ms=%lld attempts=%u "
-              "server=%s retry_after_ms=%lld config=%lld",
-              exchange->wire.id, exchange->route, exchange->service->name,
-              bgap_outcome_name (action->outcome),
-              bgap_reason_name (action->reason),
-              action->reason == BGAP_REASON_ANSWERED ? exchange->status
-                                                     : action->http_status,
-              (long long)took_ms, (long long)exchange->objective_ms,
-              (long long)exchange->deadline_ms, (long long)action->expected_ms,
-              (long long)action->cost_ms, (long long)exchange->work_ms,
-              exchange->attempts, exchange->last_server,
-              (long long)action->retry_after_ms,
-              (long long)exchange->edge->table->version);
+  bgap_event (
+      &event_request,
+      "request=%s route=%s service=%s outcome=%s reason=\"%s\" "
+      "status=%d took_ms=%lld objective_ms=%lld deadline_ms=%lld "
+      "expected_ms=%lld cost_ms=%lld work_ms=%lld attempts=%u "
+      "server=%s sent_ago_ms=%lld retry_after_ms=%lld config=%lld "
+      "stop_age_ms=%lld",
+      exchange->wire.id, exchange->route, exchange->service->name,
+      bgap_outcome_name (action->outcome), bgap_reason_name (action->reason),
+      action->reason == BGAP_REASON_ANSWERED ? exchange->status
+                                             : action->http_status,
+      (long long)took_ms, (long long)exchange->objective_ms,
+      (long long)exchange->deadline_ms, (long long)action->expected_ms,
+      (long long)action->cost_ms, (long long)exchange->work_ms,
+      exchange->attempts, exchange->last_server,
+      exchange->attempts > 0 ? (long long)(bgap_now_ms () - exchange->sent_ms)
+                             : -1LL,
+      (long long)action->retry_after_ms, (long long)edge->table->version,
+      (long long)stop_age_ms);
 }
 
 /* Sends the caller the end of a complete response, or the whole of it if it
--- a/programs/banyangapd/edge_state.h
+++ b/programs/banyangapd/edge_state.h
@@ -20,6 +20,7 @@
 #include "banyangap/routing/balancer.h"
 #include "banyangap/routing/message.h"
 #include "banyangap/routing/router.h"
+#include "banyangap/routing/stop_schedule.h"
 #include "banyangap/store/follower.h"
 #include "banyangap/store/membership.h"
 #include "banyangap/store/relay_subscriber.h"
@@ -260,8 +261,10 @@
  * @config_bytes: size of the record of the configuration in force
  * @config_synced_ms, @internal_synced_ms, @servers_synced_ms: when the read
  *   was sent that the view of each topic is based on
- * @stopping_ms: when the graceful stop began, 0 if it has not
+ * @stop: steps of the graceful stop
  * @timer_at_ms: when the timer fires, 0 if it is not set
+ * @timer_late_max_ms: longest time by which the timer fired late since the
+ *   graceful stop began
  * @frontend_stopped: all connections of callers are closed
  */
 struct bgap_edge
@@ -321,8 +324,9 @@
   int64_t servers_synced_ms;
   int64_t housekeeping_ms;
   int64_t limits_logged_ms;
-  int64_t stopping_ms;
+  struct bgap_stop_schedule stop;
   int64_t timer_at_ms;
+  int64_t timer_late_max_ms;
   bool frontend_stopped;
 };
 
