Fix: schedule a step of the stop until it has been carried out

Cause: the loop's timer carries out the steps that are due by a reading of the clock from the begin of its work; the next wake-up was computed from a later reading and from the times alone. A step that fell due between the two was never carried out by the one and not scheduled by the other. It waited for the next tick, up to 200 ms later; until then requests were accepted and attempts not aborted.

Change: the schedule keeps which steps have been taken, and the wait is that for the first one that has not, 0 if it is overdue. Whatever the readings are, a step is either taken or scheduled.

--- a/packages/routing/include/banyangap/routing/stop_schedule.h
+++ b/packages/routing/include/banyangap/routing/stop_schedule.h
@@ -78,9 +78,11 @@
                               int64_t now_ms, enum bgap_stop_step *step);
 
 /**
- * bgap_stop_schedule_wait_ms() - time until the next step is due
+ * bgap_stop_schedule_wait_ms() - time until the next step is due that has not
+ * been taken
  *
- * Return: milliseconds, INT64_MAX if there is no further step.
+ * Return: milliseconds, 0 for a step that is overdue, INT64_MAX if there is no
+ * further step.
  */
 int64_t bgap_stop_schedule_wait_ms (const struct bgap_stop_schedule *schedule,
                                     int64_t now_ms);
--- a/packages/routing/src/stop_schedule.c
+++ b/packages/routing/src/stop_schedule.c
@@ -1,7 +1,5 @@
 #include "banyangap/routing/stop_schedule.h"
 
-#include <stddef.h>
-
 /* Time for which connections are accepted: the load balancer needs some
    seconds to see that the instance is not ready.  */
 #define ACCEPT_MS 3000
@@ -60,13 +58,11 @@
 bgap_stop_schedule_wait_ms (const struct bgap_stop_schedule *schedule,
                             int64_t now_ms)
 {
-  int64_t since_ms = now_ms - schedule->begun_ms;
-  if (!schedule->begun)
+  if (!schedule->begun || schedule->taken == BGAP_STOP_STEP_COUNT)
     return INT64_MAX;
-  for (size_t i = 0; i < BGAP_STOP_STEP_COUNT; i++)
-    if (since_ms < schedule->due_ms[i])
-      return schedule->due_ms[i] - since_ms;
-  return INT64_MAX;
+  int64_t wait_ms
+      = schedule->begun_ms + schedule->due_ms[schedule->taken] - now_ms;
+  return wait_ms > 0 ? wait_ms : 0;
 }
 
 const char *
