Fix: judge requests in a stop by the clock, with a margin

Cause: the end of accepting was a flag that the loop's timer set. In one turn of the loop reads are handled before timers that fell due, so that a late turn or a late timer lets requests in after the moment. It was also due 3.0 s after the signal was handled, the very bound after which a request must not be broken off any more: a signal that is handled late or a request that waits in the socket had no margin.

Change: the router gets the limits of the stop when it begins, and judges each request, and each one that would begin to wait, by the time of the call. The timer only closes the listener and idle connections and ends what is open. Accepting ends 2.5 s after the signal: the load balancer asks once a second and stops sending after two misses, and what comes later on a kept connection finds it closed and goes to another instance, instead of being refused.

--- a/packages/routing/include/banyangap/routing/router_stop.h
+++ b/packages/routing/include/banyangap/routing/router_stop.h
@@ -2,20 +2,49 @@
 #define BANYANGAP_ROUTING_ROUTER_STOP_H
 
 /*
- * Steps of a graceful stop of a router, in this order:
+ * Graceful stop of a router:
  *
- *   bgap_router_end_by (&router, end_ms);
+ *   bgap_router_begin_stop (&router, &(struct bgap_router_stop){
+ *                                        .accept_until_ms = accept_until_ms,
+ *                                        .wait_until_ms = wait_until_ms,
+ *                                        .end_ms = end_ms });
  *   ...
- *   bgap_router_stop_accepting (&router);
  *   bgap_router_refuse_waiting (&router, now_ms);
  *   ...
  *   bgap_router_abort_attempts (&router, now_ms);
  *
- * Each emits actions that the owner carries out, as after any other event.
+ * From its begin on, each request is judged by the time of its call, so that a
+ * timer of the owner that is late does not widen a limit. The later calls end
+ * the requests that are open then; each emits actions that the owner carries
+ * out, as after any other event.
  */
 
 #include "banyangap/routing/router.h"
 
+/**
+ * struct bgap_router_stop - limits of a graceful stop, all in the time of
+ * now_ms; 0 means none
+ * @accept_until_ms: from then on new requests are refused
+ * @wait_until_ms: from then on a request that would wait for a server is
+ *   refused
+ * @end_ms: see bgap_router_end_by()
+ */
+struct bgap_router_stop
+{
+  int64_t accept_until_ms;
+  int64_t wait_until_ms;
+  int64_t end_ms;
+};
+
+/**
+ * bgap_router_begin_stop() - set the limits of a graceful stop
+ *
+ * Requests that are refused end with outcome NOT_RUN, or UNKNOWN if an attempt
+ * may have run.
+ */
+void bgap_router_begin_stop (struct bgap_router *router,
+                             const struct bgap_router_stop *stop);
+
 /**
  * bgap_router_end_by() - pass on only what is answered before the process ends
  * @end_ms: when attempts will be aborted
--- a/packages/routing/include/banyangap/routing/stop_schedule.h
+++ b/packages/routing/include/banyangap/routing/stop_schedule.h
@@ -20,7 +20,8 @@
 /**
  * enum bgap_stop_step - steps of a graceful stop, in the order of their time
  * @BGAP_STOP_STEP_CLOSE: new connections and requests are not accepted any
- *   more; until then the load balancer may send some
+ *   more, and idle connections are closed; until then the load balancer may
+ *   send some
  * @BGAP_STOP_STEP_REFUSE: queued requests are refused: most need more time at
  *   a server, and other instances can serve them
  * @BGAP_STOP_STEP_ABORT: attempts are aborted and requests that have not
--- a/packages/routing/src/router_checks.h
+++ b/packages/routing/src/router_checks.h
@@ -41,6 +41,20 @@
                                struct bgap_router_request *request,
                                struct bgap_router_wait *wait);
 
+/**
+ * bgap_router_accepts() - whether a request that comes now is accepted, see
+ * struct bgap_router_stop
+ */
+bool bgap_router_accepts (const struct bgap_router_state *state,
+                          int64_t now_ms);
+
+/**
+ * bgap_router_may_wait() - whether a request may begin to wait now, see struct
+ * bgap_router_stop
+ */
+bool bgap_router_may_wait (const struct bgap_router_state *state,
+                           int64_t now_ms);
+
 /**
  * bgap_router_queue_full() - whether the queue limit leaves no room for a
  * request of this rank: @queue, NULL for none, has too few less urgent ones
--- a/packages/routing/src/router_dump.c
+++ b/packages/routing/src/router_dump.c
@@ -123,7 +123,8 @@
       out,
       "router %s zone=%s leaving=%d open=%" PRIu32 " in_flight=%" PRIu32
       " queued=%" PRIu32 " suspects=%" PRIu32 "\n",
-      state->instance, state->zone, state->shutting_down, counts.open,
+      state->instance, state->zone,
+      state->shutting_down || state->stop.accept_until_ms != 0, counts.open,
       counts.in_flight, counts.queued, state->quarantine.count);
   for (uint32_t id = bgap_pool_next (&state->services, BGAP_INVALID_ID);
        status == BGAP_OK && id != BGAP_INVALID_ID;
--- a/packages/routing/src/router_estimate.c
+++ b/packages/routing/src/router_estimate.c
@@ -130,7 +130,8 @@
                         const struct bgap_server *server, int64_t now_ms,
                         struct bgap_router_request *request)
 {
-  if (state->end_ms == 0 || request->deadline_at_ms <= state->end_ms)
+  int64_t end_ms = state->stop.end_ms;
+  if (end_ms == 0 || request->deadline_at_ms <= end_ms)
     return false;
   double cost_ms = bgap_router_cost_ms (service, request);
   double answer_ms
@@ -141,7 +142,7 @@
   double expected_ms = fmax (
       answer_ms, bgap_router_expected_ms (service, server, now_ms, cost_ms));
   request->expected_ms = (int64_t)expected_ms;
-  return expected_ms > (double)(state->end_ms - now_ms);
+  return expected_ms > (double)(end_ms - now_ms);
 }
 
 /* Slots that serve a queue of this instance.  */
--- a/packages/routing/src/router_explain.c
+++ b/packages/routing/src/router_explain.c
@@ -212,7 +212,7 @@
   result->by_cost = bgap_router_placement (&run.service, &run.request, &cost);
   result->waiting = run.service.waiting;
   result->queue_limit = bgap_router_queue_limit (&run.service);
-  if (run.state.shutting_down)
+  if (!bgap_router_accepts (&run.state, now_ms))
     _bgap_explain_refuse (&run, BGAP_REASON_SHUTDOWN, result);
   else if (bgap_router_refuses (&run.state, now_ms, &run.service, &run.request,
                                 &reason))
--- a/packages/routing/src/router_queue.c
+++ b/packages/routing/src/router_queue.c
@@ -279,6 +279,11 @@
 {
   struct bgap_router_service *service
       = bgap_router_service (state, request->service);
+  if (!bgap_router_may_wait (state, now_ms))
+    {
+      bgap_router_finish (state, now_ms, request, BGAP_REASON_SHUTDOWN);
+      return false;
+    }
   while (service->waiting >= bgap_router_queue_limit (service))
     {
       struct bgap_router_request *worst = _bgap_router_least_urgent (
--- a/packages/routing/src/router_request.c
+++ b/packages/routing/src/router_request.c
@@ -83,7 +83,7 @@
   struct bgap_request_id request_id = { request->id };
   if (service == NULL)
     bgap_router_finish (state, now_ms, request, BGAP_REASON_REMOVED);
-  else if (state->shutting_down)
+  else if (!bgap_router_accepts (state, now_ms))
     bgap_router_finish (state, now_ms, request, BGAP_REASON_SHUTDOWN);
   else if (request->deadline_at_ms <= now_ms)
     bgap_router_finish (state, now_ms, request, BGAP_REASON_DEADLINE);
--- a/packages/routing/src/router_state.h
+++ b/packages/routing/src/router_state.h
@@ -24,6 +24,7 @@
 #include "banyangap/routing/response_time.h"
 #include "banyangap/routing/retry_budget.h"
 #include "banyangap/routing/router.h"
+#include "banyangap/routing/router_stop.h"
 #include "banyangap/routing/urgency.h"
 #include "heap.h"
 
@@ -261,7 +262,8 @@
  * @wall_offset_ms: UTC time minus now_ms, 0 before the first tick
  * @issuer: permits that this instance hands out
  * @issuing: they are being handed out; prevents recursion
- * @end_ms: see bgap_router_end_by(), 0 if the process does not stop
+ * @shutting_down: bgap_router_stop_accepting() was called
+ * @stop: limits of the graceful stop, all 0 if the process does not stop
  */
 struct bgap_router_state
 {
@@ -292,7 +294,7 @@
   struct bgap_router_counts counts;
   int64_t loads_due_ms;
   bool shutting_down;
-  int64_t end_ms;
+  struct bgap_router_stop stop;
 };
 
 #endif
--- a/packages/routing/src/router_stop.c
+++ b/packages/routing/src/router_stop.c
@@ -2,10 +2,17 @@
 
 #include "router_parts.h"
 
+void
+bgap_router_begin_stop (struct bgap_router *router,
+                        const struct bgap_router_stop *stop)
+{
+  router->state->stop = *stop;
+}
+
 void
 bgap_router_end_by (struct bgap_router *router, int64_t end_ms)
 {
-  router->state->end_ms = end_ms;
+  router->state->stop.end_ms = end_ms;
 }
 
 void
@@ -14,6 +21,20 @@
   router->state->shutting_down = true;
 }
 
+bool
+bgap_router_accepts (const struct bgap_router_state *state, int64_t now_ms)
+{
+  return !state->shutting_down
+         && (state->stop.accept_until_ms == 0
+             || now_ms < state->stop.accept_until_ms);
+}
+
+bool
+bgap_router_may_wait (const struct bgap_router_state *state, int64_t now_ms)
+{
+  return state->stop.wait_until_ms == 0 || now_ms < state->stop.wait_until_ms;
+}
+
 static bool
 _bgap_stop_is_waiting (const struct bgap_router_request *request)
 {
--- a/packages/routing/src/stop_schedule.c
+++ b/packages/routing/src/stop_schedule.c
@@ -1,8 +1,13 @@
 #include "banyangap/routing/stop_schedule.h"
 
-/* Time for which connections are accepted: the load balancer needs some
-   seconds to see that the instance is not ready.  */
-#define ACCEPT_MS 3000
+/* A request that was sent later than this after the signal must not be broken
+   off by the stop.  */
+#define BREAK_OFF_MS 3000
+
+/* Time by which the end of accepting precedes that bound: the signal may be
+   handled late, and a request may wait in the socket. The load balancer, which
+   asks once a second and stops sending after two misses, has had its time.  */
+#define ACCEPT_MARGIN_MS 500
 
 /* Times before the end of the grace period at which the later steps are
    due.  */
@@ -27,7 +32,7 @@
   schedule->begun = true;
   schedule->begun_ms = now_ms;
   schedule->due_ms[BGAP_STOP_STEP_CLOSE]
-      = _bgap_stop_min (ACCEPT_MS, grace_ms / 2);
+      = _bgap_stop_min (BREAK_OFF_MS - ACCEPT_MARGIN_MS, grace_ms / 2);
   schedule->due_ms[BGAP_STOP_STEP_REFUSE]
       = grace_ms - _bgap_stop_min (REFUSE_LEAD_MS, grace_ms / 4);
   schedule->due_ms[BGAP_STOP_STEP_ABORT]
--- a/packages/routing/tests/test_stop_schedule.c
+++ b/packages/routing/tests/test_stop_schedule.c
@@ -11,6 +11,8 @@
 #define GRACE_MAX_MS 10000
 #define GRACE_STEP_MS 500
 #define APART_MAX_MS 400
+#define SENT_LATEST_MS 3000
+#define SIGNAL_LATE_MS 500
 
 static struct bgap_stop_schedule
 _begin (int64_t grace_ms)
@@ -92,6 +94,23 @@
       bgap_stop_schedule_take (&schedule, BEGUN_MS + 3 * GRACE_MAX_MS, &step));
 }
 
+/* Guards against an end of accepting that leaves no time between itself and
+   3 s after the signal, the last moment at which a request that is broken off
+   may have been sent: a signal that is handled late used all of it.  */
+static void
+test_accepting_ends_well_before_requests_must_not_be_broken_off (void **state)
+{
+  (void)state;
+  for (int64_t grace_ms = 1000; grace_ms <= GRACE_MAX_MS;
+       grace_ms += GRACE_STEP_MS)
+    {
+      struct bgap_stop_schedule schedule = _begin (grace_ms);
+      int64_t close_ms = schedule.due_ms[BGAP_STOP_STEP_CLOSE];
+      assert_true (close_ms <= SENT_LATEST_MS - SIGNAL_LATE_MS);
+      assert_true (close_ms <= grace_ms / 2);
+    }
+}
+
 /* Guards against a second signal that puts off the end of a stop.  */
 static void
 test_second_begin_changes_nothing (void **state)
@@ -116,6 +135,8 @@
     cmocka_unit_test (test_wait_ends_when_the_next_step_is_due),
     cmocka_unit_test (
         test_all_steps_are_taken_once_and_in_order_after_a_delay),
+    cmocka_unit_test (
+        test_accepting_ends_well_before_requests_must_not_be_broken_off),
     cmocka_unit_test (test_second_begin_changes_nothing),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/programs/banyangapd/edge_stop.c
+++ b/programs/banyangapd/edge_stop.c
@@ -21,7 +21,14 @@
   bgap_event (&event_stop, "state=begun open=%u abort_after_ms=%lld",
               bgap_frontend_exchanges (edge->frontend), (long long)abort_ms);
   bgap_frontend_close_after_response (edge->frontend);
-  bgap_router_end_by (&edge->router, stop->begun_ms + abort_ms);
+  bgap_router_begin_stop (
+      &edge->router,
+      &(struct bgap_router_stop){
+          .accept_until_ms
+          = stop->begun_ms + stop->due_ms[BGAP_STOP_STEP_CLOSE],
+          .wait_until_ms
+          = stop->begun_ms + stop->due_ms[BGAP_STOP_STEP_REFUSE],
+          .end_ms = stop->begun_ms + abort_ms });
   for (struct bgap_edge_service *service = edge->services; service != NULL;
        service = service->hh.next)
     if (service->granter != NULL)
@@ -55,7 +62,6 @@
   if (edge->stop.taken <= BGAP_STOP_STEP_CLOSE)
     return;
   bgap_frontend_stop (edge->frontend);
-  bgap_router_stop_accepting (&edge->router);
   if (edge->stop.taken > BGAP_STOP_STEP_REFUSE)
     bgap_router_refuse_waiting (&edge->router, now_ms);
   if (edge->stop.taken > BGAP_STOP_STEP_ABORT)
