Stop: end as soon as all connections of callers are closed

Cause: a stopping instance noticed that all was done only at its next tick of 200 ms, which lengthened each rolling restart.

Change: the frontend's report that all connections are closed ends the event loop. The flag that the tick looked at is gone; the steps are taken by a clock reading of their own.

--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -206,17 +206,10 @@
   bgap_edge_apply_service_times (edge, now_ms);
   bgap_edge_relay_heartbeat (edge, now_ms);
   if (edge->stop.begun)
-    bgap_edge_check_stop (edge, now_ms);
+    bgap_edge_check_stop (edge);
   bgap_edge_run_actions (edge);
 }
 
-static void
-_bgap_edge_on_frontend_stopped (void *context)
-{
-  struct bgap_edge *edge = context;
-  edge->frontend_stopped = true;
-}
-
 /* Setup.  */
 
 static enum bgap_status
@@ -280,7 +273,7 @@
             .ops = { .request = bgap_edge_on_request,
                      .cancel = bgap_edge_on_cancel,
                      .resume = bgap_edge_on_resume,
-                     .stopped = _bgap_edge_on_frontend_stopped,
+                     .stopped = bgap_edge_on_frontend_stopped,
                      .context = edge } },
         err);
   return status;
--- a/programs/banyangapd/edge_parts.h
+++ b/programs/banyangapd/edge_parts.h
@@ -104,7 +104,13 @@
  * bgap_edge_check_stop() - carry out the steps of the stop that are due, and
  * end the event loop at its end
  */
-void bgap_edge_check_stop (struct bgap_edge *edge, int64_t now_ms);
+void bgap_edge_check_stop (struct bgap_edge *edge);
+
+/**
+ * bgap_edge_on_frontend_stopped() - end the event loop: all connections of
+ * callers are closed
+ */
+void bgap_edge_on_frontend_stopped (void *context);
 
 /**
  * bgap_edge_stop_age_ms() - time since the graceful stop began
--- a/programs/banyangapd/edge_state.h
+++ b/programs/banyangapd/edge_state.h
@@ -265,7 +265,6 @@
  * @timer_at_ms: when the timer fires, 0 if it is not set
  * @timer_late_max_ms: longest time by which the timer fired late since the
  *   graceful stop began
- * @frontend_stopped: all connections of callers are closed
  */
 struct bgap_edge
 {
@@ -327,7 +326,6 @@
   struct bgap_stop_schedule stop;
   int64_t timer_at_ms;
   int64_t timer_late_max_ms;
-  bool frontend_stopped;
 };
 
 #endif
--- a/programs/banyangapd/edge_stop.c
+++ b/programs/banyangapd/edge_stop.c
@@ -52,11 +52,20 @@
               bgap_frontend_exchanges (edge->frontend));
 }
 
+static void
+_bgap_stop_end (struct bgap_edge *edge)
+{
+  bgap_event (&event_stop, "state=ended open=%u after_ms=%lld",
+              bgap_frontend_exchanges (edge->frontend),
+              (long long)bgap_edge_stop_age_ms (edge, bgap_now_ms ()));
+  event_base_loopexit (edge->base, NULL);
+}
+
 void
-bgap_edge_check_stop (struct bgap_edge *edge, int64_t now_ms)
+bgap_edge_check_stop (struct bgap_edge *edge)
 {
   enum bgap_stop_step step;
-  uint32_t open = bgap_frontend_exchanges (edge->frontend);
+  int64_t now_ms = bgap_now_ms ();
   while (bgap_stop_schedule_take (&edge->stop, now_ms, &step))
     _bgap_stop_log_step (edge, step, now_ms);
   if (edge->stop.taken <= BGAP_STOP_STEP_CLOSE)
@@ -70,12 +79,15 @@
       bgap_router_refuse_waiting (&edge->router, now_ms);
       bgap_frontend_refuse_incomplete (edge->frontend);
     }
-  /* Responses that were written may still be in the send buffers.  */
-  if (!edge->frontend_stopped && edge->stop.taken <= BGAP_STOP_STEP_EXIT)
-    return;
-  bgap_event (&event_stop, "state=ended open=%u after_ms=%lld", open,
-              (long long)bgap_edge_stop_age_ms (edge, now_ms));
-  event_base_loopexit (edge->base, NULL);
+  /* Until then responses that were written may be in the send buffers.  */
+  if (edge->stop.taken > BGAP_STOP_STEP_EXIT)
+    _bgap_stop_end (edge);
+}
+
+void
+bgap_edge_on_frontend_stopped (void *context)
+{
+  _bgap_stop_end (context);
 }
 
 void
