Fix: count the lease of a late call from its result

What callers would see: two servers that hold the same key at the same time and both run requests on it (OWNER). The granter's process has to be held up, and the network has to deliver a grant later than the timeout of calls.

Cause: a grant counts as arrived by the timeout of its call, 400 ms after the granter read the clock, because the connection is reset then. The reset is done by a timer. If the timer is late, the grant can arrive until the result is reported, and the answer is taken although the timeout has passed. The end of the lease was still counted from the timeout, so that the keys were granted to another server too early.

Change: the lease of an answered grant is counted from the answer, that of a lost one from the report of the loss or the timeout, whichever is later. On time, the ends are those from before, except for the lateness of the timer itself.

Evidence: keyrange.test_late_replies, a result 1.5 s after the grant: both tests failed before and pass. The other 16 tests of keyrange pass, test_world with its random faults among them.

--- a/packages/keyrange/include/banyangap/keyrange/granter.h
+++ b/packages/keyrange/include/banyangap/keyrange/granter.h
@@ -73,7 +73,8 @@
  *   @lease_ms if there are very many ranges; default 10000
  * @renew_interval_ms: time between renewals of a lease; default 500
  * @call_timeout_ms: time after which a call counts as unanswered; its
- *   connection is then reset, so that it cannot arrive later; default 400
+ *   connection is then reset, so that it cannot arrive later. If the result is
+ *   reported later, the call may have arrived until then. Default 400
  * @view_age_max_ms: age of the view of the store above which no grants are
  *   sent; must be the same at all instances; default 9500
  * @settle_ms: time for servers to register before the first assignment;
--- a/packages/keyrange/src/granter_calls.c
+++ b/packages/keyrange/src/granter_calls.c
@@ -154,13 +154,20 @@
   bgap_grants_refund (g);
 }
 
+/* End of the lease of a grant that has arrived by now at the latest. The
+   connection is not reset at the timeout of the call if this process is held
+   up, so that the grant can arrive until its result is known.  */
+static int64_t
+_bgap_calls_arrived_end_ms (const struct bgap_key_lease *lease, int64_t now_ms)
+{
+  return bgap_leases_end_ms (now_ms, lease->call_lease_ms);
+}
+
 static void
 _bgap_calls_granted (struct bgap_granter *g, int64_t now_ms,
-                     struct bgap_key_lease *lease, int64_t sent_end_ms)
+                     struct bgap_key_lease *lease)
 {
-  int64_t answered_end_ms = bgap_leases_end_ms (now_ms, lease->call_lease_ms);
-  int64_t end_ms
-      = sent_end_ms < answered_end_ms ? sent_end_ms : answered_end_ms;
+  int64_t end_ms = _bgap_calls_arrived_end_ms (lease, now_ms);
   if (end_ms > lease->end_ms)
     lease->end_ms = end_ms;
   lease->held_until_ms = now_ms + lease->call_lease_ms;
@@ -183,6 +190,17 @@
          && strcmp (range->server, lease->server) == 0;
 }
 
+static void
+_bgap_calls_lost (int64_t now_ms, struct bgap_key_lease *lease)
+{
+  int64_t end_ms = _bgap_calls_arrived_end_ms (lease, now_ms);
+  if (end_ms < lease->call_end_ms)
+    end_ms = lease->call_end_ms;
+  if (end_ms > lease->unanswered_end_ms)
+    lease->unanswered_end_ms = end_ms;
+  lease->unanswered++;
+}
+
 static void
 _bgap_calls_on_grant (struct bgap_granter *g, int64_t now_ms,
                       struct bgap_key_lease *lease,
@@ -190,12 +208,11 @@
 {
   struct bgap_grant_target *target
       = bgap_grant_targets_find (g, lease->server);
-  int64_t sent_end_ms = lease->call_end_ms;
   lease->call = 0;
   switch (result)
     {
     case BGAP_GRANTER_DONE:
-      _bgap_calls_granted (g, now_ms, lease, sent_end_ms);
+      _bgap_calls_granted (g, now_ms, lease);
       break;
     case BGAP_GRANTER_FENCED:
       /* The refusal proves nothing if the range has been changed since the
@@ -209,9 +226,7 @@
         g->active = false;
       break;
     case BGAP_GRANTER_LOST:
-      if (sent_end_ms > lease->unanswered_end_ms)
-        lease->unanswered_end_ms = sent_end_ms;
-      lease->unanswered++;
+      _bgap_calls_lost (now_ms, lease);
       if (target != NULL)
         target->grant_lost = true;
       break;
--- a/packages/keyrange/src/granter_state.h
+++ b/packages/keyrange/src/granter_state.h
@@ -23,7 +23,8 @@
  *   none was
  * @call: grant that is in flight, 0 for none
  * @call_sent_ms: when it was sent
- * @call_end_ms: expiry if that grant takes effect without a response
+ * @call_end_ms: expiry if that grant takes effect without a response and its
+ *   connection is reset in time
  * @call_lease_ms: duration of the lease in that grant
  */
 struct bgap_key_lease
