Fix: add a server with its drain and its pause

What callers would see: a request that waits is sent to a server that has said that it leaves, seconds before (DRAIN), or during a pause that it has asked for.

Cause: a server that was removed and registers again keeps what it has stated, but the router was told so only after it had added the server and sent waiting requests to it.

Change: struct bgap_server_desc has the drain and the pause, as it has the evacuation of the zone. They are set before waiting requests are sent.

Evidence: routing.test_server_added: both tests failed before and pass. The other tests of routing and registry pass, and so does process.test_statements.

--- a/packages/routing/include/banyangap/routing/service.h
+++ b/packages/routing/include/banyangap/routing/service.h
@@ -97,6 +97,11 @@
  * @evacuated: its zone is evacuated, as by bgap_router_server_evacuate(), so
  *   that it gets none of the requests that wait; false changes nothing
  * @evacuation_grace_ms: see there
+ * @draining: it drains, as by bgap_router_server_drain() with the signal
+ *   BGAP_DRAIN_HOST_LIST, so that it gets none of the requests that wait;
+ *   false changes nothing
+ * @pause_ms: it has asked for a pause that ends after this time, as by
+ *   bgap_router_server_pause(); 0 changes nothing
  */
 struct bgap_server_desc
 {
@@ -112,6 +117,8 @@
   double cold_per_s;
   bool evacuated;
   int64_t evacuation_grace_ms;
+  bool draining;
+  int64_t pause_ms;
   uint64_t bytes_max;
 };
 
--- /dev/null
+++ b/packages/routing/tests/test_server_added.c
@@ -0,0 +1,80 @@
+#include "fixture.h"
+
+#include "banyangap/routing/server.h"
+
+/* A server that is added again, with what it had stated before, while requests
+   wait.  */
+
+/* Requests that one server takes, with one slot and two in its queue.  */
+#define TAKEN 3
+
+#define PAUSE_MS 2000
+
+/* Adds a server while a request waits for another one, and checks that the
+   request is not sent to it.  */
+static void
+check_gets_no_waiting_request (const struct bgap_server_desc *desc)
+{
+  struct fixture f;
+  struct bgap_router_action running = { 0 };
+  struct bgap_router_action action;
+  struct bgap_server_id id;
+  fixture_setup (&f, &fixture_shared_service);
+  struct bgap_server_id a = fixture_server (&f, "a", "z1", 1);
+  for (int i = 0; i <= TAKEN; i++)
+    (void)fixture_request (&f, NULL);
+  for (int i = 0; i < TAKEN; i++)
+    running = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+  fixture_expect_none (&f);
+  assert_int_equal (
+      bgap_router_set_server (&f.router, f.now_ms, f.service, desc, &id, NULL),
+      BGAP_OK);
+  bgap_router_server_alive (&f.router, f.now_ms, id, 1);
+  while (bgap_router_next_action (&f.router, &action))
+    assert_int_not_equal (action.kind, BGAP_ROUTER_ACTION_DISPATCH);
+  fixture_result (&f, running.attempt, BGAP_RESULT_COMPLETE);
+  fixture_expect_finish (&f, running.request, BGAP_OUTCOME_ANSWERED, 200);
+  running = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+  assert_int_equal (running.server.id, a.id);
+  fixture_shutdown (&f);
+}
+
+/* Guards against a waiting request that is sent to a server long after it has
+   said that it leaves.  */
+static void
+test_draining_server_gets_no_waiting_request (void **state)
+{
+  (void)state;
+  check_gets_no_waiting_request (
+      &(struct bgap_server_desc){ .name = "b",
+                                  .zone = "z1",
+                                  .slots = 4,
+                                  .connections = 120,
+                                  .already_running = true,
+                                  .draining = true });
+}
+
+/* Guards against a waiting request that is sent to a server during the pause
+   that it has asked for.  */
+static void
+test_paused_server_gets_no_waiting_request (void **state)
+{
+  (void)state;
+  check_gets_no_waiting_request (
+      &(struct bgap_server_desc){ .name = "b",
+                                  .zone = "z1",
+                                  .slots = 4,
+                                  .connections = 120,
+                                  .already_running = true,
+                                  .pause_ms = PAUSE_MS });
+}
+
+int
+main (void)
+{
+  const struct CMUnitTest tests[] = {
+    cmocka_unit_test (test_draining_server_gets_no_waiting_request),
+    cmocka_unit_test (test_paused_server_gets_no_waiting_request),
+  };
+  return cmocka_run_group_tests (tests, NULL, NULL);
+}
--- a/programs/banyangapd/edge_server_parts.h
+++ b/programs/banyangapd/edge_server_parts.h
@@ -255,11 +255,11 @@
                               const struct bgap_wire_response *response);
 
 /**
- * bgap_edge_resume_pause() - keep the pause of a server that was removed and
- * is back
+ * bgap_edge_pause_left_ms() - time until the end of the pause that a server
+ * has asked for, 0 without one
  */
-void bgap_edge_resume_pause (struct bgap_edge *edge,
-                             const struct bgap_edge_server *server);
+int64_t bgap_edge_pause_left_ms (const struct bgap_edge *edge,
+                                 const struct bgap_server_entry *entry);
 
 /**
  * bgap_edge_paused_servers() - number of servers that want no requests of this
--- a/programs/banyangapd/edge_servers.c
+++ b/programs/banyangapd/edge_servers.c
@@ -70,6 +70,8 @@
     .already_running = true,
     .joined = bgap_now_ms () - edge->started_ms >= JOINED_AFTER_MS,
     .bytes_max = bgap_edge_server_bodies_max (edge),
+    .draining = entry->draining,
+    .pause_ms = bgap_edge_pause_left_ms (edge, entry),
   };
   bgap_edge_describe_warmup (edge, entry, &desc);
   bgap_edge_describe_evacuation (edge, entry, &desc);
@@ -165,7 +167,6 @@
   bgap_router_server_alive (&edge->router, bgap_now_ms (), server->router_id,
                             (uint64_t)known->entry.started_ms);
   _bgap_servers_update_drain (edge, server, &known->entry);
-  bgap_edge_resume_pause (edge, server);
   if (service->granter != NULL)
     bgap_edge_set_granter_server (edge, service, &known->entry);
 }
--- a/programs/banyangapd/edge_statements.c
+++ b/programs/banyangapd/edge_statements.c
@@ -49,13 +49,15 @@
   bgap_edge_on_warmup (edge, server, response);
 }
 
-void
-bgap_edge_resume_pause (struct bgap_edge *edge,
-                        const struct bgap_edge_server *server)
+int64_t
+bgap_edge_pause_left_ms (const struct bgap_edge *edge,
+                         const struct bgap_server_entry *entry)
 {
-  int64_t now_ms = bgap_now_ms ();
-  bgap_router_server_pause (&edge->router, now_ms, server->router_id,
-                            server->known->paused_until_ms - now_ms);
+  const struct bgap_known_server *known
+      = bgap_server_view_find (edge->view, entry->id);
+  int64_t left_ms
+      = known != NULL ? known->paused_until_ms - bgap_now_ms () : 0;
+  return left_ms > 0 ? left_ms : 0;
 }
 
 uint32_t
