Fix: count a drain from when it was first known

What callers would see: a request for a key reaches its holder more than drainS after the holder was known to drain (DRAIN), if the holder was removed meanwhile and registers again before its keys have moved, as after an outage or a restore of the store.

Cause: the grace period in which a draining holder still gets requests for its keys begins when the router is told that the server drains. The router keeps nothing of a server that was removed, so that the period began anew when it was added again.

Change: the view of the servers keeps since when a process drains, also while it is removed, and the router begins the grace period at that time.

Evidence: registry.test_server_view (test_return_does_not_begin_a_drain_anew) and routing.test_server_added (test_grace_period_does_not_begin_anew) failed before and pass. The other tests of both packages and process.test_evacuation pass.

--- a/packages/registry/src/server_view.c
+++ b/packages/registry/src/server_view.c
@@ -177,6 +177,21 @@
     server->entry.draining = true;
 }
 
+/* Sets since when the process of @server drains. @previous may be NULL or an
+   earlier process.  */
+static void
+_bgap_view_date_drain (struct bgap_known_server *server, int64_t now_ms,
+                       const struct bgap_known_server *previous)
+{
+  bool is_same = previous != NULL
+                 && previous->entry.started_ms == server->entry.started_ms;
+  server->draining_since_ms = 0;
+  if (server->entry.draining)
+    server->draining_since_ms = is_same && previous->draining_since_ms != 0
+                                    ? previous->draining_since_ms
+                                    : now_ms;
+}
+
 static void
 _bgap_view_add (struct bgap_server_view *view, int64_t now_ms,
                 const struct bgap_server_entry *entry)
@@ -189,6 +204,7 @@
   server->entry = *entry;
   server->seen = true;
   _bgap_view_keep_statements (server, former);
+  _bgap_view_date_drain (server, now_ms, former);
   _bgap_view_update_warmup (view, now_ms, server, former, former != NULL);
   HASH_ADD_STR (view->servers, entry.id, server);
   _bgap_view_report (view, server, BGAP_SERVER_ADDED);
@@ -250,6 +266,7 @@
   server->leaving_since_ms = 0;
   server->paused_until_ms = 0;
   _bgap_view_keep_statements (server, &previous);
+  _bgap_view_date_drain (server, now_ms, &previous);
   /* A registration that expired in an outage of the store says nothing about
      its server, and the same one may be read again: its warm-up is a time from
      when it was written.  */
@@ -298,6 +315,8 @@
   server->leaving_since_ms = since_ms;
   bool was_draining = server->entry.draining;
   server->entry.draining = true;
+  if (server->draining_since_ms == 0)
+    server->draining_since_ms = since_ms;
   if (is_known && !was_draining)
     _bgap_view_report (view, server, BGAP_SERVER_DRAINING);
   return true;
--- a/packages/registry/tests/test_server_view.c
+++ b/packages/registry/tests/test_server_view.c
@@ -340,6 +340,43 @@
   bgap_server_view_free (view);
 }
 
+static void
+expect_draining_since (const struct bgap_server_view *view, int64_t since_ms)
+{
+  const struct bgap_known_server *server = bgap_server_view_find (view, "i-1");
+  assert_non_null (server);
+  assert_int_equal (server->draining_since_ms, since_ms);
+}
+
+/* Guards against a grace period that begins anew when a draining server was
+   removed and registers again.  */
+static void
+test_return_does_not_begin_a_drain_anew (void **state)
+{
+  (void)state;
+  struct report report;
+  struct bgap_server_view *view = view_new (&report);
+  struct bgap_server_entry draining = entry (100, 7);
+  put (view, 0, entry (100, 6));
+  expect_draining_since (view, 0);
+  draining.draining = true;
+  put (view, 900, draining);
+  draining.sequence++;
+  put (view, 1000, draining);
+  bgap_server_view_remove (view, 1100, "i-1");
+  draining.sequence++;
+  put (view, 5000, draining);
+  expect_draining_since (view, 900);
+  put (view, 6000, entry (5500, 1));
+  expect_draining_since (view, 0);
+  bgap_server_view_free (view);
+  view = view_of_leaving_server (&report);
+  bgap_server_view_remove (view, 1000, "i-1");
+  put (view, 5000, entry (100, 8));
+  expect_draining_since (view, 900);
+  bgap_server_view_free (view);
+}
+
 /* Guards against a restarted server that is not used, and against the answer
    of an earlier process that stops the present one.  */
 static void
@@ -407,6 +444,7 @@
     cmocka_unit_test (test_odd_registration_does_not_set_the_usual_slots),
     cmocka_unit_test (test_ready_registration_does_not_undo_leaving),
     cmocka_unit_test (test_return_does_not_undo_leaving),
+    cmocka_unit_test (test_return_does_not_begin_a_drain_anew),
     cmocka_unit_test (test_restarted_server_is_not_leaving),
     cmocka_unit_test (test_leaving_is_kept_for_a_removed_server),
     cmocka_unit_test (test_only_changes_are_reported),
--- a/packages/routing/include/banyangap/routing/service.h
+++ b/packages/routing/include/banyangap/routing/service.h
@@ -100,6 +100,7 @@
  * @draining: it drains, as by bgap_router_server_drain() with the signal
  *   BGAP_DRAIN_HOST_LIST, so that it gets none of the requests that wait;
  *   false changes nothing
+ * @draining_for_ms: for how long that has been known
  * @pause_ms: it has asked for a pause that ends after this time, as by
  *   bgap_router_server_pause(); 0 changes nothing
  */
@@ -118,6 +119,7 @@
   bool evacuated;
   int64_t evacuation_grace_ms;
   bool draining;
+  int64_t draining_for_ms;
   int64_t pause_ms;
   uint64_t bytes_max;
 };
--- a/packages/routing/src/router_server.c
+++ b/packages/routing/src/router_server.c
@@ -154,8 +154,8 @@
     bgap_server_evacuate (&server->server, now_ms, true,
                           desc->evacuation_grace_ms);
   if (desc->draining)
-    bgap_server_set_drain (&server->server, now_ms, BGAP_DRAIN_HOST_LIST,
-                           true);
+    bgap_server_set_drain (&server->server, now_ms - desc->draining_for_ms,
+                           BGAP_DRAIN_HOST_LIST, true);
   bgap_router_server_pause (router, now_ms, *id, desc->pause_ms);
   bgap_router_dispatch_queue (state, now_ms, service);
   return BGAP_OK;
--- a/packages/routing/tests/test_server_added.c
+++ b/packages/routing/tests/test_server_added.c
@@ -1,5 +1,6 @@
 #include "fixture.h"
 
+#include "banyangap/routing/balancer.h"
 #include "banyangap/routing/server.h"
 
 /* A server that is added again, with what it had stated before, while requests
@@ -9,6 +10,7 @@
 #define TAKEN 3
 
 #define PAUSE_MS 2000
+#define GRACE_MS 400
 
 /* Adds a server while a request waits for another one, and checks that the
    request is not sent to it.  */
@@ -69,12 +71,48 @@
                                   .pause_ms = PAUSE_MS });
 }
 
+/* Guards against requests for the keys of a holder that has been draining for
+   longer than its grace period when it is added.  */
+static void
+test_grace_period_does_not_begin_anew (void **state)
+{
+  (void)state;
+  static const struct bgap_service_desc keyed_service = {
+    .name = "s",
+    .keyed = true,
+    .drain_grace_ms = GRACE_MS,
+    .policy = &bgap_balancer_shared,
+  };
+  struct fixture f;
+  struct bgap_server_id id;
+  fixture_setup (&f, &keyed_service);
+  assert_int_equal (
+      bgap_router_set_server (
+          &f.router, f.now_ms, f.service,
+          &(struct bgap_server_desc){ .name = "a",
+                                      .zone = "z1",
+                                      .slots = 4,
+                                      .already_running = true,
+                                      .draining = true,
+                                      .draining_for_ms = GRACE_MS - 100 },
+          &id, NULL),
+      BGAP_OK);
+  bgap_router_server_drain (&f.router, f.now_ms, id, BGAP_DRAIN_HOST_LIST,
+                            true);
+  assert_true (bgap_router_holder_usable (&f.router, f.now_ms, f.service, id));
+  f.now_ms += 100;
+  assert_false (
+      bgap_router_holder_usable (&f.router, f.now_ms, f.service, id));
+  fixture_shutdown (&f);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_draining_server_gets_no_waiting_request),
     cmocka_unit_test (test_paused_server_gets_no_waiting_request),
+    cmocka_unit_test (test_grace_period_does_not_begin_anew),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/programs/banyangapd/edge_servers.c
+++ b/programs/banyangapd/edge_servers.c
@@ -73,6 +73,10 @@
     .draining = entry->draining,
     .pause_ms = bgap_edge_pause_left_ms (edge, entry),
   };
+  const struct bgap_known_server *known
+      = bgap_server_view_find (edge->view, entry->id);
+  if (known != NULL && entry->draining)
+    desc.draining_for_ms = bgap_now_ms () - known->draining_since_ms;
   bgap_edge_describe_warmup (edge, entry, &desc);
   bgap_edge_describe_evacuation (edge, entry, &desc);
   if (bgap_router_set_server (&edge->router, bgap_now_ms (), service->id,
