Fix: judge the idle time of a connection by the clock

What callers would see: a request that may not be repeated gets 502 because it was sent on a connection that its server was just closing. Keys can also be granted on a connection on which the server has not answered yet, where the grant may be read seconds later (OWNER).

Cause: a connection to a server is reused during a part of the idle timeout that the server states. Only a timer ended that time. In one turn of the loop, reads are handled before the timers that fell due since the turn before, so that a request could take the connection after that time. A grant is sent if there is an idle connection; one that the server had closed already was counted as one, and the grant went out on a new connection.

Change: a connection keeps when its idle time ends. It is taken, and counted as idle, only before that time and while the server has not closed it.

Evidence: gateway.test_backend_idle, in which the event loop does not run, failed before and passes. The other 15 tests of gateway pass.

--- a/packages/gateway/src/backend.c
+++ b/packages/gateway/src/backend.c
@@ -291,7 +291,13 @@
 {
   const struct backend_server *server
       = bgap_pool_get (&backend->servers, id.id);
-  return server != NULL ? server->idle_count : 0;
+  const struct backend_connection *c;
+  uint32_t count = 0;
+  if (server == NULL)
+    return 0;
+  LIST_FOREACH (c, &server->idle, next_idle)
+  count += bgap_backend_connection_is_usable (c);
+  return count;
 }
 
 enum bgap_status
--- a/packages/gateway/src/backend_connection.c
+++ b/packages/gateway/src/backend_connection.c
@@ -230,14 +230,15 @@
   return c;
 }
 
-/* Checks that an idle connection is still open and has no unread bytes. A
-   request on a connection that the server has already closed would fail after
-   it was sent, although the server never received it.  */
-static bool
-_bgap_backend_is_open (const struct backend_connection *c)
+/* A request on a connection that the server has already closed would fail
+   after it was sent, although the server never received it. The timer that
+   closes the connection at the end of its idle time may be late.  */
+bool
+bgap_backend_connection_is_usable (const struct backend_connection *c)
 {
   char byte;
-  return evbuffer_get_length (bufferevent_get_input (c->bev)) == 0
+  return bgap_backend_now_ms () < c->idle_until_ms
+         && evbuffer_get_length (bufferevent_get_input (c->bev)) == 0
          && recv (bufferevent_getfd (c->bev), &byte, 1,
                   MSG_PEEK | MSG_DONTWAIT)
                 < 0
@@ -254,6 +255,17 @@
   return false;
 }
 
+void
+bgap_backend_connection_set_idle (struct backend_connection *c)
+{
+  c->state = BACKEND_IDLE;
+  c->reused = true;
+  LIST_INSERT_HEAD (&c->server->idle, c, next_idle);
+  c->server->idle_count++;
+  c->idle_until_ms = bgap_backend_now_ms () + c->idle_limit_ms;
+  bgap_backend_connection_set_timer (c, c->idle_limit_ms);
+}
+
 struct backend_connection *
 bgap_backend_connection_take_idle (struct backend_server *server,
                                    uint64_t identity)
@@ -263,7 +275,7 @@
   for (c = LIST_FIRST (&server->idle); c != NULL; c = next)
     {
       next = LIST_NEXT (c, next_idle);
-      if (!_bgap_backend_is_open (c))
+      if (!bgap_backend_connection_is_usable (c))
         {
           bgap_backend_connection_close (c);
           continue;
--- a/packages/gateway/src/backend_private.h
+++ b/packages/gateway/src/backend_private.h
@@ -68,6 +68,7 @@
  *   discarded
  * @is_stale: the response being read belongs to an earlier attempt
  * @idle_limit_ms: how long the connection may stay open without an attempt
+ * @idle_until_ms: when that time ends, while it has none
  * @identity: of the attempt, see struct bgap_backend_request
  * @refused: identities of the attempts that were refused on the connection
  * @interim_count: interim (1xx) responses so far
@@ -98,6 +99,7 @@
   bool connection_refused;
   bool is_server_removed;
   int64_t idle_limit_ms;
+  int64_t idle_until_ms;
 
   uint32_t attempt;
   uint64_t identity;
@@ -152,8 +154,20 @@
                              struct backend_server *server);
 
 /**
- * bgap_backend_connection_take_idle() - take an idle connection that the
- * server has not closed
+ * bgap_backend_connection_set_idle() - keep a connection without an attempt
+ * for later ones
+ */
+void bgap_backend_connection_set_idle (struct backend_connection *connection);
+
+/**
+ * bgap_backend_connection_is_usable() - whether the server has not closed an
+ * idle connection, nor sent anything, and its idle time has not ended
+ */
+bool bgap_backend_connection_is_usable (
+    const struct backend_connection *connection);
+
+/**
+ * bgap_backend_connection_take_idle() - take a usable idle connection
  * @identity: of the attempt; none of the same may have been refused on the
  *   connection
  *
--- a/packages/gateway/src/backend_response.c
+++ b/packages/gateway/src/backend_response.c
@@ -86,11 +86,7 @@
     {
       bgap_pool_free (&backend->attempts, c->attempt);
       c->attempt = BGAP_INVALID_ID;
-      c->state = BACKEND_IDLE;
-      c->reused = true;
-      LIST_INSERT_HEAD (&c->server->idle, c, next_idle);
-      c->server->idle_count++;
-      bgap_backend_connection_set_timer (c, c->idle_limit_ms);
+      bgap_backend_connection_set_idle (c);
     }
   if (refusal != BGAP_REFUSAL_NONE)
     {
