Stop: send a request that may have run again if an answer is likely

What callers saw: about 13 requests in 88 planned stops got 502 well before the abort. Their first attempt had been broken by a full server, and a further one was refused as too late.

Cause: the refusal requires that nearly all answers would come before the end, since another instance can serve a request that has not run. The caller of one that may have run gets 502 instead, whatever is left of the time.

Change: for such a request an attempt is sent if it is more likely answered than not before the abort. Which requests may be repeated is decided as before.

Test: one in routing.test_end_by, which fails without the change.

--- a/packages/routing/src/router_estimate.c
+++ b/packages/routing/src/router_estimate.c
@@ -24,6 +24,11 @@
    answers of all servers and aborts as many; 0.9 refuses a fifth more.  */
 #define STOP_FORECAST_SHARE 0.875
 
+/* The same for a request that may have run already: its caller gets an unknown
+   outcome instead of a refusal, so that an attempt is better if it is more
+   likely answered than not.  */
+#define STOP_UNKNOWN_SHARE 0.5
+
 /* A server without recent answers is assumed to be as slow as this share of
    the answers of all servers, with the weight of a part of an answer: it may
    be one of the slow ones.  */
@@ -137,19 +142,19 @@
          * (1 + (double)server->in_flight / server->slots);
 }
 
-/* Time that STOP_FORECAST_SHARE of the attempts do not exceed, by the errors
-   of the recent forecasts, 0 if not known. The distribution over all servers
-   would be wrong for each of them if some are slow.  */
+/* Time that a share of the attempts do not exceed, by the errors of the recent
+   forecasts, 0 if not known. The distribution over all servers would be wrong
+   for each of them if some are slow.  */
 static double
 _bgap_estimate_stop_ms (struct bgap_router_service *service,
                         const struct bgap_server *server, int64_t now_ms,
-                        double cost_ms)
+                        double cost_ms, double share)
 {
   if (server == NULL)
     return 0;
   return bgap_router_forecast_ms (service, server, now_ms, cost_ms)
          * bgap_response_times_quantile (&service->forecast_errors, now_ms,
-                                         STOP_FORECAST_SHARE)
+                                         share)
          / FORECAST_UNIT;
 }
 
@@ -177,10 +182,13 @@
   if (state->end_ms == 0 || request->deadline_at_ms <= state->end_ms)
     return false;
   double cost_ms = bgap_router_cost_ms (service, request);
-  double answer_ms = _bgap_estimate_stop_ms (service, server, now_ms, cost_ms);
+  double answer_ms = _bgap_estimate_stop_ms (
+      service, server, now_ms, cost_ms,
+      request->maybe_ran ? STOP_UNKNOWN_SHARE : STOP_FORECAST_SHARE);
   if (answer_ms <= 0)
-    answer_ms = bgap_response_times_quantile (&service->all_times, now_ms,
-                                              STOP_SHARE)
+    answer_ms = bgap_response_times_quantile (
+                    &service->all_times, now_ms,
+                    request->maybe_ran ? STOP_UNKNOWN_SHARE : STOP_SHARE)
                 * cost_ms / BGAP_ROUTER_COST_UNIT_MS;
   if (answer_ms <= 0)
     answer_ms = service->response_ms;
--- a/packages/routing/tests/test_end_by.c
+++ b/packages/routing/tests/test_end_by.c
@@ -187,6 +187,31 @@
   fixture_shutdown (&f);
 }
 
+/* Guards against an unknown outcome of a request that another attempt would
+   likely answer, though not as likely as one that has not run must be.  */
+static void
+test_request_that_may_have_run_is_sent_again (void **state)
+{
+  (void)state;
+  struct fixture f;
+  static const struct bgap_request_desc idempotent_desc
+      = { .deadline_ms = DEADLINE_MS, .idempotent = true };
+  fixture_setup (&f, &fixture_shared_service);
+  fixture_server (&f, "a", "z1", 2);
+  for (int i = 0; i < 16; i++)
+    _answer (&f, 1, i % 4 == 0 ? 2 * ANSWER_MS : ANSWER_MS);
+  struct bgap_request_id request = fixture_request (&f, &idempotent_desc);
+  struct bgap_router_action d
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+  bgap_router_end_by (&f.router, f.now_ms + ANSWER_MS + ANSWER_MS / 2);
+  _expect_refused (&f, fixture_request (&f, &request_desc));
+  fixture_result (&f, d.attempt, BGAP_RESULT_BROKEN);
+  d = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+  fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
+  fixture_expect_finish (&f, request, BGAP_OUTCOME_ANSWERED, 200);
+  fixture_shutdown (&f);
+}
+
 /* Guards against a queued request that waits for a slot although it is too
    late for one.  */
 static void
@@ -248,6 +273,7 @@
     cmocka_unit_test (test_only_what_is_answered_before_the_end_is_passed_on),
     cmocka_unit_test (test_request_with_a_short_deadline_is_passed_on),
     cmocka_unit_test (test_further_attempt_that_is_too_late_is_refused),
+    cmocka_unit_test (test_request_that_may_have_run_is_sent_again),
     cmocka_unit_test (test_queued_request_that_is_too_late_is_refused),
     cmocka_unit_test (test_response_that_has_begun_is_not_aborted),
   };
