--- a/packages/keyrange/include/banyangap/keyrange/granter.h
+++ b/packages/keyrange/include/banyangap/keyrange/granter.h
@@ -466,6 +466,13 @@
  */
 bool bgap_granter_is_active (const struct bgap_granter *granter);
 
+/**
+ * bgap_granter_unconfirmed_ms() - how long unknown servers can still have
+ * leases on unconfirmed ranges of the newest record; 0 if there are none
+ */
+int64_t bgap_granter_unconfirmed_ms (const struct bgap_granter *granter,
+                                     int64_t now_ms);
+
 /**
  * bgap_granter_counts() - counters and gauges
  */
--- a/packages/keyrange/src/granter_restore.c
+++ b/packages/keyrange/src/granter_restore.c
@@ -239,3 +239,12 @@
 {
   return range->unconfirmed && now_ms < g->unconfirmed_until_ms;
 }
+
+int64_t
+bgap_granter_unconfirmed_ms (const struct bgap_granter *g, int64_t now_ms)
+{
+  for (uint32_t i = 0; i < g->current.count; i++)
+    if (bgap_restore_is_unconfirmed (g, now_ms, &g->current.ranges[i]))
+      return g->unconfirmed_until_ms - now_ms;
+  return 0;
+}
--- a/programs/banyangapd/edge_keys.c
+++ b/programs/banyangapd/edge_keys.c
@@ -68,12 +68,16 @@
                                            &assignment);
   bgap_event (&event_assignment,
               "service=%s offset=%llu timeline=%llu taken=%d granter=%s "
-              "fence=%llu ranges=%u released=%d active=%d was_active=%d",
+              "fence=%llu ranges=%u released=%d active=%d was_active=%d "
+              "unconfirmed_ms=%lld unconfirmed_left_ms=%lld",
               service->name, (unsigned long long)record->offset,
               (unsigned long long)assignment.timeline, taken,
               assignment.granter, (unsigned long long)assignment.token,
               assignment.count, assignment.released,
-              bgap_granter_is_active (service->granter), was_active);
+              bgap_granter_is_active (service->granter), was_active,
+              (long long)assignment.unconfirmed_ms,
+              (long long)bgap_granter_unconfirmed_ms (service->granter,
+                                                      bgap_now_ms ()));
   bgap_assignment_shutdown (&assignment);
   if (taken)
     bgap_router_holders_changed (&edge->router, service->id,
