Fix: state the remaining wait for unknown leases again each second

Cause: a record states how long unknown leases can remain after it. It is written with a change of the assignment only, and each process counted the stated time from when it read the record. A new process of the granter waited anew, and its record prolonged the wait at instances that knew an earlier end.

Change: while ranges are unconfirmed, the granter writes its record once in 1 s with the time that remains, and once when it is over. An instance keeps the earliest end that it knows in a timeline, from records or from 20.2 s after it first saw the timeline. Each such end is late enough: a record is read after it was written, and unknown leases were granted by a view of the store from before the restore. No time of day is compared, and nothing is taken over into the next timeline. That servers have released the keys is no such end, since a recorded holder may have an unknown lease.

--- a/packages/keyrange/src/granter_parts.h
+++ b/packages/keyrange/src/granter_parts.h
@@ -452,6 +452,12 @@
  */
 void bgap_restore_state_unconfirmed (struct bgap_granter *g, int64_t now_ms);
 
+/**
+ * bgap_restore_is_restated() - whether the granter is to write how long ranges
+ * still remain unconfirmed, or that none does any more
+ */
+bool bgap_restore_is_restated (const struct bgap_granter *g, int64_t now_ms);
+
 /**
  * bgap_restore_is_unconfirmed() - whether a range of the current assignment
  * may have an unknown holder
--- a/packages/keyrange/src/granter_plan.c
+++ b/packages/keyrange/src/granter_plan.c
@@ -311,7 +311,8 @@
     }
   /* The next record settles a proposal without a response, whatever it
      contains, and replaces one of an earlier timeline.  */
-  if (!changed && !g->unresolved && !g->overwritten)
+  if (!changed && !g->unresolved && !g->overwritten
+      && !bgap_restore_is_restated (g, now_ms))
     return;
   _bgap_plan_count_moves (g);
   _bgap_plan_propose (g, now_ms);
--- a/packages/keyrange/src/granter_restore.c
+++ b/packages/keyrange/src/granter_restore.c
@@ -21,6 +21,11 @@
 #define STEP_IN_LISTED_MS 4500
 #define STEP_IN_SPREAD_MS 1000
 
+/* Time between two records that state how long ranges remain unconfirmed. A
+   process that starts counts from the last one, so that a restart prolongs the
+   wait by at most this time and its own duration.  */
+#define RESTATE_MS 1000
+
 /* Each timeline of the store has as many tokens.  */
 #define TOKENS_PER_TIMELINE_BITS 32
 
@@ -135,6 +140,32 @@
     }
 }
 
+/* Until when unknown servers can have leases. These were granted by a granter
+   of an earlier timeline, so that their end lies before each bound that was
+   found in the present one, by whichever instance and from whichever record:
+   the earliest holds. Each is measured by the monotonic clock of one process
+   from the moment at which it read the statement; nothing depends on the time
+   of day. That servers have been fenced is no such bound: a recorded holder
+   may still have an unknown lease.  */
+static int64_t
+_bgap_restore_bound_ms (const struct bgap_granter *g, int64_t now_ms)
+{
+  int64_t end_ms = now_ms + g->current.unconfirmed_ms;
+  uint64_t timeline = g->current.timeline;
+  if (timeline == 0)
+    return end_ms;
+  if (g->unknown_end_timeline == timeline && g->unknown_end_ms < end_ms)
+    end_ms = g->unknown_end_ms;
+  if (g->timeline == timeline)
+    {
+      int64_t restored_end_ms
+          = bgap_restore_unknown_end_ms (g, g->timeline_since_ms);
+      if (restored_end_ms < end_ms)
+        end_ms = restored_end_ms;
+    }
+  return end_ms;
+}
+
 void
 bgap_restore_on_record (struct bgap_granter *g, int64_t now_ms,
                         bool was_active, bool records_lost)
@@ -142,10 +173,11 @@
   if (g->active && was_active && !records_lost)
     return;
   if (g->active && records_lost)
-    g->unconfirmed_until_ms
-        = bgap_restore_unknown_end_ms (g, g->timeline_since_ms);
+    g->unknown_end_ms = bgap_restore_unknown_end_ms (g, g->timeline_since_ms);
   else
-    g->unconfirmed_until_ms = now_ms + g->current.unconfirmed_ms;
+    g->unknown_end_ms = _bgap_restore_bound_ms (g, now_ms);
+  g->unknown_end_timeline = g->current.timeline;
+  g->unconfirmed_until_ms = g->unknown_end_ms;
   if (!g->active)
     return;
   if (records_lost && !was_active)
@@ -233,6 +265,21 @@
     g->proposal.ranges[i].unconfirmed = false;
 }
 
+bool
+bgap_restore_is_restated (const struct bgap_granter *g, int64_t now_ms)
+{
+  int64_t left_ms
+      = g->unknown_end_ms > now_ms ? g->unknown_end_ms - now_ms : 0;
+  bool is_fenced = g->unconfirmed_until_ms != g->unknown_end_ms;
+  if (is_fenced || g->current.unconfirmed_ms <= left_ms
+      || now_ms - g->proposed_ms < RESTATE_MS)
+    return false;
+  for (uint32_t i = 0; i < g->current.count; i++)
+    if (g->current.ranges[i].unconfirmed)
+      return true;
+  return false;
+}
+
 bool
 bgap_restore_is_unconfirmed (const struct bgap_granter *g, int64_t now_ms,
                              const struct bgap_key_range *range)
--- a/packages/keyrange/src/granter_state.h
+++ b/packages/keyrange/src/granter_state.h
@@ -177,6 +177,8 @@
  * @next_offset: offset at which the next record is appended
  * @unconfirmed_until_ms: until then other servers can have leases on the
  * ranges of @current that are unconfirmed
+ * @unknown_end_ms: earliest known bound of that in @unknown_end_timeline,
+ *   which is 0 if none is known; without the fencing of servers
  * @overwritten: a record of an earlier timeline was appended after @current;
  *   @current has to be written again
  * @stepping_down: grants no more, until a record says so
@@ -237,6 +239,8 @@
   bool was_restored;
   uint64_t next_offset;
   int64_t unconfirmed_until_ms;
+  int64_t unknown_end_ms;
+  uint64_t unknown_end_timeline;
   bool overwritten;
   bool stepping_down;
   bool superseded;
--- a/packages/keyrange/tests/test_restored_wait.c
+++ b/packages/keyrange/tests/test_restored_wait.c
@@ -35,6 +35,7 @@
  * @newest: newest record in the store
  * @next_offset: offset at which the next one is appended
  * @refuses: the store appends nothing
+ * @all_answer: "s1" answers, too
  * @records, @refused: records that were appended, and that were not
  * @granted_ms: when "s0" was first granted a key since the restore, 0 if it
  *   was not yet
@@ -44,6 +45,7 @@
   struct bgap_assignment newest;
   uint64_t next_offset;
   bool refuses;
+  bool all_answer;
   uint32_t records;
   uint32_t refused;
   int64_t granted_ms;
@@ -84,8 +86,8 @@
   bgap_granter_on_assignment (granter, now_ms, &course->newest);
 }
 
-/* Runs the granter once. "s0" answers; "s1" is lost, so that it confirms no
-   release.  */
+/* Runs the granter once. "s0" answers; "s1" is lost unless the course says
+   otherwise, so that it confirms no release.  */
 static void
 run (struct bgap_granter *granter, int64_t now_ms, struct course *course)
 {
@@ -94,7 +96,7 @@
   bgap_granter_tick (granter, now_ms);
   while (bgap_granter_next_action (granter, &action))
     {
-      bool answers = strcmp (action.server, "s0") == 0;
+      bool answers = course->all_answer || strcmp (action.server, "s0") == 0;
       if (action.kind == BGAP_GRANTER_APPEND)
         {
           append (granter, now_ms, &action, course);
@@ -182,6 +184,20 @@
   bgap_assignment_shutdown (&course.newest);
 }
 
+/* A record of another granter by which "s0" has all keys, and that states how
+   long unknown leases can remain.  */
+static struct bgap_assignment
+record_of_another (uint64_t timeline, int64_t unconfirmed_ms)
+{
+  struct bgap_assignment record
+      = assignment_of ("n2", INCARNATION + 2, 9 * timeline);
+  record.timeline = timeline;
+  record.unconfirmed_ms = unconfirmed_ms;
+  set_holder (&record, 0, BGAP_KEY_COUNT - 1, "s0");
+  record.ranges[0].unconfirmed = true;
+  return record;
+}
+
 /* An instance that runs since before the restore reads the record of a process
    that has started since and states a longer wait. Guards against a wait that
    this prolongs at an instance that knows better.  */
@@ -190,12 +206,8 @@
 {
   struct course course = course_new ();
   struct bgap_granter *granter = first_process (&course);
-  struct bgap_assignment later = assignment_of ("n2", INCARNATION + 2, 9);
+  struct bgap_assignment later = record_of_another (2, 14000);
   (void)state;
-  later.timeline = 2;
-  later.unconfirmed_ms = 14000;
-  set_holder (&later, 0, BGAP_KEY_COUNT - 1, "s0");
-  later.ranges[0].unconfirmed = true;
   bgap_granter_on_assignment (granter, RESTORED_MS + 3000, &later);
   assert_int_equal (bgap_granter_unconfirmed_ms (granter, RESTORED_MS + 3000),
                     14000);
@@ -233,6 +245,52 @@
   bgap_assignment_shutdown (&course.newest);
 }
 
+/* Guards against two holders: the wait that an instance knows in one timeline
+   must not shorten that of a record of the next one.  */
+static void
+test_wait_of_an_earlier_timeline_is_forgotten (void **state)
+{
+  const int64_t again_ms = RESTORED_MS + 5000;
+  struct course course = course_new ();
+  struct bgap_granter *granter = first_process (&course);
+  struct bgap_assignment earlier = record_of_another (2, 1000);
+  struct bgap_assignment later = record_of_another (3, 14000);
+  (void)state;
+  bgap_granter_on_assignment (granter, again_ms - 100, &earlier);
+  bgap_granter_on_timeline (granter, again_ms, 3);
+  bgap_granter_on_assignment (granter, again_ms, &later);
+  assert_int_equal (bgap_granter_unconfirmed_ms (granter, again_ms), 14000);
+  bgap_granter_shutdown (granter);
+  bgap_assignment_shutdown (&course.newest);
+  bgap_assignment_shutdown (&earlier);
+  bgap_assignment_shutdown (&later);
+}
+
+/* A granter grants keys early, as all servers but the recorded holders have
+   released them, and loses its office. Guards against two holders: a recorded
+   holder may still have an unknown lease, so that this does not end the wait
+   that the record of its successor states.  */
+static void
+test_releases_do_not_end_the_wait_of_a_successor (void **state)
+{
+  struct course course = course_new ();
+  struct bgap_granter *granter = first_process (&course);
+  struct bgap_assignment later = record_of_another (2, 14000);
+  int64_t now_ms = RESTORED_MS;
+  (void)state;
+  course.all_answer = true;
+  for (; course.granted_ms == 0 && now_ms < RESTORED_MS + 10000;
+       now_ms += STEP_MS)
+    run (granter, now_ms, &course);
+  assert_int_not_equal (course.granted_ms, 0);
+  later.token = later.ranges[0].token = course.newest.token + 1;
+  bgap_granter_on_assignment (granter, now_ms, &later);
+  assert_int_equal (bgap_granter_unconfirmed_ms (granter, now_ms), 14000);
+  bgap_granter_shutdown (granter);
+  bgap_assignment_shutdown (&course.newest);
+  bgap_assignment_shutdown (&later);
+}
+
 /* A record reaches an instance through another one before the store has
    answered it. Guards against a wait that is counted from a moment at which
    this instance knew no timeline.  */
@@ -284,6 +342,8 @@
     cmocka_unit_test (test_restarts_do_not_begin_the_wait_anew),
     cmocka_unit_test (test_later_record_does_not_prolong_the_wait),
     cmocka_unit_test (test_next_restore_begins_the_wait_anew),
+    cmocka_unit_test (test_wait_of_an_earlier_timeline_is_forgotten),
+    cmocka_unit_test (test_releases_do_not_end_the_wait_of_a_successor),
     cmocka_unit_test (test_wait_of_a_record_that_precedes_the_timeline),
     cmocka_unit_test (test_refused_statements_of_the_wait_are_few),
   };
--- a/tests/mutations/simulation.sh
+++ b/tests/mutations/simulation.sh
@@ -4,7 +4,7 @@
 #   tests/mutations/simulation.sh SET            all patches of a set
 #   tests/mutations/simulation.sh SET NAME...    only the named patches
 #   RUNS=N   maximum number of runs of a mutation of keyrange (default 600)
-# Sets: keyrange (keyrange_test_world), restored (keyrange_test_restored_store),
+# Sets: keyrange (keyrange_test_world), restored (keyrange_test_restored_store and _wait),
 # fencing (keyrange_test_fencing), takeover (keyrange_test_former_leases), limit (routing_test_rate_limit),
 # cold (routing_test_cold_limit), warmup (registry_test_warmup), pause (routing_test_pause),
 # leaving (registry_test_server_view), refusal (gateway_test_backend_judge), zones (registry_test_zone_view),
@@ -18,7 +18,7 @@
 shift
 case $set in
 keyrange) package=keyrange test=keyrange_test_world ;;
-restored) package=keyrange test=keyrange_test_restored_store ;;
+restored) package=keyrange test="keyrange_test_restored_store keyrange_test_restored_wait" ;;
 fencing) package=keyrange test=keyrange_test_fencing ;;
 takeover) package=keyrange test=keyrange_test_former_leases ;;
 limit) package=routing test=routing_test_rate_limit ;;
