--- a/packages/routing/include/banyangap/routing/response_time.h
+++ b/packages/routing/include/banyangap/routing/response_time.h
@@ -88,8 +88,8 @@
                                    int64_t now_ms, double share,
                                    double prior_ms);
 
-/* Half-life of a sample of struct bgap_recent_mean. An instance of many seldom
-   sends to the same server: with 8 s it knew less and predicted worse.  */
+/* Half-life of a sample of struct bgap_recent_mean. It is long, since one of
+   many instances seldom sends to the same server.  */
 #define BGAP_RECENT_MEAN_HALF_LIFE_MS 16000
 
 /**
--- a/packages/routing/src/router_estimate.c
+++ b/packages/routing/src/router_estimate.c
@@ -19,9 +19,8 @@
    is aborted may have run.  */
 #define STOP_SHARE 0.9
 
-/* The same with a forecast for the server. In 88 stops on slow servers at
-   mose-gateway-grown, 0.85 refuses fewer requests than STOP_SHARE of the
-   answers of all servers and aborts as many; 0.9 refuses a fifth more.  */
+/* The same with a forecast for the server. A higher share refuses more
+   requests that would have been answered in time.  */
 #define STOP_FORECAST_SHARE 0.875
 
 /* The same for a request that may have run already: its caller gets an unknown
