Tests: abort in the last sixth, outcome of a lost attempt in a stop

Cause: no test failed when attempts were aborted in the last fifth of a short grace period, or showed the outcome of a request whose first attempt was lost and that may not wait any more.

Result: both pass. With an abort a fifth of the grace period before its end, test_attempts_are_aborted_in_the_last_sixth fails and the others pass.

--- a/packages/routing/tests/test_stop_limits.c
+++ b/packages/routing/tests/test_stop_limits.c
@@ -71,6 +71,29 @@
   fixture_shutdown (&f);
 }
 
+/* Guards against the promise that a request has not run, if it may have: its
+   first attempt was lost, the second was refused, and it may not wait for a
+   third.  */
+static void
+test_outcome_of_a_lost_attempt_is_unknown_after_the_limit (void **state)
+{
+  (void)state;
+  struct fixture f;
+  _setup (&f);
+  struct bgap_request_desc desc = request_desc;
+  desc.idempotent = true;
+  struct bgap_request_id request = fixture_request (&f, &desc);
+  struct bgap_router_action d
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+  f.now_ms += WAIT_MS;
+  fixture_result (&f, d.attempt, BGAP_RESULT_BROKEN);
+  d = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+  fixture_result (&f, d.attempt, BGAP_RESULT_SHED);
+  fixture_expect_finish (&f, request, BGAP_OUTCOME_UNKNOWN, 502);
+  fixture_expect_none (&f);
+  fixture_shutdown (&f);
+}
+
 /* Guards against refusing what waits before the limit: a slot may become free
    in time.  */
 static void
@@ -100,6 +123,8 @@
     cmocka_unit_test (
         test_request_after_the_end_of_accepting_is_refused_without_a_timer),
     cmocka_unit_test (test_second_attempt_does_not_wait_after_the_limit),
+    cmocka_unit_test (
+        test_outcome_of_a_lost_attempt_is_unknown_after_the_limit),
     cmocka_unit_test (test_request_waits_until_the_limit),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/packages/routing/tests/test_stop_schedule.c
+++ b/packages/routing/tests/test_stop_schedule.c
@@ -112,6 +112,26 @@
     }
 }
 
+/* Guards against attempts that are aborted before the last sixth of the grace
+   period, in which alone a request may be broken off, and against steps that
+   are out of order in some grace period.  */
+static void
+test_attempts_are_aborted_in_the_last_sixth (void **state)
+{
+  (void)state;
+  for (int64_t grace_ms = 1000; grace_ms <= GRACE_MAX_MS; grace_ms++)
+    {
+      struct bgap_stop_schedule schedule = _begin (grace_ms);
+      const int64_t *due_ms = schedule.due_ms;
+      assert_true (6 * due_ms[BGAP_STOP_STEP_ABORT] >= 5 * grace_ms);
+      assert_true (due_ms[BGAP_STOP_STEP_CLOSE]
+                   < due_ms[BGAP_STOP_STEP_REFUSE]);
+      assert_true (due_ms[BGAP_STOP_STEP_REFUSE]
+                   < due_ms[BGAP_STOP_STEP_ABORT]);
+      assert_true (due_ms[BGAP_STOP_STEP_ABORT] < due_ms[BGAP_STOP_STEP_EXIT]);
+    }
+}
+
 /* Guards against a second signal that puts off the end of a stop.  */
 static void
 test_second_begin_changes_nothing (void **state)
@@ -138,6 +158,7 @@
         test_all_steps_are_taken_once_and_in_order_after_a_delay),
     cmocka_unit_test (
         test_accepting_ends_well_before_requests_must_not_be_broken_off),
+    cmocka_unit_test (test_attempts_are_aborted_in_the_last_sixth),
     cmocka_unit_test (test_second_begin_changes_nothing),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
