Review: exit 200 ms before the kill, one line for the end, pages

Change: the abort is due 400 ms and the exit 200 ms before the end; the end is reported once; the comments and pages are corrected.

--- a/packages/keyrange/src/granter_restore.c
+++ b/packages/keyrange/src/granter_restore.c
@@ -146,7 +146,8 @@
    the earliest holds. Each is measured by the monotonic clock of one process
    from the moment at which it read the statement; nothing depends on the time
    of day. That servers have been fenced is no such bound: a recorded holder
-   may still have an unknown lease.  */
+   may still have an unknown lease. A granter that has fenced them states the
+   shorter time, but in a record without unconfirmed ranges.  */
 static int64_t
 _bgap_restore_bound_ms (const struct bgap_granter *g, int64_t now_ms)
 {
--- a/packages/keyrange/tests/test_late_replies.c
+++ b/packages/keyrange/tests/test_late_replies.c
@@ -81,6 +81,8 @@
   bgap_granter_shutdown (granter);
 }
 
+/* Guards against a lease that is counted from the timeout of its call although
+   the call arrived, and was answered, later.  */
 static void
 test_lease_of_a_grant_answered_late_is_waited_for (void **state)
 {
@@ -88,6 +90,7 @@
   check_late_result (BGAP_GRANTER_DONE);
 }
 
+/* Guards against the same if the call is given up, late, without an answer. */
 static void
 test_lease_of_a_grant_given_up_late_is_waited_for (void **state)
 {
--- a/packages/routing/include/banyangap/routing/stop_schedule.h
+++ b/packages/routing/include/banyangap/routing/stop_schedule.h
@@ -19,9 +19,9 @@
 
 /**
  * enum bgap_stop_step - steps of a graceful stop, in the order of their time
- * @BGAP_STOP_STEP_CLOSE: new connections and requests are not accepted any
- *   more, and idle connections are closed; until then the load balancer may
- *   send some
+ * @BGAP_STOP_STEP_CLOSE: the listener and idle connections are closed; until
+ *   then the load balancer may send some. Requests are refused from the moment
+ *   at which the step is due, see bgap_router_begin_stop().
  * @BGAP_STOP_STEP_REFUSE: queued requests are refused: most need more time at
  *   a server, and other instances can serve them
  * @BGAP_STOP_STEP_ABORT: attempts are aborted and requests that have not
--- a/packages/routing/src/stop_schedule.c
+++ b/packages/routing/src/stop_schedule.c
@@ -9,11 +9,13 @@
    asks once a second and stops sending after two misses, has had its time.  */
 #define ACCEPT_MARGIN_MS 500
 
-/* Times before the end of the grace period at which the later steps are
-   due.  */
+/* Times before the end of the grace period at which the later steps are due.
+   The process is killed that long after the signal was sent, so that the exit
+   is early enough for a signal that is handled late. The responses of aborted
+   attempts are sent between the abort and the exit.  */
 #define REFUSE_LEAD_MS 1500
-#define ABORT_LEAD_MS 300
-#define EXIT_LEAD_MS 100
+#define ABORT_LEAD_MS 400
+#define EXIT_LEAD_MS 200
 
 static int64_t
 _bgap_stop_min (int64_t a, int64_t b)
--- a/programs/banyangapd/edge_state.h
+++ b/programs/banyangapd/edge_state.h
@@ -262,9 +262,10 @@
  * @config_synced_ms, @internal_synced_ms, @servers_synced_ms: when the read
  *   was sent that the view of each topic is based on
  * @stop: steps of the graceful stop
+ * @has_ended: the event loop was told to end
  * @timer_at_ms: when the timer fires, 0 if it is not set
- * @timer_late_max_ms: longest time by which the timer fired late since the
- *   graceful stop began
+ * @timer_late_max_ms: longest time by which the timer fired later than set
+ *   since the graceful stop began
  */
 struct bgap_edge
 {
@@ -324,6 +325,7 @@
   int64_t housekeeping_ms;
   int64_t limits_logged_ms;
   struct bgap_stop_schedule stop;
+  bool has_ended;
   int64_t timer_at_ms;
   int64_t timer_late_max_ms;
 };
--- a/programs/banyangapd/edge_stop.c
+++ b/programs/banyangapd/edge_stop.c
@@ -55,6 +55,9 @@
 static void
 _bgap_stop_end (struct bgap_edge *edge)
 {
+  if (edge->has_ended)
+    return;
+  edge->has_ended = true;
   bgap_event (&event_stop, "state=ended open=%u after_ms=%lld",
               bgap_frontend_exchanges (edge->frontend),
               (long long)bgap_edge_stop_age_ms (edge, bgap_now_ms ()));
@@ -79,7 +82,8 @@
       bgap_router_refuse_waiting (&edge->router, now_ms);
       bgap_frontend_refuse_incomplete (edge->frontend);
     }
-  /* Until then responses that were written may be in the send buffers.  */
+  /* Before the exit step, responses that were written may still be in the send
+     buffers.  */
   if (edge->stop.taken > BGAP_STOP_STEP_EXIT)
     _bgap_stop_end (edge);
 }
