Fix: assume a time for answers of a service that is not known at the end

What callers saw: a stopping instance passed a request of a service that had not answered it yet on until the abort was due, and broke it off with 502.

Cause: with no answer known the expected time was 0.

Change: 1 s is assumed; with less time left the request is refused as not run.

Evidence: test_attempt_of_an_unknown_service_needs_some_time failed before and passes.

--- a/packages/routing/src/router_estimate.c
+++ b/packages/routing/src/router_estimate.c
@@ -28,6 +28,10 @@
    likely answered than not.  */
 #define STOP_UNKNOWN_SHARE 0.5
 
+/* Time that an answer of a service is assumed to take before a process ends if
+   nothing is known about the service.  */
+#define STOP_UNKNOWN_MS 1000
+
 /* A server without recent answers is assumed to be as slow as this share of
    the answers of all servers, with the weight of a part of an answer: it may
    be one of the slow ones.  */
@@ -192,6 +196,8 @@
                 * cost_ms / BGAP_ROUTER_COST_UNIT_MS;
   if (answer_ms <= 0)
     answer_ms = service->response_ms;
+  if (answer_ms <= 0)
+    answer_ms = STOP_UNKNOWN_MS;
   double expected_ms = fmax (
       answer_ms, bgap_router_expected_ms (service, server, now_ms, cost_ms));
   request->expected_ms = (int64_t)expected_ms;
--- a/packages/routing/tests/test_end_by.c
+++ b/packages/routing/tests/test_end_by.c
@@ -5,6 +5,7 @@
 #define SLOW_MS INT64_C (800)
 #define LEFT_MS INT64_C (500)
 #define DEADLINE_MS 2000
+#define UNKNOWN_MS 1000
 
 static const struct bgap_request_desc request_desc
     = { .deadline_ms = DEADLINE_MS };
@@ -245,6 +246,27 @@
   fixture_shutdown (&f);
 }
 
+/* Guards against an attempt just before the end, which is aborted, at a
+   service that has not answered yet, and against refusing all of its requests.
+ */
+static void
+test_attempt_of_an_unknown_service_needs_some_time (void **state)
+{
+  (void)state;
+  struct fixture f;
+  fixture_setup (&f, &fixture_shared_service);
+  fixture_server (&f, "a", "z1", 2);
+  bgap_router_end_by (&f.router, f.now_ms + UNKNOWN_MS);
+  fixture_request (&f, &request_desc);
+  struct bgap_router_action d
+      = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
+  f.now_ms += 1;
+  struct bgap_request_id late = fixture_request (&f, &request_desc);
+  _expect_refused (&f, late);
+  fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
+  fixture_shutdown (&f);
+}
+
 /* Guards against cutting a response that has begun earlier than necessary.  */
 static void
 test_response_that_has_begun_is_not_aborted (void **state)
@@ -275,6 +297,7 @@
     cmocka_unit_test (test_further_attempt_that_is_too_late_is_refused),
     cmocka_unit_test (test_request_that_may_have_run_is_sent_again),
     cmocka_unit_test (test_queued_request_that_is_too_late_is_refused),
+    cmocka_unit_test (test_attempt_of_an_unknown_service_needs_some_time),
     cmocka_unit_test (test_response_that_has_begun_is_not_aborted),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
