Stop: one function for the limits of a router's stop

Cause: bgap_router_begin_stop() sets all limits; bgap_router_end_by(), which sets one of them, was left with callers in tests only.

Change: it is gone; the tests of the end begin a stop that has no other limit.

--- a/packages/routing/include/banyangap/routing/action.h
+++ b/packages/routing/include/banyangap/routing/action.h
@@ -112,7 +112,7 @@
  *   the queue; 0 for none
  * @expected_ms: FINISH: the time that its answer was expected to take, if the
  *   request was refused because of that or compared with the end of the
- *   process, see bgap_router_end_by(); 0 otherwise
+ *   process, see bgap_router_begin_stop(); 0 otherwise
  * @streamed: FINISH, a part of the answer may have reached the caller already:
  *   with ANSWERED it is complete, otherwise close the caller's connection
  * @append_id: APPEND, for bgap_router_on_append_done
--- a/packages/routing/include/banyangap/routing/router_stop.h
+++ b/packages/routing/include/banyangap/routing/router_stop.h
@@ -27,7 +27,9 @@
  * @accept_until_ms: from then on new requests are refused
  * @wait_until_ms: from then on a request that would wait for a server is
  *   refused
- * @end_ms: see bgap_router_end_by()
+ * @end_ms: when attempts will be aborted. A request that the recent answers
+ *   let expect later is refused at once, while another instance can still
+ *   serve it.
  */
 struct bgap_router_stop
 {
@@ -45,15 +47,6 @@
 void bgap_router_begin_stop (struct bgap_router *router,
                              const struct bgap_router_stop *stop);
 
-/**
- * bgap_router_end_by() - pass on only what is answered before the process ends
- * @end_ms: when attempts will be aborted
- *
- * A request that the recent answers of its service let expect too late is
- * refused at once, while another instance can still serve it.
- */
-void bgap_router_end_by (struct bgap_router *router, int64_t end_ms);
-
 /**
  * bgap_router_stop_accepting() - refuse new requests from now on
  *
--- a/packages/routing/src/router_cost_parts.h
+++ b/packages/routing/src/router_cost_parts.h
@@ -124,7 +124,7 @@
 
 /**
  * bgap_router_misses_end() - whether an attempt that starts now is expected to
- * run longer than the process, see bgap_router_end_by()
+ * run longer than the process, see bgap_router_begin_stop()
  * @server: as for bgap_router_expected_ms()
  */
 bool bgap_router_misses_end (const struct bgap_router_state *state,
--- a/packages/routing/src/router_stop.c
+++ b/packages/routing/src/router_stop.c
@@ -9,12 +9,6 @@
   router->state->stop = *stop;
 }
 
-void
-bgap_router_end_by (struct bgap_router *router, int64_t end_ms)
-{
-  router->state->stop.end_ms = end_ms;
-}
-
 void
 bgap_router_stop_accepting (struct bgap_router *router)
 {
--- a/packages/routing/tests/test_end_by.c
+++ b/packages/routing/tests/test_end_by.c
@@ -28,6 +28,14 @@
     }
 }
 
+/* Begins a stop whose end is the only limit.  */
+static void
+_end_after (struct fixture *f, int64_t ms)
+{
+  bgap_router_begin_stop (
+      &f->router, &(struct bgap_router_stop){ .end_ms = f->now_ms + ms });
+}
+
 static void
 _expect_refused (struct fixture *f, struct bgap_request_id request)
 {
@@ -90,7 +98,7 @@
   (void)state;
   struct uneven u;
   _setup_uneven (&u, 6, 8);
-  bgap_router_end_by (&u.f.router, u.f.now_ms + LEFT_MS);
+  _end_after (&u.f, LEFT_MS);
   fixture_request (&u.f, &request_desc);
   fixture_expect (&u.f, BGAP_ROUTER_ACTION_DISPATCH);
   fixture_shutdown (&u.f);
@@ -105,7 +113,7 @@
   struct uneven u;
   _setup_uneven (&u, 2, 30);
   _use_slow (&u, true);
-  bgap_router_end_by (&u.f.router, u.f.now_ms + LEFT_MS);
+  _end_after (&u.f, LEFT_MS);
   _expect_refused (&u.f, fixture_request (&u.f, &request_desc));
   fixture_shutdown (&u.f);
 }
@@ -130,7 +138,7 @@
       fixture_expect (&f, BGAP_ROUTER_ACTION_CANCEL_ATTEMPT);
       fixture_expect (&f, BGAP_ROUTER_ACTION_FINISH);
     }
-  bgap_router_end_by (&f.router, f.now_ms + ANSWER_MS + ANSWER_MS / 2);
+  _end_after (&f, ANSWER_MS + ANSWER_MS / 2);
   _expect_refused (&f, fixture_request (&f, &request_desc));
   fixture_shutdown (&f);
 }
@@ -144,7 +152,7 @@
   (void)state;
   struct fixture f;
   _setup (&f);
-  bgap_router_end_by (&f.router, f.now_ms + 2 * ANSWER_MS);
+  _end_after (&f, 2 * ANSWER_MS);
   struct bgap_request_id first = fixture_request (&f, &request_desc);
   struct bgap_router_action d
       = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
@@ -163,7 +171,7 @@
   (void)state;
   struct fixture f;
   _setup (&f);
-  bgap_router_end_by (&f.router, f.now_ms + ANSWER_MS);
+  _end_after (&f, ANSWER_MS);
   fixture_request (&f,
                    &(struct bgap_request_desc){ .deadline_ms = ANSWER_MS });
   fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
@@ -181,7 +189,7 @@
   struct bgap_request_id request = fixture_request (&f, &request_desc);
   struct bgap_router_action d
       = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
-  bgap_router_end_by (&f.router, f.now_ms + ANSWER_MS);
+  _end_after (&f, ANSWER_MS);
   fixture_wait (&f, ANSWER_MS / 2);
   fixture_result (&f, d.attempt, BGAP_RESULT_SHED);
   _expect_refused (&f, request);
@@ -204,7 +212,7 @@
   struct bgap_request_id request = fixture_request (&f, &idempotent_desc);
   struct bgap_router_action d
       = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
-  bgap_router_end_by (&f.router, f.now_ms + ANSWER_MS + ANSWER_MS / 2);
+  _end_after (&f, ANSWER_MS + ANSWER_MS / 2);
   _expect_refused (&f, fixture_request (&f, &request_desc));
   fixture_result (&f, d.attempt, BGAP_RESULT_BROKEN);
   d = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
@@ -240,7 +248,7 @@
     }
   struct bgap_request_id queued = fixture_request (&f, &request_desc);
   fixture_expect_none (&f);
-  bgap_router_end_by (&f.router, f.now_ms + ANSWER_MS + ANSWER_MS / 2);
+  _end_after (&f, ANSWER_MS + ANSWER_MS / 2);
   fixture_wait (&f, ANSWER_MS);
   _expect_refused (&f, queued);
   fixture_shutdown (&f);
@@ -256,7 +264,7 @@
   struct fixture f;
   fixture_setup (&f, &fixture_shared_service);
   fixture_server (&f, "a", "z1", 2);
-  bgap_router_end_by (&f.router, f.now_ms + UNKNOWN_MS);
+  _end_after (&f, UNKNOWN_MS);
   fixture_request (&f, &request_desc);
   struct bgap_router_action d
       = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
