Stop: separate the estimate at the end of a process, distinct names

Change: STOP_REPEAT_SHARE and STOP_FIRST_ANSWER_MS; the fallbacks are a function of their own. Behaviour is as before.

--- a/packages/routing/src/router_estimate.c
+++ b/packages/routing/src/router_estimate.c
@@ -26,11 +26,11 @@
 /* The same for a request that may have run already: its caller gets an unknown
    outcome instead of a refusal, so that an attempt is better if it is more
    likely answered than not.  */
-#define STOP_UNKNOWN_SHARE 0.5
+#define STOP_REPEAT_SHARE 0.5
 
 /* Time that an answer of a service is assumed to take before a process ends if
    nothing is known about the service.  */
-#define STOP_UNKNOWN_MS 1000
+#define STOP_FIRST_ANSWER_MS 1000
 
 /* A server without recent answers is assumed to be as slow as this share of
    the answers of all servers, with the weight of a part of an answer: it may
@@ -149,9 +149,9 @@
    forecasts, 0 if not known. The distribution over all servers would be wrong
    for each of them if some are slow.  */
 static double
-_bgap_estimate_stop_ms (struct bgap_router_service *service,
-                        const struct bgap_server *server, int64_t now_ms,
-                        double cost_ms, double share)
+_bgap_estimate_forecast_share_ms (struct bgap_router_service *service,
+                                  const struct bgap_server *server,
+                                  int64_t now_ms, double cost_ms, double share)
 {
   if (server == NULL)
     return 0;
@@ -161,6 +161,26 @@
          / FORECAST_UNIT;
 }
 
+/* Time in which an answer has to be expected for an attempt to be sent by a
+   process that stops.  */
+static double
+_bgap_estimate_stop_ms (struct bgap_router_service *service,
+                        const struct bgap_server *server, int64_t now_ms,
+                        double cost_ms, bool maybe_ran)
+{
+  double ms = _bgap_estimate_forecast_share_ms (
+      service, server, now_ms, cost_ms,
+      maybe_ran ? STOP_REPEAT_SHARE : STOP_FORECAST_SHARE);
+  if (ms <= 0)
+    ms = bgap_response_times_quantile (&service->all_times, now_ms,
+                                       maybe_ran ? STOP_REPEAT_SHARE
+                                                 : STOP_SHARE)
+         * cost_ms / BGAP_ROUTER_COST_UNIT_MS;
+  if (ms <= 0)
+    ms = service->response_ms;
+  return ms > 0 ? ms : STOP_FIRST_ANSWER_MS;
+}
+
 bool
 bgap_router_misses_deadline (struct bgap_router_service *service,
                              const struct bgap_server *server, int64_t now_ms,
@@ -186,18 +206,8 @@
   if (end_ms == 0 || request->deadline_at_ms <= end_ms)
     return false;
   double cost_ms = bgap_router_cost_ms (service, request);
-  double answer_ms = _bgap_estimate_stop_ms (
-      service, server, now_ms, cost_ms,
-      request->maybe_ran ? STOP_UNKNOWN_SHARE : STOP_FORECAST_SHARE);
-  if (answer_ms <= 0)
-    answer_ms = bgap_response_times_quantile (
-                    &service->all_times, now_ms,
-                    request->maybe_ran ? STOP_UNKNOWN_SHARE : STOP_SHARE)
-                * cost_ms / BGAP_ROUTER_COST_UNIT_MS;
-  if (answer_ms <= 0)
-    answer_ms = service->response_ms;
-  if (answer_ms <= 0)
-    answer_ms = STOP_UNKNOWN_MS;
+  double answer_ms = _bgap_estimate_stop_ms (service, server, now_ms, cost_ms,
+                                             request->maybe_ran);
   double expected_ms = fmax (
       answer_ms, bgap_router_expected_ms (service, server, now_ms, cost_ms));
   request->expected_ms = (int64_t)expected_ms;
