Tests of routing: one check for a refused request, one description of a server

Cause: test_end_by and test_stop_limits had the same function, test_server_added the same description of a server twice.

Change: fixture_expect_refused(); a parameter for what the server has said. The assertions are the same.

--- a/packages/routing/tests/fixture.c
+++ b/packages/routing/tests/fixture.c
@@ -94,6 +94,13 @@
   assert_int_equal (action.http_status, http_status);
 }
 
+void
+fixture_expect_refused (struct fixture *f, struct bgap_request_id request)
+{
+  fixture_expect_finish (f, request, BGAP_OUTCOME_NOT_RUN, 503);
+  fixture_expect_none (f);
+}
+
 void
 fixture_result (struct fixture *f, struct bgap_attempt_id attempt,
                 enum bgap_result_kind kind)
--- a/packages/routing/tests/fixture.h
+++ b/packages/routing/tests/fixture.h
@@ -63,6 +63,10 @@
 void fixture_expect_finish (struct fixture *f, struct bgap_request_id request,
                             enum bgap_outcome outcome, int http_status);
 
+/* Checks that the request ends as not run, and that nothing else happens.  */
+void fixture_expect_refused (struct fixture *f,
+                             struct bgap_request_id request);
+
 /* Reports an event of an attempt, with status 200 and a short body.  */
 void fixture_result (struct fixture *f, struct bgap_attempt_id attempt,
                      enum bgap_result_kind kind);
--- a/packages/routing/tests/test_end_by.c
+++ b/packages/routing/tests/test_end_by.c
@@ -36,13 +36,6 @@
       &f->router, &(struct bgap_router_stop){ .end_ms = f->now_ms + ms });
 }
 
-static void
-_expect_refused (struct fixture *f, struct bgap_request_id request)
-{
-  fixture_expect_finish (f, request, BGAP_OUTCOME_NOT_RUN, 503);
-  fixture_expect_none (f);
-}
-
 /* Two servers of which "a" is slow, after answers of "b".  */
 struct uneven
 {
@@ -114,7 +107,7 @@
   _setup_uneven (&u, 2, 30);
   _use_slow (&u, true);
   _end_after (&u.f, LEFT_MS);
-  _expect_refused (&u.f, fixture_request (&u.f, &request_desc));
+  fixture_expect_refused (&u.f, fixture_request (&u.f, &request_desc));
   fixture_shutdown (&u.f);
 }
 
@@ -139,7 +132,7 @@
       fixture_expect (&f, BGAP_ROUTER_ACTION_FINISH);
     }
   _end_after (&f, ANSWER_MS + ANSWER_MS / 2);
-  _expect_refused (&f, fixture_request (&f, &request_desc));
+  fixture_expect_refused (&f, fixture_request (&f, &request_desc));
   fixture_shutdown (&f);
 }
 
@@ -157,7 +150,7 @@
   struct bgap_router_action d
       = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   fixture_wait (&f, ANSWER_MS + ANSWER_MS / 2);
-  _expect_refused (&f, fixture_request (&f, &request_desc));
+  fixture_expect_refused (&f, fixture_request (&f, &request_desc));
   fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
   fixture_expect_finish (&f, first, BGAP_OUTCOME_ANSWERED, 200);
   fixture_shutdown (&f);
@@ -192,7 +185,7 @@
   _end_after (&f, ANSWER_MS);
   fixture_wait (&f, ANSWER_MS / 2);
   fixture_result (&f, d.attempt, BGAP_RESULT_SHED);
-  _expect_refused (&f, request);
+  fixture_expect_refused (&f, request);
   fixture_shutdown (&f);
 }
 
@@ -213,7 +206,7 @@
   struct bgap_router_action d
       = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   _end_after (&f, ANSWER_MS + ANSWER_MS / 2);
-  _expect_refused (&f, fixture_request (&f, &request_desc));
+  fixture_expect_refused (&f, fixture_request (&f, &request_desc));
   fixture_result (&f, d.attempt, BGAP_RESULT_BROKEN);
   d = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
@@ -250,7 +243,7 @@
   fixture_expect_none (&f);
   _end_after (&f, ANSWER_MS + ANSWER_MS / 2);
   fixture_wait (&f, ANSWER_MS);
-  _expect_refused (&f, queued);
+  fixture_expect_refused (&f, queued);
   fixture_shutdown (&f);
 }
 
@@ -270,7 +263,7 @@
       = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   f.now_ms += 1;
   struct bgap_request_id late = fixture_request (&f, &request_desc);
-  _expect_refused (&f, late);
+  fixture_expect_refused (&f, late);
   fixture_result (&f, d.attempt, BGAP_RESULT_COMPLETE);
   fixture_shutdown (&f);
 }
--- a/packages/routing/tests/test_server_added.c
+++ b/packages/routing/tests/test_server_added.c
@@ -12,11 +12,18 @@
 #define PAUSE_MS 2000
 #define GRACE_MS 400
 
-/* Adds a server while a request waits for another one, and checks that the
-   request is not sent to it.  */
+/* Adds a server that drains, or that has asked for a pause, while a request
+   waits for another one, and checks that the request is not sent to it.  */
 static void
-check_gets_no_waiting_request (const struct bgap_server_desc *desc)
+check_gets_no_waiting_request (bool draining, int64_t pause_ms)
 {
+  const struct bgap_server_desc desc = { .name = "b",
+                                         .zone = "z1",
+                                         .slots = 4,
+                                         .connections = 120,
+                                         .already_running = true,
+                                         .draining = draining,
+                                         .pause_ms = pause_ms };
   struct fixture f;
   struct bgap_router_action running = { 0 };
   struct bgap_router_action action;
@@ -28,9 +35,9 @@
   for (int i = 0; i < TAKEN; i++)
     running = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   fixture_expect_none (&f);
-  assert_int_equal (
-      bgap_router_set_server (&f.router, f.now_ms, f.service, desc, &id, NULL),
-      BGAP_OK);
+  assert_int_equal (bgap_router_set_server (&f.router, f.now_ms, f.service,
+                                            &desc, &id, NULL),
+                    BGAP_OK);
   bgap_router_server_alive (&f.router, f.now_ms, id, 1);
   while (bgap_router_next_action (&f.router, &action))
     assert_int_not_equal (action.kind, BGAP_ROUTER_ACTION_DISPATCH);
@@ -47,13 +54,7 @@
 test_draining_server_gets_no_waiting_request (void **state)
 {
   (void)state;
-  check_gets_no_waiting_request (
-      &(struct bgap_server_desc){ .name = "b",
-                                  .zone = "z1",
-                                  .slots = 4,
-                                  .connections = 120,
-                                  .already_running = true,
-                                  .draining = true });
+  check_gets_no_waiting_request (true, 0);
 }
 
 /* Guards against a waiting request that is sent to a server during the pause
@@ -62,13 +63,7 @@
 test_paused_server_gets_no_waiting_request (void **state)
 {
   (void)state;
-  check_gets_no_waiting_request (
-      &(struct bgap_server_desc){ .name = "b",
-                                  .zone = "z1",
-                                  .slots = 4,
-                                  .connections = 120,
-                                  .already_running = true,
-                                  .pause_ms = PAUSE_MS });
+  check_gets_no_waiting_request (false, PAUSE_MS);
 }
 
 /* Guards against requests for the keys of a holder that has been draining for
--- a/packages/routing/tests/test_stop_limits.c
+++ b/packages/routing/tests/test_stop_limits.c
@@ -24,13 +24,6 @@
                                   .end_ms = f->now_ms + END_MS });
 }
 
-static void
-_expect_refused (struct fixture *f, struct bgap_request_id request)
-{
-  fixture_expect_finish (f, request, BGAP_OUTCOME_NOT_RUN, 503);
-  fixture_expect_none (f);
-}
-
 /* Guards against a request that is accepted after the end of accepting, and
    aborted later, because the owner's timer is late.  */
 static void
@@ -49,7 +42,7 @@
   for (int64_t late_ms = 0; late_ms < 400; late_ms++)
     {
       f.now_ms++;
-      _expect_refused (&f, fixture_request (&f, &request_desc));
+      fixture_expect_refused (&f, fixture_request (&f, &request_desc));
     }
   fixture_shutdown (&f);
 }
@@ -67,7 +60,7 @@
       = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   f.now_ms += WAIT_MS;
   fixture_result (&f, d.attempt, BGAP_RESULT_SHED);
-  _expect_refused (&f, request);
+  fixture_expect_refused (&f, request);
   fixture_shutdown (&f);
 }
 
