Fix: tell other instances again that a server leaves

Cause: the instance that gets such an answer sent one message to the others, and a message is dropped if no connection to its receiver is open.

The sender repeats the message after 0.2 s and then at an interval that doubles up to 4 s while the server is known, and relays forward repeats. A repeat belongs to the process of the server and outlives a lapse.

--- a/packages/registry/include/banyangap/registry/server_view.h
+++ b/packages/registry/include/banyangap/registry/server_view.h
@@ -21,6 +21,7 @@
 #include <stdint.h>
 #include <uthash.h>
 
+#include "banyangap/base/repeat.h"
 #include "banyangap/registry/route_table.h"
 #include "banyangap/registry/warmup.h"
 
@@ -93,6 +94,8 @@
  * @gone_ms: when it was removed from the view
  * @leaving_since_ms: when it first stated itself, in an answer, that it shuts
  *   down; 0 if it has not. @entry is draining from then on.
+ * @leaving_notice: repeats of the message that tells other instances so; none
+ *   if another instance got the answer
  * @draining_since_ms: when it was first known that this process of the server
  *   drains, also if it has been removed since; 0 if it does not drain
  * @paused_until_ms: when a pause ends that it has asked this instance for
@@ -106,6 +109,7 @@
   int64_t missing_since_ms;
   int64_t gone_ms;
   int64_t leaving_since_ms;
+  struct bgap_repeat leaving_notice;
   int64_t draining_since_ms;
   int64_t paused_until_ms;
   struct bgap_warmup warmup;
--- a/packages/registry/src/server_view.c
+++ b/packages/registry/src/server_view.c
@@ -172,6 +172,7 @@
       || previous->entry.started_ms != server->entry.started_ms)
     return;
   server->leaving_since_ms = previous->leaving_since_ms;
+  server->leaving_notice = previous->leaving_notice;
   server->paused_until_ms = previous->paused_until_ms;
   if (server->leaving_since_ms != 0)
     server->entry.draining = true;
@@ -264,6 +265,7 @@
   server->missing_since_ms = 0;
   server->entry = *entry;
   server->leaving_since_ms = 0;
+  server->leaving_notice = (struct bgap_repeat){ 0 };
   server->paused_until_ms = 0;
   _bgap_view_keep_statements (server, &previous);
   _bgap_view_date_drain (server, now_ms, &previous);
--- a/packages/registry/tests/test_server_view.c
+++ b/packages/registry/tests/test_server_view.c
@@ -377,6 +377,29 @@
   bgap_server_view_free (view);
 }
 
+/* Guards against other instances that are not told again because the server
+   was removed or registered anew, and against a message about the process
+   before.  */
+static void
+test_notice_of_leaving_is_kept_for_the_process (void **state)
+{
+  (void)state;
+  struct report report;
+  struct bgap_server_view *view = view_of_leaving_server (&report);
+  bgap_repeat_begin (&bgap_server_view_find (view, "i-1")->leaving_notice,
+                     900);
+  put (view, 1000, entry (100, 8));
+  bgap_server_view_remove (view, 1100, "i-1");
+  put (view, 1200, entry (100, 9));
+  struct bgap_repeat *notice
+      = &bgap_server_view_find (view, "i-1")->leaving_notice;
+  assert_true (bgap_repeat_take (notice, 1200));
+  put (view, 2000, entry (2000, 1));
+  notice = &bgap_server_view_find (view, "i-1")->leaving_notice;
+  assert_false (bgap_repeat_take (notice, 60000));
+  bgap_server_view_free (view);
+}
+
 /* Guards against a restarted server that is not used, and against the answer
    of an earlier process that stops the present one.  */
 static void
@@ -445,6 +468,7 @@
     cmocka_unit_test (test_ready_registration_does_not_undo_leaving),
     cmocka_unit_test (test_return_does_not_undo_leaving),
     cmocka_unit_test (test_return_does_not_begin_a_drain_anew),
+    cmocka_unit_test (test_notice_of_leaving_is_kept_for_the_process),
     cmocka_unit_test (test_restarted_server_is_not_leaving),
     cmocka_unit_test (test_leaving_is_kept_for_a_removed_server),
     cmocka_unit_test (test_only_changes_are_reported),
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -201,6 +201,7 @@
       bgap_edge_log_limits (edge, now_ms);
     }
   bgap_server_view_tick (edge->view, now_ms);
+  bgap_edge_repeat_leaving (edge, now_ms);
   bgap_edge_update_successors (edge);
   bgap_edge_report_keys (edge, now_ms);
   bgap_edge_apply_service_times (edge, now_ms);
--- a/programs/banyangapd/edge_leaving.c
+++ b/programs/banyangapd/edge_leaving.c
@@ -17,6 +17,8 @@
 #define ID_OFFSET (AGE_OFFSET + AGE_SIZE)
 
 static struct bgap_event_kind event_leaving = { .name = "server-leaving" };
+static struct bgap_event_kind event_notice
+    = { .name = "server-leaving-notice", .per_second = 10, .burst = 20 };
 
 /**
  * struct leaving - content of a message
@@ -78,21 +80,46 @@
   return true;
 }
 
+static void
+_bgap_leaving_notify (struct bgap_edge *edge, const struct leaving *leaving)
+{
+  struct bgap_buffer bytes = { 0 };
+  if (_bgap_leaving_encode (leaving, NOT_FORWARDED, &bytes))
+    bgap_edge_broadcast (edge, BGAP_EDGE_MESSAGE_LEAVING, &bytes);
+  bgap_buffer_shutdown (&bytes);
+}
+
 void
 bgap_edge_on_leaving (struct bgap_edge *edge,
                       const struct bgap_edge_server *server)
 {
   struct leaving leaving = { 0 };
-  struct bgap_buffer bytes = { 0 };
   if (server->known == NULL)
     return;
   leaving.started_ms = server->known->entry.started_ms;
   snprintf (leaving.id, sizeof leaving.id, "%s", server->id);
   if (!_bgap_leaving_learn (edge, &leaving, "answer"))
     return;
-  if (_bgap_leaving_encode (&leaving, NOT_FORWARDED, &bytes))
-    bgap_edge_broadcast (edge, BGAP_EDGE_MESSAGE_LEAVING, &bytes);
-  bgap_buffer_shutdown (&bytes);
+  bgap_repeat_begin (&server->known->leaving_notice, bgap_now_ms ());
+  _bgap_leaving_notify (edge, &leaving);
+}
+
+void
+bgap_edge_repeat_leaving (struct bgap_edge *edge, int64_t now_ms)
+{
+  for (struct bgap_known_server *known = bgap_server_view_first (edge->view);
+       known != NULL; known = known->hh.next)
+    {
+      if (!bgap_repeat_take (&known->leaving_notice, now_ms))
+        continue;
+      struct leaving leaving = { .started_ms = known->entry.started_ms,
+                                 .age_ms = now_ms - known->leaving_since_ms };
+      snprintf (leaving.id, sizeof leaving.id, "%s", known->entry.id);
+      bgap_event (&event_notice, "server=%s born=%lld age_ms=%lld repeat=%u",
+                  leaving.id, (long long)leaving.started_ms,
+                  (long long)leaving.age_ms, known->leaving_notice.count);
+      _bgap_leaving_notify (edge, &leaving);
+    }
 }
 
 bool
@@ -103,8 +130,9 @@
   struct leaving leaving;
   if (!_bgap_leaving_decode (data, size, &leaving))
     return false;
-  if (!_bgap_leaving_learn (edge, &leaving, from))
-    return true;
+  (void)_bgap_leaving_learn (edge, &leaving, from);
+  /* Also if it is known here: an instance behind this relay may not have got
+     the message that came before.  */
   struct bgap_buffer forwarded = { 0 };
   if (data[0] == NOT_FORWARDED
       && _bgap_leaving_encode (&leaving, FORWARDED, &forwarded))
--- a/programs/banyangapd/edge_server_parts.h
+++ b/programs/banyangapd/edge_server_parts.h
@@ -189,6 +189,13 @@
 void bgap_edge_on_leaving (struct bgap_edge *edge,
                            const struct bgap_edge_server *server);
 
+/**
+ * bgap_edge_repeat_leaving() - tell the other instances again, where it is due
+ *
+ * A message may get lost, and an instance that starts later knows of none.
+ */
+void bgap_edge_repeat_leaving (struct bgap_edge *edge, int64_t now_ms);
+
 /**
  * bgap_edge_on_leaving_message() - handle that another instance has got such
  * an answer
--- a/tests/process/test_statements.py
+++ b/tests/process/test_statements.py
@@ -9,6 +9,7 @@
 
 DRAIN_S = 2       # drainS in the settings of platform_standin.py
 TOLD_S = 1        # within which the other instances know what one was told
+REPEATED_S = 4    # after which they are told again at the latest
 PAUSE_FROM_S = 0.5  # requests may be on their way for so long after a refusal
 PAUSED_MAX = 2    # requests that a pausing server accepts from an instance
 KEYS = range(0, 65536, 2048)
@@ -43,11 +44,19 @@
                 responses.append(platform.request(number, "GET", path, key=key))
         return responses
 
+    def wait_until_known(self, platform, instances, duration_s):
+        """Instances that prefer servers of their own zone may send the server nothing, so that
+        only the metric shows whether they know."""
+        platform.wait(lambda: all("\nbgap_servers_leaving 1\n" in instance.metrics()
+                                  for instance in instances),
+                      duration_s, "known to all that the server leaves")
+
     def check_leaving(self, platform, backend):
         """The first instance gets an answer of the leaving server; soon none uses the server."""
         backend.is_leaving = True
         self.call_until_told(platform, "/reads/1", backend)
         told = time.time()
+        self.wait_until_known(platform, platform.instances, TOLD_S)
         self.call_all(platform, "/reads/1", DRAIN_S + 1)
         self.assertEqual([at - told for at in backend.arrivals if at > told + TOLD_S], [])
 
@@ -56,10 +65,27 @@
         say so too, does not answer or still has it as ready."""
         with Platform() as platform:
             leaving, other = self.start(platform, "reads", 2, 3)
+            # The list of instances, which the first one needs to tell the others, is in the store.
+            platform.wait(lambda: all("\nbgap_instances 3\n" in instance.metrics()
+                                      for instance in platform.instances), 5, "all are listed")
             platform.store.inject_fault("silent", 5)
             self.check_leaving(platform, leaving)
             self.assertGreater(len(other.executed), 0)
 
+    def test_instance_that_missed_the_message_is_told_again(self):
+        """Guards against an instance that uses a leaving server because the only message about
+        it was lost: it had no connection to the sender then."""
+        with Platform() as platform:
+            leaving, _ = self.start(platform, "reads", 2, 2)
+            missing = platform.instances[1]
+            missing.process.kill()
+            missing.process.wait()
+            leaving.is_leaving = True
+            self.call_until_told(platform, "/reads/1", leaving)
+            missing.start()
+            platform.wait(missing.is_ready, 15, "ready")
+            self.wait_until_known(platform, [missing], REPEATED_S + TOLD_S)
+
     def test_restarted_server_is_used_again(self):
         """Guards against a server that is never used again after a restart under its id, and
         against one that is used because its registration says ready or is an old one."""
