Fix: tell all instances again that a server has a rate limit

Cause: the issuer of a server's permits told the other instances once that the server has a limit. A message is dropped without an open connection, so that an instance that missed it sent the server requests without permits until its own first answer.

The issuer repeats the limit after 0.2 s and then at an interval that doubles up to 4 s, while instances ask for the server: after that the limit may be outdated.

Test: routing.test_permit_issuer fails on the code before.

--- a/packages/routing/src/permit_issuer.c
+++ b/packages/routing/src/permit_issuer.c
@@ -7,6 +7,7 @@
 #include <uthash.h>
 
 #include "banyangap/base/array.h"
+#include "banyangap/base/repeat.h"
 
 /* Permits that are kept for instances that ask later: one, and those of this
    time, since instances are served at intervals.  */
@@ -49,6 +50,7 @@
  * @heard_ms: time of that knowledge
  * @cold_per_s, @cold_until_ms: rate of permits while it is cold
  * @told_per_s: what all instances were told
+ * @news: repeats of that, since the message may get lost
  * @share, @cold_share: part of each limit that this issuer may hand out
  * @permits: permits at hand, at @refilled_ms
  * @turns: permits handed out so far
@@ -60,6 +62,7 @@
   double per_s;
   int64_t heard_ms;
   double told_per_s;
+  struct bgap_repeat news;
   double share;
   double cold_per_s;
   int64_t cold_until_ms;
@@ -331,6 +334,21 @@
   return change > NEWS_PART * server->told_per_s;
 }
 
+/* Whether all instances are to be told of the limit now. Repeats end when
+   nobody asks for the server any more: the limit may be outdated then.  */
+static bool
+_bgap_issuer_take_news (struct limited_server *server, int64_t now_ms)
+{
+  if (!_bgap_issuer_has_news (server))
+    return now_ms - server->asked_ms <= ENTRY_TTL_MS
+           && bgap_repeat_take (&server->news, now_ms);
+  server->told_per_s = server->per_s;
+  server->news = (struct bgap_repeat){ 0 };
+  if (server->per_s > 0)
+    bgap_repeat_begin (&server->news, now_ms);
+  return true;
+}
+
 static struct bgap_permit_answer
 _bgap_issuer_answer (const struct limited_server *server, int64_t now_ms)
 {
@@ -346,11 +364,8 @@
                       struct bgap_permit_answer *answer)
 {
   *answer = _bgap_issuer_answer (server, now_ms);
-  if (_bgap_issuer_has_news (server))
-    {
-      server->told_per_s = server->per_s;
-      return true;
-    }
+  if (_bgap_issuer_take_news (server, now_ms))
+    return true;
   _bgap_issuer_drop_expired (server, now_ms);
   _bgap_issuer_grant (server, now_ms);
   for (uint32_t i = 0; i < server->waiter_count; i++)
--- a/tests/mutations/simulation.sh
+++ b/tests/mutations/simulation.sh
@@ -5,7 +5,7 @@
 #   tests/mutations/simulation.sh SET NAME...    only the named patches
 #   RUNS=N   maximum number of runs of a mutation of keyrange (default 600)
 # Sets: keyrange (keyrange_test_world), restored (keyrange_test_restored_store and _wait),
-# fencing (keyrange_test_fencing), takeover (keyrange_test_former_leases), limit (routing_test_rate_limit),
+# fencing (keyrange_test_fencing), takeover (keyrange_test_former_leases), limit (routing_test_permit_issuer and _rate_limit),
 # cold (routing_test_cold_limit), warmup (registry_test_warmup), pause (routing_test_pause),
 # leaving (registry_test_server_view), refusal (gateway_test_backend_judge), zones (registry_test_zone_view),
 # evacuation (routing_test_evacuation), zone-keys (keyrange_test_evacuation),
@@ -21,7 +21,7 @@
 restored) package=keyrange test="keyrange_test_restored_store keyrange_test_restored_wait" ;;
 fencing) package=keyrange test=keyrange_test_fencing ;;
 takeover) package=keyrange test=keyrange_test_former_leases ;;
-limit) package=routing test=routing_test_rate_limit ;;
+limit) package=routing test="routing_test_permit_issuer routing_test_rate_limit" ;;
 cold) package=routing test=routing_test_cold_limit ;;
 warmup) package=registry test=registry_test_warmup ;;
 pause) package=routing test=routing_test_pause ;;
