Fix: the longest idle connection makes room for a new one

Cause: _bgap_frontend_on_accept() closed each connection beyond the limit; only the idle time ended idle ones, and callers that send a request every 11 s never reach it. Readiness did not look at the connections.

Change: the frontend keeps a list of idle connections in the order in which they became idle.

--- a/packages/gateway/include/banyangap/gateway/frontend.h
+++ b/packages/gateway/include/banyangap/gateway/frontend.h
@@ -98,8 +98,9 @@
  * @address: numeric address and port to listen on; port 0 picks one; required
  * @ops: request and cancel are required
  * @counters: registry for bgap_frontend_* counters; NULL means none
- * @connections_max: limit of connections, further ones are accepted and
- *   closed; 0 means 1024
+ * @connections_max: limit of connections; 0 means 1024. When it is reached, a
+ *   new one replaces the connection that has been idle for longest, or is
+ *   closed if none is idle
  * @head_size_max: limit of request line and headers in bytes; 0 means 16384
  * @body_size_max: limit of a request body in bytes, larger ones get 413; 0
  *   means 1048576
@@ -158,6 +159,21 @@
   uint32_t idle_timeout_ms;
 };
 
+/**
+ * struct bgap_frontend_connections - callers' connections
+ * @open: connections now
+ * @max: connections_max of struct bgap_frontend_desc
+ * @idle_closed: idle connections that were closed to make room for new ones
+ * @refused: new connections that were closed at once because none was idle
+ */
+struct bgap_frontend_connections
+{
+  uint32_t open;
+  uint32_t max;
+  uint64_t idle_closed;
+  uint64_t refused;
+};
+
 struct bgap_frontend;
 
 /**
@@ -283,6 +299,20 @@
  */
 void bgap_frontend_refuse_incomplete (struct bgap_frontend *frontend);
 
+/**
+ * bgap_frontend_has_room() - whether a new connection would be kept: the limit
+ * is not reached, or a connection is idle. One on which a request arrives or
+ * runs, or a response is being sent, is not idle
+ */
+bool bgap_frontend_has_room (const struct bgap_frontend *frontend);
+
+/**
+ * bgap_frontend_connections() - number of connections, and of those that were
+ * closed because of their limit
+ */
+struct bgap_frontend_connections
+bgap_frontend_connections (const struct bgap_frontend *frontend);
+
 /**
  * bgap_frontend_exchanges() - number of running exchanges
  */
--- a/packages/gateway/src/frontend.c
+++ b/packages/gateway/src/frontend.c
@@ -70,10 +70,13 @@
   struct bgap_frontend *frontend = user;
   (void)listener;
   (void)size;
-  if (frontend->connection_count >= frontend->desc.connections_max)
-    evutil_closesocket (fd);
-  else
-    bgap_frontend_connection_new (frontend, fd, peer);
+  if (bgap_frontend_make_room (frontend))
+    {
+      bgap_frontend_connection_new (frontend, fd, peer);
+      return;
+    }
+  *frontend->connections_refused_total = ++frontend->connections_refused;
+  evutil_closesocket (fd);
 }
 
 static void
@@ -145,6 +148,10 @@
   f->requests_total
       = _bgap_frontend_counter (f, "bgap_frontend_requests_total");
   f->refused_total = _bgap_frontend_counter (f, "bgap_frontend_refused_total");
+  f->idle_closed_total
+      = _bgap_frontend_counter (f, "bgap_frontend_idle_closed_total");
+  f->connections_refused_total
+      = _bgap_frontend_counter (f, "bgap_frontend_connections_refused_total");
   f->cancelled_total
       = _bgap_frontend_counter (f, "bgap_frontend_cancelled_total");
   f->broken_total = _bgap_frontend_counter (f, "bgap_frontend_broken_total");
@@ -187,6 +194,7 @@
     }
   LIST_INIT (&f->connections);
   LIST_INIT (&f->dead);
+  TAILQ_INIT (&f->idle);
   event_assign (&f->reap, desc->base, -1, 0, _bgap_frontend_on_reap, f);
   event_assign (&f->accept_resume, desc->base, -1, 0,
                 _bgap_frontend_on_accept_resume, f);
@@ -229,6 +237,24 @@
   return frontend->exchanges.used;
 }
 
+bool
+bgap_frontend_has_room (const struct bgap_frontend *frontend)
+{
+  return frontend->connection_count < frontend->desc.connections_max
+         || !TAILQ_EMPTY (&frontend->idle);
+}
+
+struct bgap_frontend_connections
+bgap_frontend_connections (const struct bgap_frontend *frontend)
+{
+  return (struct bgap_frontend_connections){
+    .open = frontend->connection_count,
+    .max = frontend->desc.connections_max,
+    .idle_closed = frontend->idle_closed,
+    .refused = frontend->connections_refused,
+  };
+}
+
 size_t
 bgap_frontend_unsent (const struct bgap_frontend *frontend)
 {
--- a/packages/gateway/src/frontend_connection.c
+++ b/packages/gateway/src/frontend_connection.c
@@ -6,6 +6,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
+#include <sys/socket.h>
 
 /* Limit of pipelined input in bytes that is read while a request runs.  */
 #define READ_AHEAD_MAX 65536
@@ -102,6 +103,7 @@
   if (c->state == FRONTEND_DEAD)
     return;
   c->state = FRONTEND_DEAD;
+  bgap_frontend_connection_update_idle (c);
   bgap_pool_free (&frontend->exchanges, c->exchange);
   bgap_frontend_connection_release_body (c);
   if (reset)
@@ -130,6 +132,51 @@
          && evbuffer_get_length (bufferevent_get_output (c->bev)) == 0;
 }
 
+void
+bgap_frontend_connection_update_idle (struct frontend_connection *c)
+{
+  struct frontend_connection_queue *idle = &c->frontend->idle;
+  bool is_idle = bgap_frontend_connection_is_idle (c);
+  if (is_idle == c->in_idle_list)
+    return;
+  c->in_idle_list = is_idle;
+  if (is_idle)
+    TAILQ_INSERT_TAIL (idle, c, next_idle);
+  else
+    TAILQ_REMOVE (idle, c, next_idle);
+}
+
+/* Whether the caller has sent bytes that have not been read yet.  */
+static bool
+_bgap_frontend_has_unread (const struct frontend_connection *c)
+{
+  char byte;
+  return recv (bufferevent_getfd (c->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT)
+         > 0;
+}
+
+/* A connection with unread bytes leaves the list, as its request is about to
+   be read, so that each one is looked at once per request.  */
+bool
+bgap_frontend_make_room (struct bgap_frontend *frontend)
+{
+  struct frontend_connection *c;
+  if (frontend->connection_count < frontend->desc.connections_max)
+    return true;
+  while ((c = TAILQ_FIRST (&frontend->idle)) != NULL)
+    {
+      if (!_bgap_frontend_has_unread (c))
+        {
+          *frontend->idle_closed_total = ++frontend->idle_closed;
+          bgap_frontend_connection_close (c, false);
+          return true;
+        }
+      TAILQ_REMOVE (&frontend->idle, c, next_idle);
+      c->in_idle_list = false;
+    }
+  return false;
+}
+
 static void
 _bgap_frontend_linger (struct frontend_connection *c)
 {
@@ -304,6 +351,7 @@
                    frontend);
   LIST_INSERT_HEAD (&frontend->connections, c, next);
   *frontend->connections_open = ++frontend->connection_count;
+  bgap_frontend_connection_update_idle (c);
   bgap_frontend_connection_set_timer (c, frontend->desc.idle_timeout_ms);
   bufferevent_enable (c->bev, EV_READ | EV_WRITE);
 }
--- a/packages/gateway/src/frontend_private.h
+++ b/packages/gateway/src/frontend_private.h
@@ -32,6 +32,7 @@
 
 /**
  * struct frontend_connection - a caller's connection and its exchange
+ * @next_idle: entry in the list of idle connections, if in_idle_list is set
  * @wake: resumes processing of buffered input from the event loop
  * @head_started: a byte of the head has arrived
  * @peer_closed: the caller has closed its sending side
@@ -48,6 +49,7 @@
 struct frontend_connection
 {
   LIST_ENTRY (frontend_connection) next;
+  TAILQ_ENTRY (frontend_connection) next_idle;
   struct bgap_frontend *frontend;
   struct bufferevent *bev;
   struct event timer;
@@ -55,6 +57,7 @@
   enum frontend_state state;
   bool head_started;
   bool peer_closed;
+  bool in_idle_list;
   struct bgap_http_head head;
   struct bgap_http_body decoder;
   struct bgap_buffer body;
@@ -73,9 +76,13 @@
 };
 
 LIST_HEAD (frontend_connection_list, frontend_connection);
+TAILQ_HEAD (frontend_connection_queue, frontend_connection);
 
 /**
  * struct bgap_frontend - the server
+ * @idle: idle connections, the one that has been idle for longest first
+ * @idle_closed, @connections_refused: connections closed because of their
+ *   limit
  * @bodies_size: bytes of the requests' bodies in memory
  * @unsent_size: bytes in the output buffers of all connections
  */
@@ -87,7 +94,10 @@
   struct bgap_pool exchanges; /* of pointers to connections */
   struct frontend_connection_list connections;
   struct frontend_connection_list dead;
+  struct frontend_connection_queue idle;
   uint32_t connection_count;
+  uint64_t idle_closed;
+  uint64_t connections_refused;
   size_t bodies_size;
   size_t unsent_size;
   bool is_stopping;
@@ -99,6 +109,8 @@
   uint64_t *connections_open;
   uint64_t *requests_total;
   uint64_t *refused_total;
+  uint64_t *idle_closed_total;
+  uint64_t *connections_refused_total;
   uint64_t *cancelled_total;
   uint64_t *broken_total;
 };
@@ -125,6 +137,22 @@
 bool bgap_frontend_connection_is_idle (
     const struct frontend_connection *connection);
 
+/**
+ * bgap_frontend_connection_update_idle() - put a connection at the end of the
+ * list of idle ones when it has become idle, and take it off when it no longer
+ * is
+ */
+void
+bgap_frontend_connection_update_idle (struct frontend_connection *connection);
+
+/**
+ * bgap_frontend_make_room() - close the connection that has been idle for
+ * longest if the limit of connections is reached
+ *
+ * Return: whether one more connection is within the limit.
+ */
+bool bgap_frontend_make_room (struct bgap_frontend *frontend);
+
 /**
  * bgap_frontend_connection_end_exchange() - end an exchange whose response is
  * complete, then continue with the next request or close the connection
--- a/packages/gateway/src/frontend_request.c
+++ b/packages/gateway/src/frontend_request.c
@@ -231,4 +231,5 @@
       struct evbuffer *input = bufferevent_get_input (c->bev);
       evbuffer_drain (input, evbuffer_get_length (input));
     }
+  bgap_frontend_connection_update_idle (c);
 }
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -145,6 +145,7 @@
 bgap_edge_is_ready (const struct bgap_edge *edge)
 {
   return !edge->stop.begun && edge->table != NULL
+         && bgap_frontend_has_room (edge->frontend)
          && bgap_follower_is_loaded (edge->config)
          && bgap_follower_is_loaded (edge->registrations)
          && bgap_follower_is_loaded (edge->internal);
@@ -199,6 +200,7 @@
       bgap_edge_reinstate_servers (edge, now_ms);
       bgap_edge_update_warmups (edge);
       bgap_edge_log_limits (edge, now_ms);
+      bgap_edge_log_connections (edge);
     }
   bgap_server_view_tick (edge->view, now_ms);
   bgap_edge_update_successors (edge);
--- a/programs/banyangapd/edge_parts.h
+++ b/programs/banyangapd/edge_parts.h
@@ -448,4 +448,10 @@
 enum bgap_status bgap_edge_open_reports (struct bgap_edge *edge,
                                          struct bgap_error *err);
 
+/**
+ * bgap_edge_log_connections() - log how many callers' connections were closed
+ * because of their limit since the last call, if any
+ */
+void bgap_edge_log_connections (struct bgap_edge *edge);
+
 #endif
--- a/programs/banyangapd/edge_report.c
+++ b/programs/banyangapd/edge_report.c
@@ -5,6 +5,26 @@
 #include "edge_zones.h"
 #include "now.h"
 
+static struct bgap_event_kind event_connections
+    = { .name = "connections-full" };
+
+void
+bgap_edge_log_connections (struct bgap_edge *edge)
+{
+  const struct bgap_frontend_connections now
+      = bgap_frontend_connections (edge->frontend);
+  uint64_t idle_closed
+      = now.idle_closed - edge->connections_logged.idle_closed;
+  uint64_t refused = now.refused - edge->connections_logged.refused;
+  edge->connections_logged = now;
+  if (idle_closed == 0 && refused == 0)
+    return;
+  bgap_event (&event_connections,
+              "idle_closed=%llu refused=%llu open=%u limit=%u ready=%d",
+              (unsigned long long)idle_closed, (unsigned long long)refused,
+              now.open, now.max, bgap_edge_is_ready (edge));
+}
+
 static void
 _bgap_report_on_ready (void *context, struct bgap_admin_id id,
                        const struct bgap_admin_request *request)
--- a/programs/banyangapd/edge_state.h
+++ b/programs/banyangapd/edge_state.h
@@ -253,6 +253,7 @@
  * @subscribers: by topic, the receiving end of the relay
  * @order_count: orders sent so far
  * @buffered_size: bytes of the responses that are buffered in exchanges
+ * @connections_logged: callers' connections when they were last logged
  * @responses_paused, @large_refused: how often a response was paused because
  *   its caller did not read it, and a large one refused for lack of memory
  * @relay_bytes_sent: size of the messages sent as relay or granter
@@ -293,6 +294,7 @@
   struct bgap_edge_exchange *exchanges;
   uint64_t order_count;
   size_t buffered_size;
+  struct bgap_frontend_connections connections_logged;
   uint64_t responses_paused;
   uint64_t large_refused;
   uint64_t incarnation;
