Fix: the idle time begins when the response was sent

Callers saw: a caller that needs longer than the idle time (15 s on the users' platform) for the rest of a response, up to 256 KB, has its connection closed before the end.

Cause: the timer of the idle time was set when the exchange ended, while the response was still in the buffer.

Change: the timer is set when the connection enters the list of idle ones. A caller that reads nothing for as long is ended by the write timeout, as before.

Result: gateway.test_frontend_response, test_sending_for_longer_than_the_idle_time, failed before and passes; test_complete_response_that_is_not_read_times_out guards the other side.

--- a/packages/gateway/src/frontend_connection.c
+++ b/packages/gateway/src/frontend_connection.c
@@ -140,10 +140,13 @@
   if (is_idle == c->in_idle_list)
     return;
   c->in_idle_list = is_idle;
-  if (is_idle)
-    TAILQ_INSERT_TAIL (idle, c, next_idle);
-  else
-    TAILQ_REMOVE (idle, c, next_idle);
+  if (!is_idle)
+    {
+      TAILQ_REMOVE (idle, c, next_idle);
+      return;
+    }
+  TAILQ_INSERT_TAIL (idle, c, next_idle);
+  bgap_frontend_connection_set_timer (c, c->frontend->desc.idle_timeout_ms);
 }
 
 /* Whether the caller has sent bytes that have not been read yet.  */
@@ -217,7 +220,6 @@
       return;
     }
   c->state = FRONTEND_HEAD;
-  bgap_frontend_connection_set_timer (c, c->frontend->desc.idle_timeout_ms);
   event_active (&c->wake, EV_TIMEOUT, 1);
 }
 
@@ -352,6 +354,5 @@
   LIST_INSERT_HEAD (&frontend->connections, c, next);
   *frontend->connections_open = ++frontend->connection_count;
   bgap_frontend_connection_update_idle (c);
-  bgap_frontend_connection_set_timer (c, frontend->desc.idle_timeout_ms);
   bufferevent_enable (c->bev, EV_READ | EV_WRITE);
 }
--- a/packages/gateway/src/frontend_private.h
+++ b/packages/gateway/src/frontend_private.h
@@ -139,8 +139,8 @@
 
 /**
  * bgap_frontend_connection_update_idle() - put a connection at the end of the
- * list of idle ones when it has become idle, and take it off when it no longer
- * is
+ * list of idle ones and begin its idle time when it has become idle, and take
+ * it off the list when it no longer is
  */
 void
 bgap_frontend_connection_update_idle (struct frontend_connection *connection);
--- a/packages/gateway/tests/test_frontend_response.c
+++ b/packages/gateway/tests/test_frontend_response.c
@@ -8,6 +8,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "frontend_fixture.h"
 
@@ -202,11 +203,70 @@
   frontend_fixture_stop (&f);
 }
 
+/* Guards against a caller that stops reading after its response was complete,
+   and so keeps the rest of it in memory.  */
+static void
+test_complete_response_that_is_not_read_times_out (void **state)
+{
+  static const char bytes[STREAM_SIZE];
+  (void)state;
+  struct frontend_fixture f;
+  frontend_fixture_start (
+      &f, &(struct bgap_frontend_desc){ .idle_timeout_ms = 50 });
+  f.defer_reply = true;
+  support_client_send (&f.client, "GET /o/s/a HTTP/1.1\r\nHost: h\r\n\r\n");
+  support_run (f.base, &f.arrived);
+  bufferevent_disable (f.client.bev, EV_READ);
+  bgap_frontend_reply (f.frontend, f.id, 200, NULL, bytes, sizeof bytes);
+  for (int i = 0; i < 1000 && bgap_frontend_unsent (f.frontend) > 0; i++)
+    {
+      usleep (10000);
+      support_run_ready (f.base);
+    }
+  assert_int_equal (bgap_frontend_unsent (f.frontend), 0);
+  assert_int_equal (bgap_frontend_connections (f.frontend).open, 0);
+  frontend_fixture_stop (&f);
+}
+
+/* Guards against cutting a response whose caller reads slowly: its connection
+   is idle only when all of the response was sent.  */
+static void
+test_sending_for_longer_than_the_idle_time (void **state)
+{
+  static const char bytes[STREAM_SIZE];
+  (void)state;
+  struct frontend_fixture f;
+  frontend_fixture_start (
+      &f, &(struct bgap_frontend_desc){ .idle_timeout_ms = 500 });
+  f.defer_reply = true;
+  support_client_send (&f.client, "GET /o/s/a HTTP/1.1\r\nHost: h\r\n\r\n");
+  support_run (f.base, &f.arrived);
+  f.client.keep = false;
+  bgap_frontend_reply (f.frontend, f.id, 200, NULL, bytes, sizeof bytes);
+  while (f.client.total <= STREAM_SIZE && !f.client.closed)
+    {
+      uint64_t step = f.client.total + STREAM_SIZE / 64;
+      bufferevent_enable (f.client.bev, EV_READ);
+      while (f.client.total < step && f.client.total <= STREAM_SIZE
+             && !f.client.closed)
+        event_base_loop (f.base, EVLOOP_ONCE);
+      bufferevent_disable (f.client.bev, EV_READ);
+      usleep (20000);
+      support_run_ready (f.base);
+    }
+  assert_true (f.client.total > STREAM_SIZE);
+  bufferevent_enable (f.client.bev, EV_READ);
+  support_run (f.base, &f.client.closed);
+  frontend_fixture_stop (&f);
+}
+
 int
 main (void)
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_caller_that_does_not_read_times_out),
+    cmocka_unit_test (test_complete_response_that_is_not_read_times_out),
+    cmocka_unit_test (test_sending_for_longer_than_the_idle_time),
     cmocka_unit_test (test_large_response_is_streamed),
     cmocka_unit_test (test_incomplete_response_resets_the_connection),
     cmocka_unit_test (test_response_framing),
--- a/tests/mutations/simulation.sh
+++ b/tests/mutations/simulation.sh
@@ -9,7 +9,7 @@
 # cold (routing_test_cold_limit), warmup (registry_test_warmup), pause (routing_test_pause),
 # leaving (registry_test_server_view), refusal (gateway_test_backend_judge), zones (registry_test_zone_view),
 # evacuation (routing_test_evacuation), zone-keys (keyrange_test_evacuation),
-# connections (gateway_test_frontend_full), quarantine (routing_test_quarantine), stop (routing_test_stop_schedule, _stop_limits and _end_by), placement (routing_test_cost_model, _outstanding and _placement).
+# connections (gateway_test_frontend_full and _response), quarantine (routing_test_quarantine), stop (routing_test_stop_schedule, _stop_limits and _end_by), placement (routing_test_cost_model, _outstanding and _placement).
 # Prints one line per mutation; the exit status is 1 if one was not detected.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
@@ -30,7 +30,7 @@
 placement) package=routing test="routing_test_cost_model routing_test_outstanding routing_test_placement" ;;
 leaving) package=registry test=registry_test_server_view ;;
 refusal) package=gateway test=gateway_test_backend_judge ;;
-connections) package=gateway test=gateway_test_frontend_full ;;
+connections) package=gateway test="gateway_test_frontend_full gateway_test_frontend_response" ;;
 zones) package=registry test=registry_test_zone_view ;;
 evacuation) package=routing test=routing_test_evacuation ;;
 zone-keys) package=keyrange test=keyrange_test_evacuation ;;
