Fix: a request whose caller has left before it was read is dropped

Cause: the frontend reads a request and the end of its connection in two rounds of the event loop. The request was sent on in the round in which the end was handled; the order of events within a round is not defined.

Change: before a complete request is passed on, the frontend looks at what follows in the socket. If that is the end or an error, it drops the request and calls ops.left. The log has outcome=left reason="unread", the counter is bgap_frontend_left_total; the line of a caller that leaves later states how long ago its attempt was sent.

--- a/packages/gateway/include/banyangap/gateway/frontend.h
+++ b/packages/gateway/include/banyangap/gateway/frontend.h
@@ -76,6 +76,9 @@
  * @request: a complete request was received
  * @cancel: the caller closed its connection or only its sending side, or did
  *   not read for idle_timeout_ms; the exchange has ended
+ * @left: a complete request was received and dropped, because its caller had
+ *   closed its connection or its sending side before the request was read;
+ *   there is no exchange for it; may be NULL
  * @resume: the response buffer, which had exceeded buffer_high, has fallen to
  *   buffer_low; may be NULL
  * @stopped: the last exchange has ended after bgap_frontend_stop(); may be
@@ -87,6 +90,7 @@
   void (*request) (void *context, struct bgap_exchange_id id,
                    const struct bgap_frontend_request *request);
   void (*cancel) (void *context, struct bgap_exchange_id id);
+  void (*left) (void *context, const struct bgap_frontend_request *request);
   void (*resume) (void *context, struct bgap_exchange_id id);
   void (*stopped) (void *context);
   void *context;
--- a/packages/gateway/src/frontend.c
+++ b/packages/gateway/src/frontend.c
@@ -147,6 +147,7 @@
   f->refused_total = _bgap_frontend_counter (f, "bgap_frontend_refused_total");
   f->cancelled_total
       = _bgap_frontend_counter (f, "bgap_frontend_cancelled_total");
+  f->left_total = _bgap_frontend_counter (f, "bgap_frontend_left_total");
   f->broken_total = _bgap_frontend_counter (f, "bgap_frontend_broken_total");
 }
 
--- a/packages/gateway/src/frontend_connection.c
+++ b/packages/gateway/src/frontend_connection.c
@@ -1,5 +1,6 @@
 #include "frontend_private.h"
 
+#include <errno.h>
 #include <event2/buffer.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -130,6 +131,17 @@
          && evbuffer_get_length (bufferevent_get_output (c->bev)) == 0;
 }
 
+bool
+bgap_frontend_connection_has_left (const struct frontend_connection *c)
+{
+  char byte;
+  ssize_t size
+      = recv (bufferevent_getfd (c->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  if (size >= 0)
+    return size == 0;
+  return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
+}
+
 static void
 _bgap_frontend_linger (struct frontend_connection *c)
 {
--- a/packages/gateway/src/frontend_private.h
+++ b/packages/gateway/src/frontend_private.h
@@ -100,6 +100,7 @@
   uint64_t *requests_total;
   uint64_t *refused_total;
   uint64_t *cancelled_total;
+  uint64_t *left_total;
   uint64_t *broken_total;
 };
 
@@ -125,6 +126,13 @@
 bool bgap_frontend_connection_is_idle (
     const struct frontend_connection *connection);
 
+/**
+ * bgap_frontend_connection_has_left() - whether the end of the connection is
+ * the next that would be read from it
+ */
+bool bgap_frontend_connection_has_left (
+    const struct frontend_connection *connection);
+
 /**
  * bgap_frontend_connection_end_exchange() - end an exchange whose response is
  * complete, then continue with the next request or close the connection
--- a/packages/gateway/src/frontend_request.c
+++ b/packages/gateway/src/frontend_request.c
@@ -23,10 +23,32 @@
   bgap_frontend_connection_flush (c);
 }
 
+/* Ends the connection of a caller that has left before its request was
+   read.  */
+static void
+_bgap_frontend_drop (struct frontend_connection *c)
+{
+  const struct bgap_frontend_ops *ops = &c->frontend->desc.ops;
+  ++*c->frontend->left_total;
+  if (ops->left != NULL)
+    ops->left (ops->context, &c->request);
+  bgap_frontend_connection_close (c, true);
+}
+
+/* Passes a complete request on.  */
 static void
 _bgap_frontend_dispatch (struct frontend_connection *c)
 {
   struct bgap_frontend *frontend = c->frontend;
+  c->request.method = c->head.method;
+  c->request.target = c->head.target;
+  c->request.body = c->body.data;
+  c->request.body_size = c->body.size;
+  if (bgap_frontend_connection_has_left (c))
+    {
+      _bgap_frontend_drop (c);
+      return;
+    }
   c->exchange = bgap_pool_alloc (&frontend->exchanges);
   *(struct frontend_connection **)bgap_pool_get (&frontend->exchanges,
                                                  c->exchange)
@@ -35,10 +57,6 @@
   c->response_started = false;
   c->is_full = false;
   event_del (&c->timer);
-  c->request.method = c->head.method;
-  c->request.target = c->head.target;
-  c->request.body = c->body.data;
-  c->request.body_size = c->body.size;
   ++*frontend->requests_total;
   frontend->desc.ops.request (frontend->desc.ops.context,
                               (struct bgap_exchange_id){ c->exchange },
@@ -179,7 +197,7 @@
   if (c->decoder.done)
     {
       _bgap_frontend_dispatch (c);
-      return true;
+      return c->state != FRONTEND_DEAD;
     }
   if (evbuffer_get_length (input) == 0
       || evbuffer_peek (input, -1, NULL, &piece, 1) < 1)
--- a/packages/gateway/tests/frontend_fixture.c
+++ b/packages/gateway/tests/frontend_fixture.c
@@ -60,6 +60,15 @@
                     BGAP_ERR_NOT_FOUND);
 }
 
+static void
+_on_left (void *context, const struct bgap_frontend_request *request)
+{
+  struct frontend_fixture *f = context;
+  f->left++;
+  assert_string_equal (request->target, "/o/s/a");
+  assert_string_equal (bgap_headers_find (&request->headers, "Host"), "h");
+}
+
 void
 frontend_fixture_stream (struct frontend_fixture *f)
 {
@@ -104,6 +113,7 @@
   desc.ops = (struct bgap_frontend_ops){
     .request = _on_request,
     .cancel = _on_cancel,
+    .left = _on_left,
     .resume = _on_resume,
     .stopped = _on_stopped,
     .context = f,
--- a/packages/gateway/tests/frontend_fixture.h
+++ b/packages/gateway/tests/frontend_fixture.h
@@ -18,6 +18,7 @@
   bool defer_reply; /* do not reply at once, else echo the request */
   uint32_t requests;
   uint32_t cancelled;
+  uint32_t left; /* requests that were dropped, as their callers had left */
   bool arrived;
   bool caller_gone;
   bool stopped;
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -272,6 +272,7 @@
             .any_path = true,
             .ops = { .request = bgap_edge_on_request,
                      .cancel = bgap_edge_on_cancel,
+                     .left = bgap_edge_on_left,
                      .resume = bgap_edge_on_resume,
                      .stopped = bgap_edge_on_frontend_stopped,
                      .context = edge } },
--- a/programs/banyangapd/edge_parts.h
+++ b/programs/banyangapd/edge_parts.h
@@ -371,6 +371,8 @@
 void bgap_edge_on_request (void *context, struct bgap_exchange_id id,
                            const struct bgap_frontend_request *request);
 void bgap_edge_on_cancel (void *context, struct bgap_exchange_id id);
+void bgap_edge_on_left (void *context,
+                        const struct bgap_frontend_request *request);
 void bgap_edge_on_resume (void *context, struct bgap_exchange_id id);
 
 /**
--- a/programs/banyangapd/edge_request.c
+++ b/programs/banyangapd/edge_request.c
@@ -241,10 +241,13 @@
     return;
   bgap_event (&event_request,
               "request=%s route=%s service=%s outcome=left after_ms=%lld "
-              "attempts=%u server=%s",
+              "attempts=%u server=%s sent_ago_ms=%lld",
               exchange->wire.id, exchange->route, exchange->service->name,
               (long long)(bgap_now_ms () - exchange->began_ms),
-              exchange->attempts, exchange->last_server);
+              exchange->attempts, exchange->last_server,
+              exchange->server != NULL
+                  ? (long long)(bgap_now_ms () - exchange->sent_ms)
+                  : -1LL);
   bgap_router_cancel (&edge->router, bgap_now_ms (), exchange->handle);
   bgap_edge_run_actions (edge);
   /* The router may have finished the request before, in which case its action
@@ -256,6 +259,16 @@
   _bgap_exchange_free (exchange);
 }
 
+void
+bgap_edge_on_left (void *context, const struct bgap_frontend_request *request)
+{
+  struct bgap_edge *edge = context;
+  struct bgap_wire_request wire;
+  edge->desc.wire->read_request (&request->headers, &wire);
+  bgap_event (&event_request, "request=%s outcome=left reason=\"unread\"",
+              wire.id);
+}
+
 void
 bgap_edge_on_resume (void *context, struct bgap_exchange_id id)
 {
--- a/tests/process/platform_standin.py
+++ b/tests/process/platform_standin.py
@@ -82,7 +82,7 @@
 
 
 class Instance:
-    def __init__(self, folder, name, zone, store, grace_s=6, memory_mb=260):
+    def __init__(self, folder, name, zone, store, grace_s=6, memory_mb=260, environment=None):
         self.name = name
         self.ip = "127.0.%d.%d" % (1 + os.getpid() % 250, next(HOST_NUMBERS) % 250 + 1)
         self.http = free_port()
@@ -94,12 +94,13 @@
                                        ready=self.ready, peer=free_port(), store=store.address,
                                        heartbeat=HEARTBEAT_S, grace=grace_s, memory=memory_mb))
         self.process = None
+        self.environment = {**os.environ, **(environment or {})}
 
     def start(self):
         with open(self.log_path, "ab") as log:
             self.process = subprocess.Popen(
                 [os.path.join(BIN, "banyangapd"), "--platform", "--settings", self.settings],
-                stdout=log, stderr=log)
+                stdout=log, stderr=log, env=self.environment)
 
     def log(self):
         with open(self.log_path) as file:
--- a/tests/process/test_callers_leave.py
+++ b/tests/process/test_callers_leave.py
@@ -1,5 +1,6 @@
 """Callers that close their connection while the end of their request is being processed."""
 
+import signal
 import socket
 import threading
 import time
@@ -12,6 +13,7 @@
 ROUNDS = 4
 SPREAD_S = 0.016  # in which the callers leave; requests that wait are checked every 10 ms
 PAUSE_S = 5       # longer than the objective, so that what waits is refused
+UNREAD = 60       # requests that arrive while the instance gets no processor time
 REFUSAL = (b"HTTP/1.1 503 No\r\nNot-Executed: 1\r\nAttempt-Id: %s\r\nRetry-After: %d\r\n"
            b"Content-Length: 4\r\n\r\n")
 
@@ -46,11 +48,14 @@
     def call(self, platform, name):
         instance = platform.instances[0]
         connection = socket.create_connection((instance.ip, instance.http), timeout=5)
-        connection.sendall(b"GET /reads/1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\n"
-                           b"Deadline-Ms: %d\r\n\r\n"
-                           % (HOST.encode(), name.encode(), DEADLINE_S * 1000))
+        connection.sendall(self.request(name))
         return connection
 
+    @staticmethod
+    def request(name):
+        return (b"GET /reads/1 HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\n\r\n"
+                % (HOST.encode(), name.encode(), DEADLINE_S * 1000))
+
     def check_alive(self, instance):
         self.assertIsNone(instance.process.poll(), "\n".join(
             line for line in instance.log().splitlines() if "event=fatal-signal" in line))
@@ -91,6 +96,42 @@
                 self.play(platform, number)
             self.check_alive(platform.instances[0])
 
+    def leave_unread(self, platform, connections, number):
+        """Has callers send requests and leave while the instance is stopped. Returns the ids."""
+        instance = platform.instances[0]
+        ids = ["unread-%d-%d" % (number, caller) for caller in range(UNREAD)]
+        instance.process.send_signal(signal.SIGSTOP)
+        for name, connection in zip(ids, connections):
+            connection.sendall(self.request(name))
+            connection.close()
+        instance.process.send_signal(signal.SIGCONT)
+        return ids
+
+    def test_requests_of_callers_that_left_before_they_were_read(self):
+        """Guards against sending on a request whose caller has left while the instance was short
+        of processor time. The instance waits with poll(), which reports the end of a caller's
+        connection before or after the writable connection to a server; which of both
+        epoll_wait() reports first is not defined."""
+        with Platform() as platform:
+            platform.add_servers("reads", 4)
+            platform.configure([route("/reads/", "reads")], [service("reads")])
+            platform.start_instances(1, environment={"EVENT_NOEPOLL": "1"})
+            platform.wait(lambda: platform.request(0, "GET", "/reads/1").status == 200, 15, "served")
+            left = set()
+            for number in range(ROUNDS):
+                kept = [self.call(platform, "kept-%d-%d" % (number, caller))
+                        for caller in range(UNREAD)]
+                for connection in kept:
+                    self.assertIn(b"HTTP/1.1 200", connection.recv(4096))
+                left.update(self.leave_unread(platform, kept, number))
+                time.sleep(0.3)
+                self.assertEqual(platform.request(0, "GET", "/reads/1").status, 200)
+            executed = {request_id for backend in platform.backends.values()
+                        for _, request_id, _, _ in backend.executed}
+            self.assertEqual(sorted(left & executed), [])
+            self.assertIn("bgap_frontend_left_total %d" % len(left),
+                          platform.instances[0].metrics())
+
 
 if __name__ == "__main__":
     unittest.main()
