--- a/packages/gateway/src/frontend_private.h
+++ b/packages/gateway/src/frontend_private.h
@@ -112,6 +112,7 @@
   uint64_t *idle_closed_total;
   uint64_t *connections_refused_total;
   uint64_t *cancelled_total;
+  uint64_t *left_total;
   uint64_t *broken_total;
 };
 
@@ -153,6 +154,13 @@
  */
 bool bgap_frontend_make_room (struct bgap_frontend *frontend);
 
+/**
+ * bgap_frontend_connection_has_left() - whether the end of the connection is
+ * the next that would be read from it
+ */
+bool bgap_frontend_connection_has_left (
+    const struct frontend_connection *connection);
+
 /**
  * bgap_frontend_connection_end_exchange() - end an exchange whose response is
  * complete, then continue with the next request or close the connection
