Limits: a server's process keeps its rate limit over a lapse

Callers saw: servers in need got up to 35 requests in 4 s where they allow 13.

Cause: the limit of a server was a field of its entry in the router only. When the registration lapsed, the entry went, and the same process had no limit when it registered again, until its next answer; the requests that waited were sent at once.

Change: the view of the servers keeps the limit with the other statements of a process (leaving, pause), also for a server that is removed, until its next process. The router applies it as news of its age when the server is added, so that newer news of other instances have precedence. GONE is reported once the view has the server among the former ones, so that the limit that other instances have told can be stored then. event=server-limit states change=kept.

--- a/packages/registry/include/banyangap/registry/server_view.h
+++ b/packages/registry/include/banyangap/registry/server_view.h
@@ -96,6 +96,9 @@
  * @draining_since_ms: when it was first known that this process of the server
  *   drains, also if it has been removed since; 0 if it does not drain
  * @paused_until_ms: when a pause ends that it has asked this instance for
+ * @limit_per_s: requests per second that this process of the server accepts
+ *   from all instances together, as it has stated; 0 for no limit
+ * @limit_heard_ms: when that was stated, 0 if nothing is known
  * @warmup: whether it is cold
  * @seen: it was put since bgap_server_view_begin_load
  * @user_data: for the user of the view
@@ -108,6 +111,8 @@
   int64_t leaving_since_ms;
   int64_t draining_since_ms;
   int64_t paused_until_ms;
+  double limit_per_s;
+  int64_t limit_heard_ms;
   struct bgap_warmup warmup;
   bool seen;
   void *user_data;
@@ -116,7 +121,8 @@
 
 /**
  * struct bgap_server_view_ops - callbacks
- * @changed: a server has changed; after GONE it is no longer in the view
+ * @changed: a server has changed; with GONE it is no longer in the view, but
+ *   bgap_server_view_leaving() and bgap_server_view_limited() still apply
  * @warmup_ms: for how long the servers of a service are cold after their
  *   start, 0 if not known; NULL is allowed
  */
@@ -171,6 +177,20 @@
 bool bgap_server_view_leaving (struct bgap_server_view *view, const char *id,
                                int64_t started_ms, int64_t since_ms);
 
+/**
+ * bgap_server_view_limited() - a server has stated a rate limit, or that it
+ * has none, in an answer
+ * @started_ms: start of the process that stated it
+ * @per_s: the limit, 0 for none
+ * @heard_ms: when it did; ignored if a later statement is known
+ *
+ * The limit belongs to the process: it is kept while the server is removed and
+ * ends with the next process.
+ */
+void bgap_server_view_limited (struct bgap_server_view *view, const char *id,
+                               int64_t started_ms, double per_s,
+                               int64_t heard_ms);
+
 /**
  * bgap_server_view_assume_cold() - assume that a server is cold until a
  * registration newer than the known one states otherwise, or for the warm-up
--- a/packages/registry/src/server_view.c
+++ b/packages/registry/src/server_view.c
@@ -110,12 +110,13 @@
 {
   struct bgap_known_server *replaced;
   HASH_DEL (view->servers, server);
-  _bgap_view_report (view, server, BGAP_SERVER_GONE);
   _bgap_view_prune_former (view, now_ms);
   server->gone_ms = now_ms;
-  server->user_data = NULL;
   HASH_REPLACE_STR (view->former, entry.id, server, replaced);
   free (replaced);
+  /* What the server has stated may be stored while its removal is reported. */
+  _bgap_view_report (view, server, BGAP_SERVER_GONE);
+  server->user_data = NULL;
 }
 
 /* Warm-up.  */
@@ -173,6 +174,8 @@
     return;
   server->leaving_since_ms = previous->leaving_since_ms;
   server->paused_until_ms = previous->paused_until_ms;
+  server->limit_per_s = previous->limit_per_s;
+  server->limit_heard_ms = previous->limit_heard_ms;
   if (server->leaving_since_ms != 0)
     server->entry.draining = true;
 }
@@ -265,6 +268,8 @@
   server->entry = *entry;
   server->leaving_since_ms = 0;
   server->paused_until_ms = 0;
+  server->limit_per_s = 0;
+  server->limit_heard_ms = 0;
   _bgap_view_keep_statements (server, &previous);
   _bgap_view_date_drain (server, now_ms, &previous);
   /* A registration that expired in an outage of the store says nothing about
@@ -322,6 +327,20 @@
   return true;
 }
 
+void
+bgap_server_view_limited (struct bgap_server_view *view, const char *id,
+                          int64_t started_ms, double per_s, int64_t heard_ms)
+{
+  struct bgap_known_server *server = bgap_server_view_find (view, id);
+  if (server == NULL)
+    server = _bgap_view_find_former (view, id);
+  if (server == NULL || server->entry.started_ms != started_ms
+      || heard_ms < server->limit_heard_ms)
+    return;
+  server->limit_per_s = per_s;
+  server->limit_heard_ms = heard_ms;
+}
+
 void
 bgap_server_view_begin_load (struct bgap_server_view *view)
 {
--- a/packages/registry/tests/test_server_view.c
+++ b/packages/registry/tests/test_server_view.c
@@ -412,6 +412,115 @@
   bgap_server_view_free (view);
 }
 
+static void
+expect_limit (const struct bgap_server_view *view, double per_s,
+              int64_t heard_ms)
+{
+  const struct bgap_known_server *server = bgap_server_view_find (view, "i-1");
+  assert_non_null (server);
+  assert_true (server->limit_per_s == per_s);
+  assert_int_equal (server->limit_heard_ms, heard_ms);
+}
+
+/* Guards against a server whose rate limit is forgotten because its
+   registration lapsed or came anew.  */
+static void
+test_limit_outlives_the_registration (void **state)
+{
+  (void)state;
+  struct report report;
+  struct bgap_server_view *view = view_new (&report);
+  put (view, 0, entry (100, 7));
+  expect_limit (view, 0, 0);
+  bgap_server_view_limited (view, "i-1", 100, 2.5, 900);
+  expect_limit (view, 2.5, 900);
+  put (view, 1000, entry (100, 8));
+  expect_limit (view, 2.5, 900);
+  bgap_server_view_remove (view, 4000, "i-1");
+  put (view, 9000, entry (100, 9));
+  expect_limit (view, 2.5, 900);
+  struct bgap_server_entry moved = entry (100, 10);
+  snprintf (moved.address, sizeof moved.address, "10.0.0.2:80");
+  put (view, 10000, moved);
+  expect_limit (view, 2.5, 900);
+  bgap_server_view_free (view);
+}
+
+/* Guards against a limit that is brought back by an older statement, or that
+   is lost because the answer which states it arrives after the registration
+   lapsed.  */
+static void
+test_last_stated_limit_counts (void **state)
+{
+  (void)state;
+  struct report report;
+  struct bgap_server_view *view = view_new (&report);
+  put (view, 0, entry (100, 7));
+  bgap_server_view_limited (view, "i-1", 100, 2.5, 900);
+  bgap_server_view_limited (view, "i-1", 100, 4, 800);
+  expect_limit (view, 2.5, 900);
+  bgap_server_view_remove (view, 4000, "i-1");
+  bgap_server_view_limited (view, "i-1", 100, 1.5, 4100);
+  put (view, 9000, entry (100, 8));
+  expect_limit (view, 1.5, 4100);
+  bgap_server_view_limited (view, "i-1", 100, 0, 9100);
+  bgap_server_view_limited (view, "i-1", 100, 1.5, 9000);
+  bgap_server_view_remove (view, 9200, "i-1");
+  put (view, 9900, entry (100, 9));
+  expect_limit (view, 0, 9100);
+  bgap_server_view_free (view);
+}
+
+/* Guards against a new process that is limited by what the earlier one stated,
+   in answers before its start or after it.  */
+static void
+test_limit_ends_with_the_process (void **state)
+{
+  (void)state;
+  struct report report;
+  struct bgap_server_view *view = view_new (&report);
+  put (view, 0, entry (100, 7));
+  bgap_server_view_limited (view, "i-1", 100, 2.5, 900);
+  put (view, 2000, entry (2000, 1));
+  expect_limit (view, 0, 0);
+  bgap_server_view_limited (view, "i-1", 100, 2.5, 2100);
+  expect_limit (view, 0, 0);
+  bgap_server_view_limited (view, "i-1", 2000, 3, 2200);
+  bgap_server_view_remove (view, 2300, "i-1");
+  put (view, 5000, entry (4000, 1));
+  expect_limit (view, 0, 0);
+  bgap_server_view_limited (view, "i-2", 4000, 2.5, 5100);
+  assert_null (bgap_server_view_find (view, "i-2"));
+  bgap_server_view_free (view);
+}
+
+static void
+on_gone (void *context, struct bgap_known_server *server,
+         enum bgap_server_change change)
+{
+  struct bgap_server_view **view = context;
+  if (change == BGAP_SERVER_GONE)
+    bgap_server_view_limited (*view, server->entry.id,
+                              server->entry.started_ms, 2.5, 900);
+}
+
+/* Guards against a limit that is lost because it is stored only as the server
+   is removed.  */
+static void
+test_limit_is_stored_at_the_removal (void **state)
+{
+  (void)state;
+  struct bgap_server_view *view = NULL;
+  view = bgap_server_view_new (
+      &(struct bgap_server_view_ops){ .changed = on_gone, .context = &view });
+  assert_non_null (view);
+  put (view, 0, entry (100, 7));
+  bgap_server_view_remove (view, 1000, "i-1");
+  put (view, 5000, entry (100, 8));
+  expect_limit (view, 2.5, 900);
+  bgap_server_view_free (view);
+}
+
 /* Guards against a queue allowance of all servers that follows one odd
    registration.  */
 static void
@@ -447,6 +556,10 @@
     cmocka_unit_test (test_return_does_not_begin_a_drain_anew),
     cmocka_unit_test (test_restarted_server_is_not_leaving),
     cmocka_unit_test (test_leaving_is_kept_for_a_removed_server),
+    cmocka_unit_test (test_limit_outlives_the_registration),
+    cmocka_unit_test (test_last_stated_limit_counts),
+    cmocka_unit_test (test_limit_ends_with_the_process),
+    cmocka_unit_test (test_limit_is_stored_at_the_removal),
     cmocka_unit_test (test_only_changes_are_reported),
     cmocka_unit_test (test_removed_registration_is_gone_at_once),
     cmocka_unit_test (test_registration_expires_in_an_outage),
--- a/packages/routing/include/banyangap/routing/service.h
+++ b/packages/routing/include/banyangap/routing/service.h
@@ -103,6 +103,9 @@
  * @draining_for_ms: for how long that has been known
  * @pause_ms: it has asked for a pause that ends after this time, as by
  *   bgap_router_server_pause(); 0 changes nothing
+ * @limit_per_s: rate limit that its process has stated before, as for
+ *   bgap_router_server_rate_limit(); 0 changes nothing
+ * @limit_age_ms: time since then; newer news have precedence
  */
 struct bgap_server_desc
 {
@@ -121,6 +124,8 @@
   bool draining;
   int64_t draining_for_ms;
   int64_t pause_ms;
+  double limit_per_s;
+  int64_t limit_age_ms;
   uint64_t bytes_max;
 };
 
@@ -167,14 +172,15 @@
   uint32_t in_flight_all; /* with those that peers reported */
   uint32_t quota;         /* connections this instance may open */
   double latency_ms; /* of requests that did not wait for a slot; 0: unknown */
-  double rate_limit_per_s; /* that it states, for all instances; 0: none */
-  double cold_per_s;       /* permits for it while it is cold; 0: warm */
-  int64_t cold_left_ms;    /* until it is warm */
-  uint32_t sent_recently;  /* by this instance within BGAP_WINDOW_MS */
-  uint32_t permits;        /* for requests to it, at hand */
-  uint32_t permits_asked;  /* asked for and not granted yet */
-  int64_t permit_wait_ms;  /* until one is expected, 0 if not known */
-  int64_t pause_left_ms;   /* it wants no requests for so long; 0: no pause */
+  double rate_limit_per_s;   /* that it states, for all instances; 0: none */
+  int64_t rate_limit_age_ms; /* since it stated that, if it ever has */
+  double cold_per_s;         /* permits for it while it is cold; 0: warm */
+  int64_t cold_left_ms;      /* until it is warm */
+  uint32_t sent_recently;    /* by this instance within BGAP_WINDOW_MS */
+  uint32_t permits;          /* for requests to it, at hand */
+  uint32_t permits_asked;    /* asked for and not granted yet */
+  int64_t permit_wait_ms;    /* until one is expected, 0 if not known */
+  int64_t pause_left_ms; /* it wants no requests for so long; 0: no pause */
   double cost_ratio; /* its time for a request divided by the expected cost */
   double work_ms;    /* cost that remains of all its requests, expected */
   bool draining;
--- a/packages/routing/src/router_limit.c
+++ b/packages/routing/src/router_limit.c
@@ -134,10 +134,10 @@
     bgap_router_dispatch_queue (state, now_ms, service);
 }
 
-static void
-_bgap_limit_hear (struct bgap_router_state *state,
-                  struct bgap_router_server *server, int64_t now_ms,
-                  double per_s, int64_t age_ms)
+void
+bgap_router_hear_limit (struct bgap_router_state *state,
+                        struct bgap_router_server *server, int64_t now_ms,
+                        double per_s, int64_t age_ms)
 {
   struct bgap_router_service *service
       = bgap_router_service (state, server->server.service.id);
@@ -174,9 +174,9 @@
       = bgap_router_hash_find (state, permits->server);
   if (server == NULL)
     return;
-  _bgap_limit_hear (state, server, now_ms,
-                    (double)permits->limit_thousandths / THOUSAND,
-                    permits->limit_age_ms);
+  bgap_router_hear_limit (state, server, now_ms,
+                          (double)permits->limit_thousandths / THOUSAND,
+                          permits->limit_age_ms);
   if (is_answer)
     bgap_rate_limit_answered (&server->server.rate_limit, now_ms,
                               permits->count, permits->wait_ms,
@@ -427,7 +427,7 @@
   if (server == NULL)
     return;
   bool was_limited = server->server.rate_limit.per_s > 0;
-  _bgap_limit_hear (state, server, now_ms, per_s, 0);
+  bgap_router_hear_limit (state, server, now_ms, per_s, 0);
   bool is_limited = server->server.rate_limit.per_s > 0;
   if (was_limited == is_limited)
     return;
--- a/packages/routing/src/router_parts.h
+++ b/packages/routing/src/router_parts.h
@@ -353,6 +353,16 @@
 
 /* router_limit.c: rate limits of servers and permits.  */
 
+/**
+ * bgap_router_hear_limit() - apply news of a server's rate limit unless newer
+ * ones are known
+ * @per_s: 0 for no limit
+ * @age_ms: age of the news
+ */
+void bgap_router_hear_limit (struct bgap_router_state *state,
+                             struct bgap_router_server *server, int64_t now_ms,
+                             double per_s, int64_t age_ms);
+
 /**
  * bgap_router_want_permits() - ask for permits for requests to a server,
  * unless it has no limit or was asked just before
--- a/packages/routing/src/router_server.c
+++ b/packages/routing/src/router_server.c
@@ -150,6 +150,9 @@
                             desc->cold_per_s, desc->cold_ms);
   if (desc->cold_per_s > 0 && desc->cold_ms > 0)
     service->has_limits = true;
+  if (desc->limit_per_s > 0)
+    bgap_router_hear_limit (state, server, now_ms, desc->limit_per_s,
+                            desc->limit_age_ms);
   if (desc->evacuated)
     bgap_server_evacuate (&server->server, now_ms, true,
                           desc->evacuation_grace_ms);
@@ -363,6 +366,7 @@
     .quota = server->quota,
     .latency_ms = server->latency_ms,
     .rate_limit_per_s = server->rate_limit.per_s,
+    .rate_limit_age_ms = now_ms - server->rate_limit.heard_ms,
     .cold_per_s = bgap_rate_limit_cold_per_s (&server->rate_limit, now_ms),
     .cold_left_ms = now_ms < server->rate_limit.cold_until_ms
                         ? server->rate_limit.cold_until_ms - now_ms
--- a/packages/routing/tests/limit_fleet.c
+++ b/packages/routing/tests/limit_fleet.c
@@ -171,6 +171,23 @@
   f->next_request_ms = (double)f->now_ms;
 }
 
+void
+limit_fleet_expire (struct limit_fleet *f, uint32_t server)
+{
+  for (uint32_t i = 0; i < f->desc.instances; i++)
+    limit_fleet_remove_server (f, &f->instances[i], server);
+}
+
+void
+limit_fleet_register (struct limit_fleet *f, uint32_t server)
+{
+  for (uint32_t i = 0; i < f->desc.instances; i++)
+    {
+      limit_fleet_set_server (f, &f->instances[i], server, true);
+      limit_fleet_run_actions (f, &f->instances[i]);
+    }
+}
+
 void
 limit_fleet_restart (struct limit_fleet *f, uint32_t index)
 {
--- a/packages/routing/tests/limit_fleet.h
+++ b/packages/routing/tests/limit_fleet.h
@@ -94,6 +94,13 @@
 
 void limit_fleet_set_demand (struct limit_fleet *fleet, double per_s);
 
+/* The server's registration lapses. The instances keep the limit that it has
+   stated to each.  */
+void limit_fleet_expire (struct limit_fleet *fleet, uint32_t server);
+
+/* The same process of the server registers again.  */
+void limit_fleet_register (struct limit_fleet *fleet, uint32_t server);
+
 /* Replaces a router by a new one, as after a restart of its process.  */
 void limit_fleet_restart (struct limit_fleet *fleet, uint32_t index);
 
--- a/packages/routing/tests/limit_fleet_routers.c
+++ b/packages/routing/tests/limit_fleet_routers.c
@@ -55,6 +55,7 @@
   char name[16];
   char zone[8];
   const struct server *truth = &f->servers[server];
+  const struct kept_limit *kept = &instance->kept[server];
   int64_t cold_ms = truth->cold_until_ms - f->now_ms;
   server_name (name, server);
   snprintf (zone, sizeof zone, "z%u", server % ZONES);
@@ -67,6 +68,8 @@
     .already_running = true,
     .cold_ms = is_cold && cold_ms > 0 ? cold_ms : 0,
     .cold_per_s = is_cold ? truth->cold_per_s : 0,
+    .limit_per_s = kept->per_s,
+    .limit_age_ms = f->now_ms - kept->heard_ms,
   };
   assert_int_equal (bgap_router_set_server (&instance->router, f->now_ms,
                                             instance->service, &desc,
@@ -85,6 +88,24 @@
   add_event (f, f->now_ms + after_ms, event);
 }
 
+void
+limit_fleet_remove_server (struct limit_fleet *f, struct instance *instance,
+                           uint32_t server)
+{
+  struct bgap_server_status status;
+  struct bgap_server_id *id = &instance->servers[server];
+  assert_int_equal (
+      bgap_router_server_status (&instance->router, f->now_ms, *id, &status),
+      BGAP_OK);
+  instance->kept[server]
+      = (struct kept_limit){ .per_s = status.rate_limit_per_s,
+                             .heard_ms
+                             = f->now_ms - status.rate_limit_age_ms };
+  bgap_router_remove_server (&instance->router, f->now_ms, *id);
+  id->id = BGAP_INVALID_ID;
+  limit_fleet_run_actions (f, instance);
+}
+
 void
 limit_fleet_start_router (struct limit_fleet *f, uint32_t index)
 {
@@ -92,6 +113,7 @@
   char zone[8];
   snprintf (zone, sizeof zone, "z%u", index % ZONES);
   instance->incarnation++;
+  memset (instance->kept, 0, sizeof instance->kept);
   const struct bgap_router_desc desc = {
     .instance = instance->name,
     .zone = zone,
--- a/packages/routing/tests/limit_fleet_state.h
+++ b/packages/routing/tests/limit_fleet_state.h
@@ -59,11 +59,21 @@
   unsigned char bytes[];
 };
 
+/**
+ * struct kept_limit - limit of a server whose registration has lapsed
+ */
+struct kept_limit
+{
+  double per_s;
+  int64_t heard_ms;
+};
+
 struct instance
 {
   struct bgap_router router;
   struct bgap_service_id service;
   struct bgap_server_id servers[SERVERS_MAX];
+  struct kept_limit kept[SERVERS_MAX];
   char name[24];
   uint32_t incarnation;
   int64_t frozen_until_ms;
@@ -104,6 +114,10 @@
 void limit_fleet_set_server (struct limit_fleet *f, struct instance *instance,
                              uint32_t server, bool is_cold);
 
+/* Removes a server from a router, and keeps its limit.  */
+void limit_fleet_remove_server (struct limit_fleet *f,
+                                struct instance *instance, uint32_t server);
+
 /* Joins the group and reads the list if it is time.  */
 void limit_fleet_join (struct limit_fleet *f, uint32_t index);
 
--- a/packages/routing/tests/test_rate_limit.c
+++ b/packages/routing/tests/test_rate_limit.c
@@ -108,6 +108,10 @@
 
 static const double fault_limit = 5;
 
+/* Requests per second with which all instances have some that wait for a
+   permit.  */
+#define LAPSE_DEMAND_PER_S 160
+
 /* Starts a fleet whose first server states a limit that all instances have
    heard of.  */
 static struct limit_fleet *
@@ -321,6 +325,57 @@
   end_limited (fleet, from_ms, fault_limit);
 }
 
+/* Time for which a server is not registered that is cut off from the store for
+   8 s: its registration lapses after 4 s, and it comes back within 2 s.  */
+#define LAPSE_MS 5500
+
+/* Guards against a server that is without a limit when it registers again
+   after a lapse, until its next answer: the requests that wait at all
+   instances would be sent to it at once.  */
+static void
+test_lapse_keeps_the_limit (void **state)
+{
+  (void)state;
+  struct limit_fleet_desc desc = faulty_fleet;
+  desc.keyed = false;
+  desc.demand_per_s = LAPSE_DEMAND_PER_S;
+  struct limit_fleet *fleet = start_limited (&desc);
+  limit_fleet_set_limit (fleet, 1, fault_limit);
+  limit_fleet_run (fleet, HEARD_MS);
+  int64_t from_ms = limit_fleet_now_ms (fleet);
+  for (uint32_t i = 0; i < 3; i++)
+    {
+      limit_fleet_expire (fleet, 0);
+      limit_fleet_run (fleet, LAPSE_MS);
+      limit_fleet_register (fleet, 0);
+      limit_fleet_run (fleet, LAPSE_MS);
+    }
+  int64_t to_ms = limit_fleet_now_ms (fleet);
+  assert_true (limit_fleet_arrivals (fleet, 0, to_ms - LAPSE_MS, to_ms)
+               > USED_MIN * fault_limit * LAPSE_MS / 1000);
+  end_limited (fleet, from_ms, fault_limit);
+}
+
+/* Guards against a limit that is kept although it ended while the server was
+   not registered.  */
+static void
+test_limit_that_ends_in_a_lapse (void **state)
+{
+  (void)state;
+  struct limit_fleet *fleet = start_limited (&faulty_fleet);
+  limit_fleet_expire (fleet, 0);
+  limit_fleet_run (fleet, LAPSE_MS);
+  limit_fleet_set_limit (fleet, 0, 0);
+  limit_fleet_register (fleet, 0);
+  limit_fleet_run (fleet, HEARD_MS);
+  int64_t from_ms = limit_fleet_now_ms (fleet);
+  limit_fleet_run (fleet, LAPSE_MS);
+  uint32_t arrived
+      = limit_fleet_arrivals (fleet, 0, from_ms, limit_fleet_now_ms (fleet));
+  limit_fleet_free (fleet);
+  assert_true (arrived > 2 * fault_limit * LAPSE_MS / 1000);
+}
+
 int
 main (void)
 {
@@ -337,6 +392,8 @@
     cmocka_unit_test (test_older_news_has_no_effect),
     cmocka_unit_test (test_stated_limits_are_clamped),
     cmocka_unit_test (test_silent_server_keeps_its_limit),
+    cmocka_unit_test (test_lapse_keeps_the_limit),
+    cmocka_unit_test (test_limit_that_ends_in_a_lapse),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
 }
--- a/programs/banyangapd/edge_limits.c
+++ b/programs/banyangapd/edge_limits.c
@@ -41,6 +41,44 @@
               status.rate_limit_per_s, previous_per_s, status.sent_recently);
 }
 
+void
+bgap_edge_keep_limit (struct bgap_edge *edge,
+                      const struct bgap_edge_server *server)
+{
+  int64_t now_ms = bgap_now_ms ();
+  struct bgap_server_status status;
+  int64_t started_ms = server->known != NULL ? server->known->entry.started_ms
+                                             : server->former_started_ms;
+  if (bgap_router_server_status (&edge->router, now_ms, server->router_id,
+                                 &status)
+      != BGAP_OK)
+    return;
+  bgap_server_view_limited (edge->view, server->id, started_ms,
+                            status.rate_limit_per_s,
+                            now_ms - status.rate_limit_age_ms);
+}
+
+void
+bgap_edge_describe_limit (const struct bgap_edge *edge,
+                          const struct bgap_server_entry *entry,
+                          struct bgap_server_desc *desc)
+{
+  const struct bgap_known_server *known
+      = bgap_server_view_find (edge->view, entry->id);
+  if (known == NULL)
+    return;
+  desc->limit_per_s = known->limit_per_s;
+  desc->limit_age_ms = bgap_now_ms () - known->limit_heard_ms;
+}
+
+void
+bgap_edge_log_kept_limit (const struct bgap_edge *edge,
+                          const struct bgap_edge_server *server)
+{
+  if (server->known->limit_per_s > 0)
+    _bgap_limits_log (edge, server, "kept", server->known->limit_per_s);
+}
+
 void
 bgap_edge_on_limit (struct bgap_edge *edge,
                     const struct bgap_edge_server *server,
@@ -65,8 +103,11 @@
                      : 0;
   double previous_per_s = status.rate_limit_per_s;
   if (per_s > 0 || previous_per_s > 0)
-    bgap_router_server_rate_limit (&edge->router, now_ms, server->router_id,
-                                   per_s);
+    {
+      bgap_router_server_rate_limit (&edge->router, now_ms, server->router_id,
+                                     per_s);
+      bgap_edge_keep_limit (edge, server);
+    }
   if (per_s == previous_per_s)
     return;
   _bgap_limits_log (edge, server,
--- a/programs/banyangapd/edge_server_parts.h
+++ b/programs/banyangapd/edge_server_parts.h
@@ -141,6 +141,30 @@
                          const struct bgap_edge_server *server,
                          const struct bgap_wire_response *response);
 
+/**
+ * bgap_edge_keep_limit() - store the rate limit of a server, as the router
+ * knows it, with what its process has stated
+ *
+ * A process keeps its limit if its registration lapses and it registers again.
+ */
+void bgap_edge_keep_limit (struct bgap_edge *edge,
+                           const struct bgap_edge_server *server);
+
+/**
+ * bgap_edge_describe_limit() - set the rate limit that the process of a server
+ * has stated
+ */
+void bgap_edge_describe_limit (const struct bgap_edge *edge,
+                               const struct bgap_server_entry *entry,
+                               struct bgap_server_desc *desc);
+
+/**
+ * bgap_edge_log_kept_limit() - log the rate limit with which a server was
+ * added, if there is one
+ */
+void bgap_edge_log_kept_limit (const struct bgap_edge *edge,
+                               const struct bgap_edge_server *server);
+
 /**
  * bgap_edge_update_instances() - tell the router the instances among which
  * rate limits are shared, after a change of the group
--- a/programs/banyangapd/edge_servers.c
+++ b/programs/banyangapd/edge_servers.c
@@ -79,6 +79,7 @@
     desc.draining_for_ms = bgap_now_ms () - known->draining_since_ms;
   bgap_edge_describe_warmup (edge, entry, &desc);
   bgap_edge_describe_evacuation (edge, entry, &desc);
+  bgap_edge_describe_limit (edge, entry, &desc);
   if (bgap_router_set_server (&edge->router, bgap_now_ms (), service->id,
                               &desc, id, &err)
       != BGAP_OK)
@@ -171,6 +172,7 @@
   bgap_router_server_alive (&edge->router, bgap_now_ms (), server->router_id,
                             (uint64_t)known->entry.started_ms);
   _bgap_servers_update_drain (edge, server, &known->entry);
+  bgap_edge_log_kept_limit (edge, server);
   if (service->granter != NULL)
     bgap_edge_set_granter_server (edge, service, &known->entry);
 }
@@ -198,6 +200,9 @@
   if (server->service->granter != NULL)
     bgap_granter_remove_server (server->service->granter, bgap_now_ms (),
                                 server->id);
+  /* With what other instances have heard of it.  */
+  bgap_edge_keep_limit (edge, server);
+  server->former_started_ms = server->known->entry.started_ms;
   server->known = NULL;
   server->calls++;
   bgap_router_server_expired (&edge->router, bgap_now_ms (),
--- a/programs/banyangapd/edge_state.h
+++ b/programs/banyangapd/edge_state.h
@@ -150,6 +150,7 @@
 /**
  * struct bgap_edge_server - a backend server with its connections
  * @known: its registration, NULL after it was removed
+ * @former_started_ms: start of its process, if the registration was removed
  * @id: its name, still valid after the registration was removed
  * @router_id: handle in the router
  * @requests, @grants, @releases: connection pools
@@ -168,6 +169,7 @@
 struct bgap_edge_server
 {
   struct bgap_known_server *known;
+  int64_t former_started_ms;
   char id[BGAP_REGISTRY_NAME_SIZE];
   struct bgap_edge_service *service;
   struct bgap_server_id router_id;
--- a/tests/process/backend_standin.py
+++ b/tests/process/backend_standin.py
@@ -123,6 +123,14 @@
             self.is_registered = False
             self.store.append("keyed.servers", self.name, b"")
 
+    def lapse(self, duration_s):
+        """Has no registration for this time, longer than a heartbeat interval, as a server that is
+        cut off from the store; then the same process registers again."""
+        self.deregister()
+        time.sleep(duration_s)
+        self.is_registered = True
+        threading.Thread(target=self.send_heartbeats, daemon=True).start()
+
     def kill(self):
         """Stops without notice; the registration expires after three heartbeat intervals."""
         self.alive = False
--- a/tests/process/test_rate_limit.py
+++ b/tests/process/test_rate_limit.py
@@ -1,5 +1,6 @@
 """Servers that state a rate limit for all instances together."""
 
+import concurrent.futures
 import time
 import unittest
 
@@ -9,6 +10,9 @@
 CALLERS = 12
 INSTANCES = 4
 
+LAPSE_S = 2.5
+LAPSE_CALLERS = 40
+
 
 def most_in_a_window(arrivals, since):
     """Largest number of arrivals within WINDOW_S, of those after since."""
@@ -71,6 +75,37 @@
             self.assertGreater(sum(at >= since for backend in limited
                                    for at in backend.arrivals), 100)
 
+    def test_limit_is_kept_over_a_lapse(self):
+        """Guards against a server that has no limit when its registration has lapsed and it
+        registers again, until its next answer: requests that wait are sent to it at once."""
+        with Platform() as platform:
+            platform.add_servers("reads", 2)
+            platform.configure([route("/r/", "reads")], [service("reads")])
+            platform.start_instances(INSTANCES)
+            platform.wait(lambda: platform.request(0, "GET", "/r/1").status == 200, 5, "served")
+            limited = list(platform.backends.values())
+            for backend in limited:
+                backend.rate_limit = 2
+                backend.work_s = 0.3
+            stated = time.time()
+            platform.call_all_instances("/r/1", 1, INSTANCES)
+            self.assertTrue(all(max(backend.arrivals) > stated for backend in limited))
+            time.sleep(0.5)
+            since = time.time()
+            with concurrent.futures.ThreadPoolExecutor(1) as pool:
+                calls = pool.submit(platform.call_all_instances, "/r/1", 3 + LAPSE_S + WINDOW_S,
+                                    LAPSE_CALLERS)
+                time.sleep(3)
+                limited[0].lapse(LAPSE_S)
+                returned = time.time()
+                self.check_responses(platform, calls.result())
+            allowed = 1.5 * 2 * WINDOW_S + 5
+            for backend in limited:
+                self.assertLessEqual(most_in_a_window(backend.arrivals, since), allowed,
+                                     backend.name)
+            served = sum(at >= returned for at in limited[0].arrivals)
+            self.assertGreater(served, 0.7 * 2 * (time.time() - returned - 1.6))
+
     def test_limit_of_a_holder_of_keys(self):
         """Guards against requests for keys that reach their holder beyond its limit, because they
         can go nowhere else."""
