Exit: free the calls that are in flight

Cause: an instance in the daemon's mode ended with status 1 now and then: LeakSanitizer found hellos of the probes that no server had answered yet. bgap_backend_shutdown() closes connections without callbacks, and a control call was reachable only through its callback. The same held, by reading what is allocated for each call, for renewals and hellos of cells; operators' changes that the log has not confirmed; the follower of a removed service while its last read is in flight; and in platform mode for orders to servers and appends of assignments.

Change: each of these calls is in a list of the part that has sent it, which frees it after the client that carries it out was shut down.

--- a/programs/banyangapd/control_call.c
+++ b/programs/banyangapd/control_call.c
@@ -3,6 +3,8 @@
 #include <stdio.h>
 #include <stdlib.h>
 
+#include "upstreams_private.h"
+
 /* A server that takes longer misses this renewal. The next one follows after
    200 ms.  */
 #define CONTROL_DEADLINE_MS 400
@@ -10,8 +12,9 @@
 /* Largest size of an answer in bytes; body data beyond it is dropped.  */
 #define ANSWER_MAX 65536
 
-struct control_call
+struct bgap_control_call
 {
+  LIST_ENTRY (bgap_control_call) next;
   char upstream[BGAP_UPSTREAM_NAME_SIZE];
   struct bgap_buffer request;
   struct bgap_buffer answer;
@@ -21,7 +24,7 @@
 };
 
 static void
-_bgap_control_free (struct control_call *call)
+_bgap_control_free (struct bgap_control_call *call)
 {
   bgap_buffer_shutdown (&call->request);
   bgap_buffer_shutdown (&call->answer);
@@ -32,7 +35,7 @@
 _bgap_control_on_head (void *user, int status,
                        const struct bgap_headers *headers)
 {
-  struct control_call *call = user;
+  struct bgap_control_call *call = user;
   (void)headers;
   call->status = status;
 }
@@ -40,7 +43,7 @@
 static void
 _bgap_control_on_body (void *user, const void *bytes, size_t size)
 {
-  struct control_call *call = user;
+  struct bgap_control_call *call = user;
   if (call->answer.size + size <= ANSWER_MAX)
     bgap_buffer_append (&call->answer, bytes, size);
 }
@@ -48,7 +51,7 @@
 static void
 _bgap_control_on_end (void *user, enum bgap_call_end end)
 {
-  struct control_call *call = user;
+  struct bgap_control_call *call = user;
   const struct bgap_control_result result = {
     .upstream = call->upstream,
     .end = end,
@@ -56,6 +59,7 @@
     .body = call->answer.data,
     .body_size = call->answer.size,
   };
+  LIST_REMOVE (call, next);
   call->done (call->context, &result);
   _bgap_control_free (call);
 }
@@ -74,7 +78,7 @@
                                  const struct bgap_control_result *result),
                    void *context)
 {
-  struct control_call *call = calloc (1, sizeof *call);
+  struct bgap_control_call *call = calloc (1, sizeof *call);
   if (call == NULL)
     return BGAP_ERR_NO_MEMORY;
   snprintf (call->upstream, sizeof call->upstream, "%s", upstream->name);
@@ -94,7 +98,20 @@
                              .ops = &control_ops,
                              .user = call },
         &id);
-  if (status != BGAP_OK)
+  if (status == BGAP_OK)
+    LIST_INSERT_HEAD (&upstreams->control_calls, call, next);
+  else
     _bgap_control_free (call);
   return status;
 }
+
+void
+bgap_control_calls_shutdown (struct bgap_upstreams *upstreams)
+{
+  while (!LIST_EMPTY (&upstreams->control_calls))
+    {
+      struct bgap_control_call *call = LIST_FIRST (&upstreams->control_calls);
+      LIST_REMOVE (call, next);
+      _bgap_control_free (call);
+    }
+}
--- a/programs/banyangapd/control_call.h
+++ b/programs/banyangapd/control_call.h
@@ -31,7 +31,8 @@
  * bgap_control_call() - start a call
  * @target: path of the request
  * @bytes: body of the request; copied
- * @done: called once, when the call has ended
+ * @done: called once, when the call has ended; not if @upstreams are shut
+ *   down before
  *
  * Return: BGAP_OK, or an error, after which @done is not called.
  */
@@ -41,4 +42,10 @@
     void (*done) (void *context, const struct bgap_control_result *result),
     void *context);
 
+/**
+ * bgap_control_calls_shutdown() - free the calls in progress, after the client
+ * that carries them out was shut down
+ */
+void bgap_control_calls_shutdown (struct bgap_upstreams *upstreams);
+
 #endif
--- a/programs/banyangapd/edge.c
+++ b/programs/banyangapd/edge.c
@@ -292,6 +292,7 @@
   edge->incarnation = bgap_random_seed () | 1;
   edge->started_ms = bgap_now_ms ();
   edge->is_relay = true;
+  LIST_INIT (&edge->appends);
   int size = snprintf (edge->member, sizeof edge->member, "%s@%s#%s",
                        edge->settings.name, edge->settings.peers_address,
                        edge->settings.zone);
@@ -339,6 +340,7 @@
   if (edge == NULL)
     return;
   bgap_edge_close_store (edge);
+  bgap_edge_free_appends (edge);
   bgap_peer_shutdown (edge->peer);
   bgap_admin_shutdown (edge->ready);
   bgap_admin_shutdown (edge->operators);
--- a/programs/banyangapd/edge_granter.c
+++ b/programs/banyangapd/edge_granter.c
@@ -62,10 +62,11 @@
 /* Appends.  */
 
 /**
- * struct append - an append of an assignment that is in flight
+ * struct bgap_edge_append - an append of an assignment that is in flight
  */
-struct append
+struct bgap_edge_append
 {
+  LIST_ENTRY (bgap_edge_append) next;
   struct bgap_edge *edge;
   struct bgap_edge_service *service;
   uint32_t call;
@@ -74,11 +75,29 @@
   struct bgap_buffer value;
 };
 
+static void
+_bgap_granter_free_append (struct bgap_edge_append *append)
+{
+  bgap_buffer_shutdown (&append->value);
+  free (append);
+}
+
+void
+bgap_edge_free_appends (struct bgap_edge *edge)
+{
+  while (!LIST_EMPTY (&edge->appends))
+    {
+      struct bgap_edge_append *append = LIST_FIRST (&edge->appends);
+      LIST_REMOVE (append, next);
+      _bgap_granter_free_append (append);
+    }
+}
+
 static void
 _bgap_granter_on_appended (void *user,
                            const struct bgap_store_appended *result)
 {
-  struct append *append = user;
+  struct bgap_edge_append *append = user;
   struct bgap_edge *edge = append->edge;
   int64_t now_ms = bgap_now_ms ();
   enum bgap_granter_append_result append_result = BGAP_GRANTER_APPEND_UNKNOWN;
@@ -103,13 +122,13 @@
       bgap_granter_on_view (append->service->granter, now_ms, append->sent_ms);
       bgap_follower_appended (edge->internal, &append->record);
     }
-  bgap_buffer_shutdown (&append->value);
-  free (append);
+  LIST_REMOVE (append, next);
+  _bgap_granter_free_append (append);
   bgap_edge_run_actions (edge);
 }
 
 static enum bgap_status
-_bgap_granter_send_append (struct append *append,
+_bgap_granter_send_append (struct bgap_edge_append *append,
                            const struct bgap_granter_action *action)
 {
   struct bgap_edge *edge = append->edge;
@@ -140,7 +159,7 @@
                       struct bgap_edge_service *service,
                       const struct bgap_granter_action *action)
 {
-  struct append *append = calloc (1, sizeof *append);
+  struct bgap_edge_append *append = calloc (1, sizeof *append);
   /* Until a load has ended, the offset at which to append is not known.  */
   if (append != NULL && !bgap_follower_is_loading (edge->internal))
     {
@@ -149,7 +168,10 @@
       append->call = action->call;
       append->sent_ms = bgap_now_ms ();
       if (_bgap_granter_send_append (append, action) == BGAP_OK)
-        return;
+        {
+          LIST_INSERT_HEAD (&edge->appends, append, next);
+          return;
+        }
       bgap_buffer_shutdown (&append->value);
     }
   free (append);
--- a/programs/banyangapd/edge_orders.c
+++ b/programs/banyangapd/edge_orders.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <utlist.h>
 
 #include "banyangap/base/hash.h"
 #include "edge_parts.h"
@@ -44,7 +45,8 @@
 /**
  * struct bgap_edge_order - a call to a server, waiting or in flight
  * @kind: type of the call
- * @next: order that waits behind this one
+ * @previous, @next: in the list of waiting orders, which uses only @next, or
+ * of those in flight
  * @expires_ms: time from which a waiting order is no longer sent
  * @checking: in place of a grant, a call without effect is sent over a new
  *   connection
@@ -55,6 +57,7 @@
  */
 struct bgap_edge_order
 {
+  struct bgap_edge_order *previous;
   struct bgap_edge_order *next;
   int64_t expires_ms;
   struct bgap_edge *edge;
@@ -87,6 +90,13 @@
 
 static void _bgap_order_send_waiting (struct bgap_edge_server *server);
 
+static void
+_bgap_order_free (struct bgap_edge_order *order)
+{
+  bgap_buffer_shutdown (&order->body);
+  free (order);
+}
+
 static void
 _bgap_order_end (struct bgap_edge_order *order,
                  enum bgap_granter_result result)
@@ -112,8 +122,8 @@
   if (result == BGAP_GRANTER_FENCED)
     bgap_follower_read_now (edge->internal);
   struct bgap_edge_server *server = order->server;
-  bgap_buffer_shutdown (&order->body);
-  free (order);
+  DL_DELETE2 (server->sent_orders, order, previous, next);
+  _bgap_order_free (order);
   _bgap_order_send_waiting (server);
   bgap_edge_call_ended (edge, server);
   bgap_edge_run_actions (edge);
@@ -127,8 +137,7 @@
   bgap_granter_on_reply (order->service->granter, bgap_now_ms (), order->call,
                          result, "");
   order->server->calls--;
-  bgap_buffer_shutdown (&order->body);
-  free (order);
+  _bgap_order_free (order);
 }
 
 /* Returns the waiting grants, which were decided on before the connection was
@@ -390,7 +399,9 @@
           continue;
         }
       *link = order->next;
-      if (status != BGAP_OK)
+      if (status == BGAP_OK)
+        DL_APPEND2 (server->sent_orders, order, previous, next);
+      else
         _bgap_order_return (order, BGAP_GRANTER_NOT_SENT);
     }
 }
@@ -428,11 +439,13 @@
     return;
   server->releases_used_ms = now_ms;
   if (_bgap_order_send (order) == BGAP_OK)
-    return;
+    {
+      DL_APPEND2 (server->sent_orders, order, previous, next);
+      return;
+    }
   /* The releases that use all connections keep them open.  */
   server->calls--;
-  bgap_buffer_shutdown (&order->body);
-  free (order);
+  _bgap_order_free (order);
 }
 
 void
@@ -442,8 +455,13 @@
     {
       struct bgap_edge_order *order = server->waiting_orders;
       server->waiting_orders = order->next;
-      bgap_buffer_shutdown (&order->body);
-      free (order);
+      _bgap_order_free (order);
+    }
+  while (server->sent_orders != NULL)
+    {
+      struct bgap_edge_order *order = server->sent_orders;
+      DL_DELETE2 (server->sent_orders, order, previous, next);
+      _bgap_order_free (order);
     }
 }
 
--- a/programs/banyangapd/edge_parts.h
+++ b/programs/banyangapd/edge_parts.h
@@ -201,6 +201,12 @@
 void bgap_edge_run_granter (struct bgap_edge *edge,
                             struct bgap_edge_service *service);
 
+/**
+ * bgap_edge_free_appends() - free the appends in flight after the client of
+ * the store was shut down
+ */
+void bgap_edge_free_appends (struct bgap_edge *edge);
+
 /**
  * bgap_edge_set_granter_server() - pass a server's registration to the granter
  */
@@ -237,7 +243,8 @@
                       const struct bgap_granter_action *action);
 
 /**
- * bgap_edge_drop_orders() - free the waiting orders without reporting a result
+ * bgap_edge_drop_orders() - free the orders, waiting or in flight, without
+ * reporting a result, after the client that sends them was shut down
  */
 void bgap_edge_drop_orders (struct bgap_edge_server *server);
 
--- a/programs/banyangapd/edge_state.h
+++ b/programs/banyangapd/edge_state.h
@@ -6,6 +6,7 @@
  * edge_parts.h.
  */
 
+#include <sys/queue.h>
 #include <uthash.h>
 
 #include "banyangap/base/event_log.h"
@@ -154,6 +155,7 @@
  * @router_id: handle in the router
  * @requests, @grants, @releases: connection pools
  * @waiting_orders: orders that wait for a connection, oldest first
+ * @sent_orders: orders in flight
  * @releases_used_ms: when an order was last sent over @releases
  * @releases_done: the last releases that it has carried out, with their proofs
  * @returns_order_ids: it has returned the id of an order since its start
@@ -175,6 +177,7 @@
   struct bgap_backend_server_id grants;
   struct bgap_backend_server_id releases;
   struct bgap_edge_order *waiting_orders;
+  struct bgap_edge_order *sent_orders;
   int64_t releases_used_ms;
   struct bgap_edge_release releases_done[BGAP_EDGE_RELEASES_KEPT];
   uint32_t releases_done_count;
@@ -232,6 +235,8 @@
   UT_hash_handle hh;
 };
 
+LIST_HEAD (bgap_edge_append_list, bgap_edge_append);
+
 /**
  * struct bgap_edge - the instance
  * @member: its name in the group, see struct bgap_edge_member
@@ -251,6 +256,7 @@
  * @was_listed: this instance has been in the list of members
  * @histories: by topic, the records that relayed ones are encoded against
  * @subscribers: by topic, the receiving end of the relay
+ * @appends: appends of assignments in flight
  * @order_count: orders sent so far
  * @buffered_size: bytes of the responses that are buffered in exchanges
  * @responses_paused, @large_refused: how often a response was paused because
@@ -291,6 +297,7 @@
   struct bgap_edge_service *services;
   struct bgap_edge_server *servers;
   struct bgap_edge_exchange *exchanges;
+  struct bgap_edge_append_list appends;
   uint64_t order_count;
   size_t buffered_size;
   uint64_t responses_paused;
--- a/programs/banyangapd/idempotency_streams.c
+++ b/programs/banyangapd/idempotency_streams.c
@@ -31,11 +31,13 @@
   struct append *next;
 };
 
+/* @closed: followers of removed streams, until their last reads complete.  */
 struct bgap_idempotency_streams
 {
   struct bgap_requests *requests;
   struct stream *list;
   struct append *appends;
+  struct bgap_log_follower_list closed;
 };
 
 enum bgap_status
@@ -46,6 +48,7 @@
   if (streams == NULL)
     return BGAP_ERR_NO_MEMORY;
   streams->requests = requests;
+  LIST_INIT (&streams->closed);
   *out = streams;
   return BGAP_OK;
 }
@@ -62,6 +65,7 @@
       bgap_log_follower_free (stream->follower);
       free (stream);
     }
+  bgap_log_follower_free_closed (&streams->closed);
   struct append *append;
   struct append *next;
   DL_FOREACH_SAFE (streams->appends, append, next) free (append);
@@ -170,7 +174,7 @@
       if (strcmp (stream->service, service) != 0)
         continue;
       *link = stream->next;
-      bgap_log_follower_shutdown (stream->follower);
+      bgap_log_follower_shutdown (stream->follower, &streams->closed);
       free (stream);
       return;
     }
--- a/programs/banyangapd/log_follower.c
+++ b/programs/banyangapd/log_follower.c
@@ -16,6 +16,7 @@
 
 struct bgap_log_follower
 {
+  LIST_ENTRY (bgap_log_follower) next;
   const struct bgap_log_ops *log;
   const struct bgap_log_follower_ops *ops;
   void *context;
@@ -77,6 +78,7 @@
   follower->reading = false;
   if (follower->closed)
     {
+      LIST_REMOVE (follower, next);
       bgap_log_follower_free (follower);
       return;
     }
@@ -131,16 +133,30 @@
 }
 
 void
-bgap_log_follower_shutdown (struct bgap_log_follower *follower)
+bgap_log_follower_shutdown (struct bgap_log_follower *follower,
+                            struct bgap_log_follower_list *closed)
 {
   if (follower == NULL)
     return;
   follower->closed = true;
   event_del (follower->timer);
-  if (!follower->reading)
+  if (follower->reading)
+    LIST_INSERT_HEAD (closed, follower, next);
+  else
     bgap_log_follower_free (follower);
 }
 
+void
+bgap_log_follower_free_closed (struct bgap_log_follower_list *closed)
+{
+  while (!LIST_EMPTY (closed))
+    {
+      struct bgap_log_follower *follower = LIST_FIRST (closed);
+      LIST_REMOVE (follower, next);
+      bgap_log_follower_free (follower);
+    }
+}
+
 int64_t
 bgap_log_follower_last_ok_ms (const struct bgap_log_follower *follower)
 {
--- a/programs/banyangapd/log_follower.h
+++ b/programs/banyangapd/log_follower.h
@@ -14,6 +14,7 @@
 
 #include <event2/event.h>
 #include <stdbool.h>
+#include <sys/queue.h>
 
 #include "banyangap/logservice/log_service.h"
 
@@ -48,6 +49,8 @@
 
 struct bgap_log_follower;
 
+LIST_HEAD (bgap_log_follower_list, bgap_log_follower);
+
 /**
  * bgap_log_follower_setup() - start to read
  *
@@ -61,10 +64,17 @@
 /**
  * bgap_log_follower_shutdown() - stop reading and free the follower; NULL is
  * allowed
- *
- * While a read is in progress, the memory is freed when the read completes.
+ * @closed: list that the follower is in while its last read is in progress;
+ *   it is removed and freed when the read completes
+ */
+void bgap_log_follower_shutdown (struct bgap_log_follower *follower,
+                                 struct bgap_log_follower_list *closed);
+
+/**
+ * bgap_log_follower_free_closed() - free the followers of the list after the
+ * log client was shut down
  */
-void bgap_log_follower_shutdown (struct bgap_log_follower *follower);
+void bgap_log_follower_free_closed (struct bgap_log_follower_list *closed);
 
 /**
  * bgap_log_follower_free() - free the follower after the log client was shut
--- a/programs/banyangapd/operators.c
+++ b/programs/banyangapd/operators.c
@@ -315,6 +315,7 @@
   if (operators == NULL)
     return bgap_error_set (err, BGAP_ERR_NO_MEMORY, "no memory for operators");
   operators->desc = *desc;
+  LIST_INIT (&operators->appends);
   enum bgap_status status
       = bgap_admin_setup (&operators->admin,
                           &(struct bgap_admin_desc){
@@ -345,6 +346,7 @@
   if (operators->timer != NULL)
     event_free (operators->timer);
   bgap_admin_shutdown (operators->admin);
+  bgap_operators_drop_appends (operators);
   free (operators);
 }
 
--- a/programs/banyangapd/operators_config.c
+++ b/programs/banyangapd/operators_config.c
@@ -9,8 +9,9 @@
 #define WATCH_MAX_MS 30000
 
 /* A change that the log has not confirmed yet.  */
-struct pending_append
+struct bgap_operators_append
 {
+  LIST_ENTRY (bgap_operators_append) next;
   struct bgap_operators *operators;
   struct bgap_admin_id id;
 };
@@ -19,7 +20,7 @@
 _bgap_operators_on_append (void *user,
                            const struct bgap_log_append_result *result)
 {
-  struct pending_append *pending = user;
+  struct bgap_operators_append *pending = user;
   if (result->answer == BGAP_ANSWER_OK)
     bgap_operators_reply (
         pending->operators, pending->id, 202,
@@ -27,16 +28,28 @@
   else
     bgap_operators_reply_error (pending->operators, pending->id, 503,
                                 "the log did not confirm the change");
+  LIST_REMOVE (pending, next);
   free (pending);
 }
 
+void
+bgap_operators_drop_appends (struct bgap_operators *operators)
+{
+  while (!LIST_EMPTY (&operators->appends))
+    {
+      struct bgap_operators_append *pending = LIST_FIRST (&operators->appends);
+      LIST_REMOVE (pending, next);
+      free (pending);
+    }
+}
+
 static void
 _bgap_operators_append (struct bgap_operators *operators,
                         struct bgap_admin_id id,
                         const struct bgap_buffer *record)
 {
   const struct bgap_log_ops *log = operators->desc.log;
-  struct pending_append *pending = calloc (1, sizeof *pending);
+  struct bgap_operators_append *pending = calloc (1, sizeof *pending);
   if (pending == NULL)
     {
       bgap_operators_reply_error (operators, id, 503, "no memory");
@@ -47,7 +60,10 @@
   if (log->append (log->context, "config", record->data, record->size,
                    _bgap_operators_on_append, pending)
       == BGAP_OK)
-    return;
+    {
+      LIST_INSERT_HEAD (&operators->appends, pending, next);
+      return;
+    }
   free (pending);
   bgap_operators_reply_error (operators, id, 503,
                               "the log takes no changes now");
--- a/programs/banyangapd/operators_private.h
+++ b/programs/banyangapd/operators_private.h
@@ -5,6 +5,8 @@
  * Declarations shared by the source files of the operators' interface.
  */
 
+#include <sys/queue.h>
+
 #include "banyangap/gateway/admin.h"
 #include "operators.h"
 
@@ -31,8 +33,11 @@
   uint32_t in_force;
 };
 
+LIST_HEAD (bgap_operators_append_list, bgap_operators_append);
+
 /**
  * struct bgap_operators - the operators' interface of an instance
+ * @appends: changes that the log has not confirmed yet
  */
 struct bgap_operators
 {
@@ -40,6 +45,7 @@
   struct bgap_admin *admin;
   struct event *timer;
   struct bgap_operators_watch watches[BGAP_OPERATORS_WATCHES];
+  struct bgap_operators_append_list appends;
   bool ready;
 };
 
@@ -85,6 +91,12 @@
 void bgap_operators_watch_config (void *context, struct bgap_admin_id id,
                                   const struct bgap_admin_request *request);
 
+/**
+ * bgap_operators_drop_appends() - free the changes that the log has not
+ * confirmed, after its client was shut down
+ */
+void bgap_operators_drop_appends (struct bgap_operators *operators);
+
 /**
  * bgap_operators_check_watches() - answer the watches that have new events or
  * whose deadline has passed
--- a/programs/banyangapd/upstreams.c
+++ b/programs/banyangapd/upstreams.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "banyangap/base/log.h"
+#include "control_call.h"
 
 /* Connections for hellos and renewals, part of the instance's quota.  */
 #define CONTROL_CONNECTIONS 2u
@@ -22,6 +23,7 @@
   if (upstreams == NULL)
     return bgap_error_set (err, BGAP_ERR_NO_MEMORY, "no memory for servers");
   upstreams->desc = *desc;
+  LIST_INIT (&upstreams->control_calls);
   enum bgap_status status = bgap_backend_setup (
       &upstreams->backend,
       &(struct bgap_backend_desc){ .base = desc->base,
@@ -64,6 +66,7 @@
     _bgap_upstream_free (upstreams, upstream);
   }
   bgap_backend_shutdown (upstreams->backend);
+  bgap_control_calls_shutdown (upstreams);
   struct bgap_forwarder *forwarder;
   struct bgap_forwarder *next_forwarder;
   HASH_ITER (hh, upstreams->forwarders, forwarder, next_forwarder)
--- a/programs/banyangapd/upstreams.h
+++ b/programs/banyangapd/upstreams.h
@@ -127,6 +127,10 @@
                                        struct bgap_upstreams **out,
                                        struct bgap_error *err);
 
+/**
+ * bgap_upstreams_shutdown() - cancel all calls, without callbacks, and free
+ * the table; NULL is allowed
+ */
 void bgap_upstreams_shutdown (struct bgap_upstreams *upstreams);
 
 /**
--- a/programs/banyangapd/upstreams_private.h
+++ b/programs/banyangapd/upstreams_private.h
@@ -5,6 +5,8 @@
  * Declarations shared by the table of servers and the calls to them.
  */
 
+#include <sys/queue.h>
+
 #include "banyangap/gateway/backend.h"
 #include "upstreams.h"
 
@@ -27,6 +29,9 @@
   UT_hash_handle hh;
 };
 
+LIST_HEAD (bgap_control_call_list, bgap_control_call);
+
+/* @control_calls: the hellos and renewals in progress.  */
 struct bgap_upstreams
 {
   struct bgap_upstreams_desc desc;
@@ -34,6 +39,7 @@
   struct bgap_upstream *table;
   struct bgap_upstream_attempt *attempts;
   struct bgap_forwarder *forwarders;
+  struct bgap_control_call_list control_calls;
 };
 
 #endif
