Granter: an acknowledged append makes the relayed view current

The granter reads every 1.5 s and abandons a read that its own record overtakes. After two such reads in a row its messages stated a view more than 2.5 s old, subscribers did not take them as current, and each read the store itself until the granter's next read ended.

Change: an append that the store has put at the end that the granter had read shows that its view was current; the relayed view has the time of that append.

--- a/programs/banyangapd/edge_granter.c
+++ b/programs/banyangapd/edge_granter.c
@@ -93,6 +93,21 @@
     }
 }
 
+/* The store has appended the record at the end that this instance expected, so
+   that its view was current when the record was sent. A read that is in flight
+   is abandoned: without this, the view would be too old for the subscribers
+   after two such reads in a row, and each of them would read the store.  */
+static void
+_bgap_granter_note_view (const struct bgap_edge_append *append)
+{
+  struct bgap_edge *edge = append->edge;
+  if (bgap_follower_is_loading (edge->internal)
+      || bgap_follower_next_offset (edge->internal) < append->record.offset
+      || edge->internal_synced_ms >= append->sent_ms)
+    return;
+  edge->internal_synced_ms = append->sent_ms;
+}
+
 static void
 _bgap_granter_on_appended (void *user,
                            const struct bgap_store_appended *result)
@@ -120,6 +135,7 @@
   if (result->outcome == BGAP_STORE_OK)
     {
       bgap_granter_on_view (append->service->granter, now_ms, append->sent_ms);
+      _bgap_granter_note_view (append);
       bgap_follower_appended (edge->internal, &append->record);
     }
   LIST_REMOVE (append, next);
