--- a/programs/banyangapd/edge_leaving.c
+++ b/programs/banyangapd/edge_leaving.c
@@ -28,9 +28,9 @@
 /* Longest interval: an instance that starts is told within it.  */
 #define INTERVAL_MAX_MS 8000
 
-/* So many of the listed instances repeat messages before all others that were
-   told, in their order, so that usually one does. They keep the connections
-   for it open.  */
+/* Number of instances, the first of the list, that repeat messages before all
+   others that were told, in their order, so that usually one does. They keep
+   the connections for it open.  */
 #define FIRST_SENDERS 3u
 
 static struct bgap_event_kind event_leaving = { .name = "server-leaving" };
--- a/programs/banyangapd/edge_report.c
+++ b/programs/banyangapd/edge_report.c
@@ -185,6 +185,8 @@
   _bgap_report_topic (edge->desc.topics.internal, edge->internal, &out);
   _bgap_report_value (&out, "bgap_relay_bytes_sent_total", "",
                       (int64_t)edge->relay_bytes_sent);
+  _bgap_report_value (&out, "bgap_peer_messages_dropped_total", "",
+                      (int64_t)bgap_peer_counts (edge->peer)->dropped);
   _bgap_report_value (&out, "bgap_config_age_ms", "",
                       now_ms - edge->config_synced_ms);
   _bgap_report_value (&out, "bgap_registrations_age_ms", "",
--- a/tests/process/test_statements.py
+++ b/tests/process/test_statements.py
@@ -13,6 +13,7 @@
 PAUSE_FROM_S = 0.5  # requests may be on their way for so long after a refusal
 PAUSED_MAX = 2    # requests that a pausing server accepts from an instance
 KEYS = range(0, 65536, 2048)
+RELAYED = 17  # instances, of which two are relays
 RETRIES_EARNED_BY = 100  # requests
 
 
@@ -104,6 +105,22 @@
             self.wait_until_known(platform, [told], REPEATED_S + TOLD_S)
             self.assertEqual(len(leaving.arrivals), arrivals)
 
+    def test_instances_behind_relays_are_told_again(self):
+        """Guards against a relay that knows that a server leaves and does not forward the message
+        to an instance that does not."""
+        with Platform() as platform:
+            leaving, _ = self.start(platform, "reads", 2, RELAYED)
+            missing = platform.instances[-6:]
+            for instance in missing:
+                instance.process.kill()
+                instance.process.wait()
+            leaving.is_leaving = True
+            self.call_until_told(platform, "/reads/1", leaving)
+            for instance in missing:
+                instance.start()
+            platform.wait(lambda: all(instance.is_ready() for instance in missing), 15, "ready")
+            self.wait_until_known(platform, missing, REPEATED_S + TOLD_S)
+
     def test_restarted_server_is_used_again(self):
         """Guards against a server that is never used again after a restart under its id, and
         against one that is used because its registration says ready or is an old one."""
