--- a/packages/routing/tests/test_permit_issuer.c
+++ b/packages/routing/tests/test_permit_issuer.c
@@ -9,7 +9,8 @@
 
 #define SERVER 7u
 #define ASK_INTERVAL_MS 500
-#define UNUSED_MS 10000 /* after which the issuer forgets a server */
+/* After which the issuer forgets a server.  */
+#define UNUSED_MS INT64_C (10000)
 
 /* An instance asks for no permits, and states the limit that it knows.  */
 static void
