Gateway: one function that looks at what a socket would return next

The check of an idle backend connection, the search for a connection that makes room and the check for a caller that has left each peeked at the socket by themselves.

--- a/packages/gateway/src/backend_connection.c
+++ b/packages/gateway/src/backend_connection.c
@@ -1,6 +1,5 @@
 #include "backend_private.h"
 
-#include <errno.h>
 #include <event2/buffer.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -9,6 +8,7 @@
 #include <strings.h>
 
 #include "banyangap/base/clock.h"
+#include "socket_pending.h"
 
 int64_t
 bgap_backend_now_ms (void)
@@ -236,13 +236,10 @@
 bool
 bgap_backend_connection_is_usable (const struct backend_connection *c)
 {
-  char byte;
   return bgap_backend_now_ms () < c->idle_until_ms
          && evbuffer_get_length (bufferevent_get_input (c->bev)) == 0
-         && recv (bufferevent_getfd (c->bev), &byte, 1,
-                  MSG_PEEK | MSG_DONTWAIT)
-                < 0
-         && (errno == EAGAIN || errno == EWOULDBLOCK);
+         && bgap_socket_pending (bufferevent_getfd (c->bev))
+                == SOCKET_PENDING_NONE;
 }
 
 static bool
--- a/packages/gateway/src/frontend_connection.c
+++ b/packages/gateway/src/frontend_connection.c
@@ -1,13 +1,13 @@
 #include "frontend_private.h"
 
-#include <errno.h>
 #include <event2/buffer.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <stdlib.h>
 #include <string.h>
 #include <strings.h>
-#include <sys/socket.h>
+
+#include "socket_pending.h"
 
 /* Limit of pipelined input in bytes that is read while a request runs.  */
 #define READ_AHEAD_MAX 65536
@@ -150,15 +150,6 @@
   bgap_frontend_connection_set_timer (c, c->frontend->desc.idle_timeout_ms);
 }
 
-/* Whether the caller has sent bytes that have not been read yet.  */
-static bool
-_bgap_frontend_has_unread (const struct frontend_connection *c)
-{
-  char byte;
-  return recv (bufferevent_getfd (c->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT)
-         > 0;
-}
-
 /* A connection with unread bytes leaves the list, as its request is about to
    be read, so that each one is looked at once per request.  */
 bool
@@ -169,7 +160,8 @@
     return true;
   while ((c = TAILQ_FIRST (&frontend->idle)) != NULL)
     {
-      if (!_bgap_frontend_has_unread (c))
+      if (bgap_socket_pending (bufferevent_getfd (c->bev))
+          != SOCKET_PENDING_BYTES)
         {
           *frontend->idle_closed_total = ++frontend->idle_closed;
           bgap_frontend_connection_close (c, false);
@@ -181,17 +173,6 @@
   return false;
 }
 
-bool
-bgap_frontend_connection_has_left (const struct frontend_connection *c)
-{
-  char byte;
-  ssize_t size
-      = recv (bufferevent_getfd (c->bev), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
-  if (size >= 0)
-    return size == 0;
-  return errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR;
-}
-
 static void
 _bgap_frontend_linger (struct frontend_connection *c)
 {
--- a/packages/gateway/src/frontend_private.h
+++ b/packages/gateway/src/frontend_private.h
@@ -154,13 +154,6 @@
  */
 bool bgap_frontend_make_room (struct bgap_frontend *frontend);
 
-/**
- * bgap_frontend_connection_has_left() - whether the end of the connection is
- * the next that would be read from it
- */
-bool bgap_frontend_connection_has_left (
-    const struct frontend_connection *connection);
-
 /**
  * bgap_frontend_connection_end_exchange() - end an exchange whose response is
  * complete, then continue with the next request or close the connection
--- a/packages/gateway/src/frontend_request.c
+++ b/packages/gateway/src/frontend_request.c
@@ -3,6 +3,7 @@
 #include <strings.h>
 
 #include "frontend_private.h"
+#include "socket_pending.h"
 
 void
 bgap_frontend_connection_reject (struct frontend_connection *c, int status,
@@ -44,7 +45,7 @@
   c->request.target = c->head.target;
   c->request.body = c->body.data;
   c->request.body_size = c->body.size;
-  if (bgap_frontend_connection_has_left (c))
+  if (bgap_socket_pending (bufferevent_getfd (c->bev)) == SOCKET_PENDING_END)
     {
       _bgap_frontend_drop (c);
       return;
