Tests of the frontend: wait in the event loop instead of sleeping

Two tests slept for 10 and 20 ms between turns of the loop. They run the loop for these times; assertions are the same. Three tests share their beginning.

--- a/packages/gateway/tests/support.c
+++ b/packages/gateway/tests/support.c
@@ -42,6 +42,15 @@
     event_base_loop (base, EVLOOP_NONBLOCK);
 }
 
+void
+support_run_for (struct event_base *base, int64_t duration_ms)
+{
+  const struct timeval duration
+      = { .tv_sec = duration_ms / 1000, .tv_usec = duration_ms % 1000 * 1000 };
+  event_base_loopexit (base, &duration);
+  event_base_dispatch (base);
+}
+
 void
 support_base_free (struct event_base *base)
 {
--- a/packages/gateway/tests/support.h
+++ b/packages/gateway/tests/support.h
@@ -17,6 +17,9 @@
 /* Processes the events that are ready, without waiting.  */
 void support_run_ready (struct event_base *base);
 
+/* Runs the event loop for some time.  */
+void support_run_for (struct event_base *base, int64_t duration_ms);
+
 /* Frees the loop after pending events, in which libevent frees its objects. */
 void support_base_free (struct event_base *base);
 
--- a/packages/gateway/tests/test_frontend_response.c
+++ b/packages/gateway/tests/test_frontend_response.c
@@ -8,10 +8,20 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
-#include <unistd.h>
 
 #include "frontend_fixture.h"
 
+/* Starts a frontend with a request that has not been answered yet.  */
+static void
+start_deferred (struct frontend_fixture *f, uint32_t idle_timeout_ms)
+{
+  frontend_fixture_start (
+      f, &(struct bgap_frontend_desc){ .idle_timeout_ms = idle_timeout_ms });
+  f->defer_reply = true;
+  support_client_send (&f->client, "GET /o/s/a HTTP/1.1\r\nHost: h\r\n\r\n");
+  support_run (f->base, &f->arrived);
+}
+
 /* Guards against a caller that stops reading and so keeps its response in
    memory.  */
 static void
@@ -19,11 +29,7 @@
 {
   (void)state;
   struct frontend_fixture f;
-  frontend_fixture_start (
-      &f, &(struct bgap_frontend_desc){ .idle_timeout_ms = 50 });
-  f.defer_reply = true;
-  support_client_send (&f.client, "GET /o/s/a HTTP/1.1\r\nHost: h\r\n\r\n");
-  support_run (f.base, &f.arrived);
+  start_deferred (&f, 50);
   bufferevent_disable (f.client.bev, EV_READ);
   assert_int_equal (bgap_frontend_start (f.frontend, f.id, 200, NULL),
                     BGAP_OK);
@@ -211,17 +217,12 @@
   static const char bytes[STREAM_SIZE];
   (void)state;
   struct frontend_fixture f;
-  frontend_fixture_start (
-      &f, &(struct bgap_frontend_desc){ .idle_timeout_ms = 50 });
-  f.defer_reply = true;
-  support_client_send (&f.client, "GET /o/s/a HTTP/1.1\r\nHost: h\r\n\r\n");
-  support_run (f.base, &f.arrived);
+  start_deferred (&f, 50);
   bufferevent_disable (f.client.bev, EV_READ);
   bgap_frontend_reply (f.frontend, f.id, 200, NULL, bytes, sizeof bytes);
   for (int i = 0; i < 1000 && bgap_frontend_unsent (f.frontend) > 0; i++)
     {
-      usleep (10000);
-      support_run_ready (f.base);
+      support_run_for (f.base, 10);
     }
   assert_int_equal (bgap_frontend_unsent (f.frontend), 0);
   assert_int_equal (bgap_frontend_connections (f.frontend).open, 0);
@@ -236,11 +237,7 @@
   static const char bytes[STREAM_SIZE];
   (void)state;
   struct frontend_fixture f;
-  frontend_fixture_start (
-      &f, &(struct bgap_frontend_desc){ .idle_timeout_ms = 500 });
-  f.defer_reply = true;
-  support_client_send (&f.client, "GET /o/s/a HTTP/1.1\r\nHost: h\r\n\r\n");
-  support_run (f.base, &f.arrived);
+  start_deferred (&f, 500);
   f.client.keep = false;
   bgap_frontend_reply (f.frontend, f.id, 200, NULL, bytes, sizeof bytes);
   while (f.client.total <= STREAM_SIZE && !f.client.closed)
@@ -251,8 +248,7 @@
              && !f.client.closed)
         event_base_loop (f.base, EVLOOP_ONCE);
       bufferevent_disable (f.client.bev, EV_READ);
-      usleep (20000);
-      support_run_ready (f.base);
+      support_run_for (f.base, 20);
     }
   assert_true (f.client.total > STREAM_SIZE);
   bufferevent_enable (f.client.bev, EV_READ);
