--- a/tests/mutations/simulation.sh
+++ b/tests/mutations/simulation.sh
@@ -7,7 +7,7 @@
 # Sets: keyrange (keyrange_test_world), restored (keyrange_test_restored_store and _wait),
 # fencing (keyrange_test_fencing), takeover (keyrange_test_former_leases), limit (routing_test_permit_issuer and _rate_limit),
 # cold (routing_test_cold_limit), warmup (registry_test_warmup), pause (routing_test_pause),
-# leaving (registry_test_server_view), refusal (gateway_test_backend_judge), callers (gateway_test_frontend_left), zones (registry_test_zone_view),
+# leaving (registry_test_server_view and _server_statements), refusal (gateway_test_backend_judge), callers (gateway_test_frontend_left), zones (registry_test_zone_view),
 # evacuation (routing_test_evacuation), zone-keys (keyrange_test_evacuation),
 # connections (gateway_test_frontend_full and _response), quarantine (routing_test_quarantine), stop (routing_test_stop_schedule, _stop_limits and _end_by), placement (routing_test_cost_model, _outstanding and _placement).
 # Prints one line per mutation; the exit status is 1 if one was not detected.
@@ -28,7 +28,7 @@
 quarantine) package=routing test=routing_test_quarantine ;;
 stop) package=routing test="routing_test_stop_schedule routing_test_stop_limits routing_test_end_by" ;;
 placement) package=routing test="routing_test_cost_model routing_test_outstanding routing_test_placement" ;;
-leaving) package=registry test=registry_test_server_view ;;
+leaving) package=registry test="registry_test_server_view registry_test_server_statements" ;;
 refusal) package=gateway test=gateway_test_backend_judge ;;
 connections) package=gateway test="gateway_test_frontend_full gateway_test_frontend_response" ;;
 callers) package=gateway test=gateway_test_frontend_left ;;
