--- a/packages/routing/tests/fixture.c
+++ b/packages/routing/tests/fixture.c
@@ -101,6 +101,20 @@
   fixture_expect_none (f);
 }
 
+void
+fixture_add_unused (struct fixture *f, const struct bgap_server_desc *desc,
+                    uint64_t process)
+{
+  struct bgap_server_id id;
+  struct bgap_router_action action;
+  assert_int_equal (bgap_router_set_server (&f->router, f->now_ms, f->service,
+                                            desc, &id, NULL),
+                    BGAP_OK);
+  bgap_router_server_alive (&f->router, f->now_ms, id, process);
+  while (bgap_router_next_action (&f->router, &action))
+    assert_int_not_equal (action.kind, BGAP_ROUTER_ACTION_DISPATCH);
+}
+
 void
 fixture_result (struct fixture *f, struct bgap_attempt_id attempt,
                 enum bgap_result_kind kind)
--- a/packages/routing/tests/fixture.h
+++ b/packages/routing/tests/fixture.h
@@ -67,6 +67,12 @@
 void fixture_expect_refused (struct fixture *f,
                              struct bgap_request_id request);
 
+/* Adds a server, or sets one anew, whose process lives. Checks that no request
+   is sent meanwhile.  */
+void fixture_add_unused (struct fixture *f,
+                         const struct bgap_server_desc *desc,
+                         uint64_t process);
+
 /* Reports an event of an attempt, with status 200 and a short body.  */
 void fixture_result (struct fixture *f, struct bgap_attempt_id attempt,
                      enum bgap_result_kind kind);
--- a/packages/routing/tests/test_evacuation.c
+++ b/packages/routing/tests/test_evacuation.c
@@ -116,20 +116,13 @@
   bgap_router_remove_server (&f.router, f.now_ms, b);
   for (int i = 0; i < 2; i++)
     {
-      struct bgap_server_id id;
       const struct bgap_server_desc desc = { .name = i == 0 ? "b" : "c",
                                              .zone = "z1",
                                              .slots = 4,
                                              .connections = 120,
                                              .already_running = true,
                                              .evacuated = true };
-      assert_int_equal (bgap_router_set_server (&f.router, f.now_ms, f.service,
-                                                &desc, &id, NULL),
-                        BGAP_OK);
-      bgap_router_server_alive (&f.router, f.now_ms, id, 2);
-      struct bgap_router_action action;
-      while (bgap_router_next_action (&f.router, &action))
-        assert_int_not_equal (action.kind, BGAP_ROUTER_ACTION_DISPATCH);
+      fixture_add_unused (&f, &desc, 2);
     }
   fixture_result (&f, running.attempt, BGAP_RESULT_COMPLETE);
   fixture_expect_finish (&f, running.request, BGAP_OUTCOME_ANSWERED, 200);
--- a/packages/routing/tests/test_server_added.c
+++ b/packages/routing/tests/test_server_added.c
@@ -26,8 +26,6 @@
                                          .pause_ms = pause_ms };
   struct fixture f;
   struct bgap_router_action running = { 0 };
-  struct bgap_router_action action;
-  struct bgap_server_id id;
   fixture_setup (&f, &fixture_shared_service);
   struct bgap_server_id a = fixture_server (&f, "a", "z1", 1);
   for (int i = 0; i <= TAKEN; i++)
@@ -35,12 +33,7 @@
   for (int i = 0; i < TAKEN; i++)
     running = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
   fixture_expect_none (&f);
-  assert_int_equal (bgap_router_set_server (&f.router, f.now_ms, f.service,
-                                            &desc, &id, NULL),
-                    BGAP_OK);
-  bgap_router_server_alive (&f.router, f.now_ms, id, 1);
-  while (bgap_router_next_action (&f.router, &action))
-    assert_int_not_equal (action.kind, BGAP_ROUTER_ACTION_DISPATCH);
+  fixture_add_unused (&f, &desc, 1);
   fixture_result (&f, running.attempt, BGAP_RESULT_COMPLETE);
   fixture_expect_finish (&f, running.request, BGAP_OUTCOME_ANSWERED, 200);
   running = fixture_expect (&f, BGAP_ROUTER_ACTION_DISPATCH);
