--- a/tests/process/test_rate_limit.py
+++ b/tests/process/test_rate_limit.py
@@ -47,15 +47,18 @@
         self.assertGreater(served, 0.7 * backend.rate_limit * (time.time() - since - 0.5),
                            backend.name)
 
+    def start(self, platform):
+        platform.add_servers("reads", 2)
+        platform.configure([route("/r/", "reads")], [service("reads")])
+        platform.start_instances(INSTANCES)
+        platform.wait(lambda: platform.request(0, "GET", "/r/1").status == 200, 5, "served")
+        return list(platform.backends.values())
+
     def test_instances_share_the_limit_of_a_server(self):
         """Guards against a limit that is ignored, or kept by each instance by itself, so that all
         of them together exceed it; and against one that outlives its end."""
         with Platform() as platform:
-            platform.add_servers("reads", 2)
-            platform.configure([route("/r/", "reads")], [service("reads")])
-            platform.start_instances(INSTANCES)
-            platform.wait(lambda: platform.request(0, "GET", "/r/1").status == 200, 5, "served")
-            limited = list(platform.backends.values())
+            limited = self.start(platform)
             for backend, limit in zip(limited, (5, 8)):
                 backend.rate_limit = limit
             for number in range(INSTANCES):
@@ -79,11 +82,7 @@
         """Guards against a server that has no limit when its registration has lapsed and it
         registers again, until its next answer: requests that wait are sent to it at once."""
         with Platform() as platform:
-            platform.add_servers("reads", 2)
-            platform.configure([route("/r/", "reads")], [service("reads")])
-            platform.start_instances(INSTANCES)
-            platform.wait(lambda: platform.request(0, "GET", "/r/1").status == 200, 5, "served")
-            limited = list(platform.backends.values())
+            limited = self.start(platform)
             for backend in limited:
                 backend.rate_limit = 2
                 backend.work_s = 0.3
