Leaving servers: search for repeats that are due every 50 ms

The search walks all servers and was made at each turn of the loop's timer, which runs far more often at a busy instance. process.test_statements passed.

--- a/programs/banyangapd/edge_leaving.c
+++ b/programs/banyangapd/edge_leaving.c
@@ -28,6 +28,10 @@
 /* Longest interval: an instance that starts is told within it.  */
 #define INTERVAL_MAX_MS 8000
 
+/* Interval at which the servers are searched for repeats that are due: the
+   timer of a busy router runs far more often.  */
+#define SEARCH_INTERVAL_MS 50
+
 /* Number of instances, the first of the list, that repeat messages before all
    others that were told, in their order, so that usually one does. They keep
    the connections for it open.  */
@@ -173,6 +177,9 @@
 {
   struct bgap_known_server *known;
   uint32_t index;
+  if (now_ms - edge->leaving_searched_ms < SEARCH_INTERVAL_MS)
+    return;
+  edge->leaving_searched_ms = now_ms;
   if (bgap_edge_leaving_servers (edge) > 0
       && _bgap_leaving_is_first (edge, &index))
     bgap_edge_connect_broadcast (edge);
--- a/programs/banyangapd/edge_state.h
+++ b/programs/banyangapd/edge_state.h
@@ -316,6 +316,7 @@
   int64_t store_failing_since_ms;
   int64_t granter_missing_since_ms;
   int64_t keys_reported_ms;
+  int64_t leaving_searched_ms;
   int64_t service_times_reported_ms;
   int64_t service_times_applied_ms;
   int64_t heartbeat_sent_ms;
