Logs: attempts at servers that are cold or may be

Cause: the log told neither which instances send to a cold server nor what they know of it, so that a flood by instances that cannot hear could not be told from one with permits.

Change: event=cold-attempt, at most 30 lines a second, for each attempt at a server of a service with warmupPerS that is cold, or if the registrations were last read 2 s ago or more: what is known of its warm-up, and the age of the views of registrations and configuration.

--- a/programs/banyangapd/edge_attempt.c
+++ b/programs/banyangapd/edge_attempt.c
@@ -311,6 +311,7 @@
   snprintf (exchange->last_server, sizeof exchange->last_server, "%s",
             server->id);
   server->calls++;
+  bgap_edge_log_cold_attempt (exchange, server);
 }
 
 void
--- a/programs/banyangapd/edge_warmup.c
+++ b/programs/banyangapd/edge_warmup.c
@@ -2,10 +2,17 @@
 
 #include "banyangap/routing/cold_limit.h"
 #include "edge_parts.h"
+#include "edge_zones.h"
 #include "now.h"
 
+/* Age of the view of the registrations from which on an attempt is logged even
+   if its server is not known to be cold: a warm-up may have been missed.  */
+#define VIEW_OLD_MS 2000
+
 static struct bgap_event_kind event_cold
     = { .name = "server-cold", .burst = 1000 };
+static struct bgap_event_kind event_sent
+    = { .name = "cold-attempt", .per_second = 30, .burst = 200 };
 
 int64_t
 bgap_edge_warmup_ms (void *context, const char *service)
@@ -116,6 +123,32 @@
   bgap_edge_update_warmup (edge, server);
 }
 
+void
+bgap_edge_log_cold_attempt (const struct bgap_edge_exchange *exchange,
+                            const struct bgap_edge_server *server)
+{
+  const struct bgap_edge *edge = exchange->edge;
+  int64_t now_ms = bgap_now_ms ();
+  int64_t view_age_ms = now_ms - edge->servers_synced_ms;
+  const struct bgap_warmup *warmup = &server->known->warmup;
+  bool is_cold = bgap_warmup_is_cold (warmup, now_ms);
+  if (_bgap_warmup_bound (edge, server->service->name) <= 0
+      || (!is_cold && view_age_ms < VIEW_OLD_MS))
+    return;
+  bgap_event (
+      &event_sent,
+      "request=%s attempt=%u service=%s server=%s zone=%s "
+      "evacuated=%d cold=%d source=%s left_ms=%lld view_age_ms=%lld "
+      "config_age_ms=%lld store_failing=%d",
+      exchange->wire.id, exchange->attempts, server->service->name, server->id,
+      server->known->entry.zone,
+      bgap_edge_is_evacuated (edge, &server->known->entry), is_cold,
+      bgap_warmup_source_name (is_cold ? warmup->source : BGAP_WARMUP_NONE),
+      (long long)(is_cold ? warmup->until_ms - now_ms : 0),
+      (long long)view_age_ms, (long long)(now_ms - edge->config_synced_ms),
+      edge->store_failing);
+}
+
 uint32_t
 bgap_edge_cold_servers (const struct bgap_edge *edge)
 {
