--- a/packages/routing/tests/limit_fleet.c
+++ b/packages/routing/tests/limit_fleet.c
@@ -144,6 +144,32 @@
   f->servers[server].limit_per_s = per_s;
 }
 
+void
+limit_fleet_turn_cold (struct limit_fleet *f, uint32_t server, double per_s,
+                       int64_t duration_ms)
+{
+  f->servers[server].cold_per_s = per_s;
+  f->servers[server].cold_until_ms = f->now_ms + duration_ms;
+  for (uint32_t i = 0; i < f->desc.instances; i++)
+    limit_fleet_tell_cold (
+        f, &f->instances[i], server,
+        (int64_t)bgap_random_below (&f->random, REGISTRATION_MS));
+}
+
+void
+limit_fleet_evacuate (struct limit_fleet *f, uint32_t zone, bool on)
+{
+  for (uint32_t i = 0; i < f->desc.instances; i++)
+    {
+      struct instance *instance = &f->instances[i];
+      for (uint32_t j = zone; j < f->desc.servers && !instance->cut_from_store;
+           j += ZONES)
+        bgap_router_server_evacuate (&instance->router, f->now_ms,
+                                     instance->servers[j], on, 0);
+      limit_fleet_run_actions (f, instance);
+    }
+}
+
 void
 limit_fleet_set_cold (struct limit_fleet *f, uint32_t server, double per_s,
                       int64_t duration_ms, bool is_known)
--- a/packages/routing/tests/limit_fleet.h
+++ b/packages/routing/tests/limit_fleet.h
@@ -92,6 +92,14 @@
 void limit_fleet_silence (struct limit_fleet *fleet, uint32_t server,
                           bool silent);
 
+/* The process of the server goes on and is cold; its registration tells.  */
+void limit_fleet_turn_cold (struct limit_fleet *fleet, uint32_t server,
+                            double per_s, int64_t duration_ms);
+
+/* Evacuates a zone, or takes it back. Routers that do not reach the store do
+   not hear of it.  */
+void limit_fleet_evacuate (struct limit_fleet *fleet, uint32_t zone, bool on);
+
 void limit_fleet_set_demand (struct limit_fleet *fleet, double per_s);
 
 /* The server's registration lapses. The instances keep the limit that it has
