Fix: relays forward registrations that state a warm-up

Callers saw: cold servers that got more requests in a second than they tolerate, and crashed.

Cause: a relay forwards the registrations that the view of the servers reports as changed. A warm-up that begins without a restart, or ends, was not reported. Only the few instances that read the store themselves learned of it; all others assumed one when an evacuation ended, and else learned nothing.

Why this works: a registration that states a warm-up, its end, or another end of it than the one before is now a change, so that it is forwarded at once. One that only counts down is not. registry.test_warmup (test_statement_of_a_warm_up_is_a_change) failed on the code before.

--- a/packages/registry/include/banyangap/registry/server_view.h
+++ b/packages/registry/include/banyangap/registry/server_view.h
@@ -71,11 +71,13 @@
 
 /**
  * enum bgap_server_change - change caused by a registration or its removal
+ *
+ * A relay forwards the registrations that cause one.
  */
 enum bgap_server_change
 {
   BGAP_SERVER_ADDED,
-  BGAP_SERVER_CHANGED,
+  BGAP_SERVER_CHANGED,   /* also if it states a warm-up, or its end */
   BGAP_SERVER_RESTARTED, /* a new process under the same id */
   BGAP_SERVER_DRAINING,
   BGAP_SERVER_RETURNED, /* registered again while it was missing */
@@ -102,6 +104,8 @@
  *   from all instances together, as it has stated; 0 for no limit
  * @limit_heard_ms: when that was stated, 0 if nothing is known
  * @warmup: whether it is cold
+ * @stated_cold_until_ms: end of the warm-up that its last registration has
+ *   stated, 0 if it has stated none
  * @seen: it was put since bgap_server_view_begin_load
  * @user_data: for the user of the view
  */
@@ -117,6 +121,7 @@
   double limit_per_s;
   int64_t limit_heard_ms;
   struct bgap_warmup warmup;
+  int64_t stated_cold_until_ms;
   bool seen;
   void *user_data;
   UT_hash_handle hh;
--- a/packages/registry/src/server_view.c
+++ b/packages/registry/src/server_view.c
@@ -7,6 +7,10 @@
    longer than a copy is old from which the store is restored.  */
 #define FORMER_RETENTION_MS 60000
 
+/* Difference between two stated ends of a warm-up that counts as a change.
+   Each registration is read up to a second after it was written.  */
+#define WARMUP_CHANGE_MS 1100
+
 /**
  * struct bgap_server_view - the view
  * @former: servers that are gone, the one that has been so for longest first
@@ -163,6 +167,21 @@
                           entry->sequence);
 }
 
+/* Sets the warm-up that a new registration states. Returns whether it differs
+   from what the previous one has stated, apart from the time that has passed.
+ */
+static bool
+_bgap_view_state_warmup (struct bgap_known_server *server, int64_t now_ms)
+{
+  int64_t stated_ms = server->stated_cold_until_ms;
+  int64_t until_ms
+      = server->entry.warmup_ms > 0 ? now_ms + server->entry.warmup_ms : 0;
+  server->stated_cold_until_ms = until_ms;
+  if (stated_ms <= now_ms || until_ms == 0)
+    return (stated_ms > now_ms) != (until_ms != 0);
+  return llabs (until_ms - stated_ms) >= WARMUP_CHANGE_MS;
+}
+
 /* Keeps what the process of @server has stated itself. @previous may be NULL
    or an earlier process.  */
 static void
@@ -210,6 +229,7 @@
   _bgap_view_keep_statements (server, former);
   _bgap_view_date_drain (server, now_ms, former);
   _bgap_view_update_warmup (view, now_ms, server, former, former != NULL);
+  _bgap_view_state_warmup (server, now_ms);
   HASH_ADD_STR (view->servers, entry.id, server);
   _bgap_view_report (view, server, BGAP_SERVER_ADDED);
   if (server->entry.draining)
@@ -277,8 +297,11 @@
   /* A registration that expired in an outage of the store says nothing about
      its server, and the same one may be read again: its warm-up is a time from
      when it was written.  */
-  if (old.started_ms != entry->started_ms || old.sequence != entry->sequence)
+  bool is_new
+      = old.started_ms != entry->started_ms || old.sequence != entry->sequence;
+  if (is_new)
     _bgap_view_update_warmup (view, now_ms, server, &previous, false);
+  bool states_warmup = is_new && _bgap_view_state_warmup (server, now_ms);
   if (was_missing)
     _bgap_view_report (view, server, BGAP_SERVER_RETURNED);
   if (old.started_ms != entry->started_ms)
@@ -287,7 +310,7 @@
   if (is_draining && !old.draining)
     _bgap_view_report (view, server, BGAP_SERVER_DRAINING);
   else if (old.slots != entry->slots || old.draining != is_draining
-           || strcmp (old.zone, entry->zone) != 0)
+           || strcmp (old.zone, entry->zone) != 0 || states_warmup)
     _bgap_view_report (view, server, BGAP_SERVER_CHANGED);
 }
 
--- a/packages/registry/tests/test_warmup.c
+++ b/packages/registry/tests/test_warmup.c
@@ -101,6 +101,39 @@
   bgap_server_view_free (view);
 }
 
+/* Guards against instances that never learn of a server that turns cold
+   without a restart: relays forward only the registrations that are reported
+   as changed. One that only counts down is not.  */
+static void
+test_statement_of_a_warm_up_is_a_change (void **state)
+{
+  (void)state;
+  struct report report;
+  struct bgap_server_view *view = view_new (&report);
+  put (view, &report, 1000, 100, 1, 0);
+  report.last = BGAP_SERVER_ADDED;
+  put (view, &report, 2000, 100, 2, 0);
+  assert_int_equal (report.last, BGAP_SERVER_ADDED);
+  put (view, &report, 3000, 100, 3, 5000);
+  assert_int_equal (report.last, BGAP_SERVER_CHANGED);
+  assert_true (report.was_cold);
+  report.last = BGAP_SERVER_ADDED;
+  put (view, &report, 4000, 100, 4, 4500);
+  assert_int_equal (report.last, BGAP_SERVER_ADDED);
+  put (view, &report, 5000, 100, 5, 5000);
+  assert_int_equal (report.last, BGAP_SERVER_CHANGED);
+  report.last = BGAP_SERVER_ADDED;
+  put (view, &report, 6000, 100, 6, 0);
+  assert_int_equal (report.last, BGAP_SERVER_CHANGED);
+  report.last = BGAP_SERVER_ADDED;
+  put (view, &report, 7000, 100, 7, 3000);
+  put (view, &report, 8000, 100, 8, 2000);
+  report.last = BGAP_SERVER_ADDED;
+  put (view, &report, 11000, 100, 9, 0);
+  assert_int_equal (report.last, BGAP_SERVER_ADDED);
+  bgap_server_view_free (view);
+}
+
 /* Guards against a warm-up that is prolonged whenever the same registration is
    read again, or an older one.  */
 static void
@@ -225,6 +258,7 @@
 {
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_first_registration_applies),
+    cmocka_unit_test (test_statement_of_a_warm_up_is_a_change),
     cmocka_unit_test (test_registration_counts_once),
     cmocka_unit_test (test_start_makes_cold),
     cmocka_unit_test (test_return_makes_cold),
