Tests: a server that turns cold while the store is away

process.test_cold_servers: four instances lose the store; then a server turns cold without a restart. The stand-in of a backend server answers health checks.

--- a/tests/process/backend_standin.py
+++ b/tests/process/backend_standin.py
@@ -35,7 +35,8 @@
         self.padding = b""  # at the end of its answers
         self.field_count = 0  # of the heads of its answers, which then have no length
         self.rate_limit = None  # requests per second that it states in its answers
-        self.warm_at = 0        # until then it states in its registrations that it is cold
+        self.warm_at = 0        # until then it states that it is cold
+        self.checks = []        # times of health checks
         self.is_leaving = False  # it states that in its answers, whatever it has registered
         self.pause_s = None      # it refuses requests and wants none of the instance for so long
         self.refusals_left = 0   # requests that it refuses
@@ -184,7 +185,9 @@
         if handler.path in ("/grant", "/release"):
             self.repeat_order(handler)
         expected = handler.headers.get("Expected-Instance")
-        if expected is not None and expected != self.name:
+        if handler.path == "/health":
+            self.on_health_check(handler)
+        elif expected is not None and expected != self.name:
             handler.reply(421, headers=[("Instance-Id", self.name)])
         elif handler.path == "/grant":
             self.on_grant(handler, json.loads(body))
@@ -193,6 +196,14 @@
         else:
             self.on_request(handler, body)
 
+    def on_health_check(self, handler):
+        now = time.time()
+        self.checks.append(now)
+        headers = [("Instance-Id", self.name)]
+        if now < self.warm_at:
+            headers.append(("Warmup-Ms", "%d" % ((self.warm_at - now) * 1000)))
+        handler.reply(200, headers=headers)
+
     def stated_headers(self, handler):
         headers = []
         is_order = handler.path in ("/grant", "/release")
--- a/tests/process/test_cold_servers.py
+++ b/tests/process/test_cold_servers.py
@@ -11,6 +11,10 @@
 PER_S = 4
 BOUND = 1.5 * PER_S + 8  # requests in a second, from all instances together
 
+# An outage of the store, and the time after which no instance relies on what it has read before.
+OUTAGE_S = 10
+OLD_VIEW_S = 3.5
+
 # Time from the first answers until instances hand out permits: they have to be listed for a while.
 SETTLED_S = 6
 
@@ -58,6 +62,30 @@
             platform.call_all_instances("/r/1", 1, CALLERS)
             self.assertGreater(sum(at >= since for at in cold.arrivals), 2 * BOUND)
 
+    def test_no_instance_can_hear(self):
+        """Guards against a server that turns cold without a restart while the store is away, and
+        gets more than it tolerates from instances that rely on what they knew, and against
+        instances that serve nobody then."""
+        with Platform() as platform:
+            platform.add_servers("reads", 3)
+            platform.configure([route("/r/", "reads")],
+                               [service("reads", cold_per_s=PER_S, cold_s=COLD_S)])
+            platform.start_instances(INSTANCES)
+            platform.wait(lambda: platform.request(0, "GET", "/r/1").status == 200, 5, "served")
+            time.sleep(SETTLED_S)
+            cold = next(iter(platform.backends.values()))
+            platform.store.inject_fault("silent", OUTAGE_S)
+            time.sleep(OLD_VIEW_S)
+            before = platform.call_all_instances("/r/1", 1, CALLERS)
+            since = time.time()
+            cold.warm_at = since + COLD_S
+            responses = platform.call_all_instances("/r/1", 3, CALLERS)
+            until = time.time()
+            self.assertEqual({response.status for response in before + responses}, {200})
+            self.assertLessEqual(most_in_a_second(cold.arrivals, since, until), BOUND)
+            self.assertGreaterEqual(len(self.lines(platform, "server-check", server=cold.name,
+                                                   result="cold")), INSTANCES)
+
     def test_holder_of_keys(self):
         """Guards against requests for keys that a cold server gets beyond what it tolerates, since
         they can go nowhere else."""
