Checks of servers: nothing to choose while all are known

A queue that is dispatched looked for servers to check in up to six passes over the service, also while the view is recent. One pass now counts those that may be cold, and ends there if there are none. Same results in routing.test_cold_unheard.

--- a/packages/routing/src/router_warm_check.c
+++ b/packages/routing/src/router_warm_check.c
@@ -42,13 +42,29 @@
     _bgap_check_begin (state, now_ms, server);
 }
 
-static uint32_t
-_bgap_check_running (const struct bgap_router_service *service)
+/**
+ * struct check_counts - servers of a service
+ * @running: those with a health check that runs
+ * @due: those that may be cold and could be checked now
+ */
+struct check_counts
 {
-  uint32_t running = 0;
+  uint32_t running;
+  uint32_t due;
+};
+
+static struct check_counts
+_bgap_check_count (const struct bgap_router_service *service, int64_t now_ms)
+{
+  struct check_counts counts = { 0 };
   for (uint32_t i = 0; i < service->server_count; i++)
-    running += service->servers[i]->warm_check.is_running;
-  return running;
+    {
+      const struct bgap_server *server = service->servers[i];
+      counts.running += server->warm_check.is_running;
+      counts.due += bgap_server_may_be_cold (server, now_ms)
+                    && bgap_warm_check_may_begin (&server->warm_check, now_ms);
+    }
+  return counts;
 }
 
 /* Smallest check_weight of the servers that this instance checks first.  */
@@ -93,7 +109,10 @@
     wanted = CHECKS_MAX;
   if (wanted == 0 || service->desc.keyed)
     return;
-  for (uint32_t i = _bgap_check_running (service); i < wanted; i++)
+  const struct check_counts counts = _bgap_check_count (service, now_ms);
+  if (counts.due == 0)
+    return;
+  for (uint32_t i = counts.running; i < wanted; i++)
     {
       struct bgap_server *server = _bgap_check_pick (service, now_ms);
       if (server == NULL)
