Fix: relays forward a warm-up that goes on

Callers would see: a cold server that gets too many requests from instances behind a relay. Found by review.

Cause: whether a registration states another warm-up was compared with the one before it. A server that states 3 s with each registration never differs by more than a second, so that relays forwarded it once, and others took it for warm after 3 s.

Evidence: registry.test_warmup (test_warm_up_that_goes_on_is_a_change) failed before. Also a test of a server that is added again while a check of it runs.

Why this works: a registration is compared with the last one that was reported as a change, which is the one that the others know.

--- a/packages/registry/include/banyangap/registry/server_view.h
+++ b/packages/registry/include/banyangap/registry/server_view.h
@@ -104,8 +104,8 @@
  *   from all instances together, as it has stated; 0 for no limit
  * @limit_heard_ms: when that was stated, 0 if nothing is known
  * @warmup: whether it is cold
- * @stated_cold_until_ms: end of the warm-up that its last registration has
- *   stated, 0 if it has stated none
+ * @reported_cold_until_ms: end of the warm-up that was stated by the last
+ *   registration that was reported as a change, 0 if it has stated none
  * @seen: it was put since bgap_server_view_begin_load
  * @user_data: for the user of the view
  */
@@ -121,7 +121,7 @@
   double limit_per_s;
   int64_t limit_heard_ms;
   struct bgap_warmup warmup;
-  int64_t stated_cold_until_ms;
+  int64_t reported_cold_until_ms;
   bool seen;
   void *user_data;
   UT_hash_handle hh;
--- a/packages/registry/src/server_view.c
+++ b/packages/registry/src/server_view.c
@@ -167,19 +167,25 @@
                           entry->sequence);
 }
 
-/* Sets the warm-up that a new registration states. Returns whether it differs
-   from what the previous one has stated, apart from the time that has passed.
- */
+/* End of the warm-up that the registration of a server states, 0 for none.  */
+static int64_t
+_bgap_view_stated_end_ms (const struct bgap_known_server *server,
+                          int64_t now_ms)
+{
+  return server->entry.warmup_ms > 0 ? now_ms + server->entry.warmup_ms : 0;
+}
+
+/* Whether the warm-up that a new registration states differs from the one that
+   was last reported, apart from the time that has passed.  */
 static bool
-_bgap_view_state_warmup (struct bgap_known_server *server, int64_t now_ms)
+_bgap_view_states_other_warmup (const struct bgap_known_server *server,
+                                int64_t now_ms)
 {
-  int64_t stated_ms = server->stated_cold_until_ms;
-  int64_t until_ms
-      = server->entry.warmup_ms > 0 ? now_ms + server->entry.warmup_ms : 0;
-  server->stated_cold_until_ms = until_ms;
-  if (stated_ms <= now_ms || until_ms == 0)
-    return (stated_ms > now_ms) != (until_ms != 0);
-  return llabs (until_ms - stated_ms) >= WARMUP_CHANGE_MS;
+  int64_t reported_ms = server->reported_cold_until_ms;
+  int64_t until_ms = _bgap_view_stated_end_ms (server, now_ms);
+  if (reported_ms <= now_ms || until_ms == 0)
+    return (reported_ms > now_ms) != (until_ms != 0);
+  return llabs (until_ms - reported_ms) >= WARMUP_CHANGE_MS;
 }
 
 /* Keeps what the process of @server has stated itself. @previous may be NULL
@@ -229,7 +235,7 @@
   _bgap_view_keep_statements (server, former);
   _bgap_view_date_drain (server, now_ms, former);
   _bgap_view_update_warmup (view, now_ms, server, former, former != NULL);
-  _bgap_view_state_warmup (server, now_ms);
+  server->reported_cold_until_ms = _bgap_view_stated_end_ms (server, now_ms);
   HASH_ADD_STR (view->servers, entry.id, server);
   _bgap_view_report (view, server, BGAP_SERVER_ADDED);
   if (server->entry.draining)
@@ -301,7 +307,10 @@
       = old.started_ms != entry->started_ms || old.sequence != entry->sequence;
   if (is_new)
     _bgap_view_update_warmup (view, now_ms, server, &previous, false);
-  bool states_warmup = is_new && _bgap_view_state_warmup (server, now_ms);
+  bool states_warmup
+      = is_new && _bgap_view_states_other_warmup (server, now_ms);
+  if (states_warmup)
+    server->reported_cold_until_ms = _bgap_view_stated_end_ms (server, now_ms);
   if (was_missing)
     _bgap_view_report (view, server, BGAP_SERVER_RETURNED);
   if (old.started_ms != entry->started_ms)
--- a/packages/registry/tests/test_warmup.c
+++ b/packages/registry/tests/test_warmup.c
@@ -134,6 +134,28 @@
   bgap_server_view_free (view);
 }
 
+/* Guards against a warm-up that goes on, stated anew with each registration,
+   and ends for the instances behind a relay.  */
+static void
+test_warm_up_that_goes_on_is_a_change (void **state)
+{
+  (void)state;
+  struct report report;
+  struct bgap_server_view *view = view_new (&report);
+  int64_t known_until_ms = 0;
+  put (view, &report, 1000, 100, 1, 0);
+  for (int64_t i = 0; i < 8; i++)
+    {
+      int64_t now_ms = 2000 + i * 1000;
+      report.last = BGAP_SERVER_ADDED;
+      put (view, &report, now_ms, 100, 2 + i, 3000);
+      if (report.last == BGAP_SERVER_CHANGED)
+        known_until_ms = now_ms + 3000;
+      assert_true (known_until_ms > now_ms + 1000);
+    }
+  bgap_server_view_free (view);
+}
+
 /* Guards against a warm-up that is prolonged whenever the same registration is
    read again, or an older one.  */
 static void
@@ -259,6 +281,7 @@
   const struct CMUnitTest tests[] = {
     cmocka_unit_test (test_first_registration_applies),
     cmocka_unit_test (test_statement_of_a_warm_up_is_a_change),
+    cmocka_unit_test (test_warm_up_that_goes_on_is_a_change),
     cmocka_unit_test (test_registration_counts_once),
     cmocka_unit_test (test_start_makes_cold),
     cmocka_unit_test (test_return_makes_cold),
--- a/packages/routing/tests/test_warm_check.c
+++ b/packages/routing/tests/test_warm_check.c
@@ -196,6 +196,31 @@
   fixture_shutdown (&f);
 }
 
+/* Guards against a server that is never checked again, since it was removed
+   while a check ran: its handle stays while an attempt runs.  */
+static void
+test_server_that_is_added_again_is_checked (void **state)
+{
+  (void)state;
+  struct fixture f;
+  fixture_setup (&f, &fixture_shared_service);
+  struct bgap_server_id a = add_limited (&f, "a");
+  make_view_old (&f);
+  fixture_request (&f, NULL);
+  expect_health_check (&f);
+  report (&f, a, BGAP_WARM_CHECK_WARM);
+  expect_dispatch (&f, a);
+  f.now_ms += BGAP_WARM_CHECK_VALID_MS;
+  fixture_request (&f, NULL);
+  expect_health_check (&f);
+  bgap_router_remove_server (&f.router, f.now_ms, a);
+  assert_int_equal (add_limited (&f, "a").id, a.id);
+  expect_health_check (&f);
+  report (&f, a, BGAP_WARM_CHECK_WARM);
+  expect_dispatch (&f, a);
+  fixture_shutdown (&f);
+}
+
 /* Guards against requests for keys at a holder of which nothing has been heard
    for long.  */
 static void
@@ -241,6 +266,7 @@
     cmocka_unit_test (test_failed_check_is_repeated_later),
     cmocka_unit_test (test_view_that_is_read_again_ends_the_wait),
     cmocka_unit_test (test_check_ends_with_the_process),
+    cmocka_unit_test (test_server_that_is_added_again_is_checked),
     cmocka_unit_test (test_holder_of_keys_is_checked),
     cmocka_unit_test (test_service_without_a_limit_is_not_checked),
   };
