Fix: a page that ends before the end of a topic makes no view current

Callers would see: requests to servers that left, restarted or turned cold, from an instance that counts its view as recent. Found by review.

Cause: after an outage that is longer than a page of the history, the follower reads one page and then loads the newest records instead. It reported the topic as read after the first page already, against its own contract; if the store is away again before the load, the view counted as recent without most records.

Why this works: such a page only shows that the store answers; the load reports the topic as read.

--- a/packages/store/src/follower_reads.c
+++ b/packages/store/src/follower_reads.c
@@ -87,11 +87,18 @@
   f->latency_ms += LATENCY_WEIGHT * (took_ms - f->latency_ms);
 }
 
+/* A call has succeeded.  */
 static void
-_bgap_follower_report_synced (struct bgap_follower *f)
+_bgap_follower_on_answered (struct bgap_follower *f)
 {
   f->retry_ms = RETRY_FIRST_MS;
   f->failing = false;
+}
+
+static void
+_bgap_follower_report_synced (struct bgap_follower *f)
+{
+  _bgap_follower_on_answered (f);
   if (f->desc.ops.synced != NULL)
     f->desc.ops.synced (f->desc.ops.context, f->sent_ms, false);
 }
@@ -240,7 +247,15 @@
     f->next = page->records[page->count - 1].offset + 1;
   _bgap_follower_note_end (f, f->sent_ms, page);
   _bgap_follower_report (f, page);
-  _bgap_follower_report_synced (f);
+  /* After a long network outage the history of a busy topic is much longer
+     than its newest records, and by the time it was read it would have grown
+     as much again. The newest records are loaded instead, and until then most
+     are missing.  */
+  bool is_far_behind = page->count > 0 && f->next < page->end;
+  if (is_far_behind)
+    _bgap_follower_on_answered (f);
+  else
+    _bgap_follower_report_synced (f);
   if (f->desc.ops.page_read != NULL)
     f->desc.ops.page_read (f->desc.ops.context, from, page->records,
                            page->count);
@@ -248,10 +263,7 @@
   /* A callback may have requested a reload or started the next read.  */
   if (f->state == LOADING || f->busy)
     return;
-  /* After a long network outage the history of a busy topic is much longer
-     than its newest records, and by the time it was read it would have grown
-     as much again. The newest records are loaded instead.  */
-  if (page->count > 0 && f->next < page->end)
+  if (is_far_behind)
     {
       bgap_follower_reload (f);
       return;
--- a/packages/store/tests/scripted_store.c
+++ b/packages/store/tests/scripted_store.c
@@ -83,6 +83,16 @@
     fake->seen[fake->seen_count++] = record->offset;
 }
 
+static void
+on_synced (void *context, int64_t sent_ms, bool relayed)
+{
+  struct scripted_store *fake = context;
+  (void)sent_ms;
+  (void)relayed;
+  fake->synced++;
+  fake->seen_when_synced = fake->seen_count;
+}
+
 static void
 on_loaded (void *context)
 {
@@ -108,6 +118,7 @@
                                              .relay_timeout_ms = 100,
                                              .ops = { .record = on_record,
                                                       .loaded = on_loaded,
+                                                      .synced = on_synced,
                                                       .context = fake } },
                                          &err),
                     BGAP_OK);
--- a/packages/store/tests/scripted_store.h
+++ b/packages/store/tests/scripted_store.h
@@ -46,6 +46,8 @@
   uint64_t seen[16];
   size_t seen_count;
   size_t loaded;
+  size_t synced;           /* times that the follower has reported that */
+  size_t seen_when_synced; /* records seen when it last did */
 };
 
 /* Creates a follower of the store.  */
--- a/packages/store/tests/test_follower.c
+++ b/packages/store/tests/test_follower.c
@@ -221,6 +221,28 @@
   event_base_free (fake.base);
 }
 
+/* Guards against a view that counts as recent although most records are
+   missing: a page ended before the end of the topic, and the store is away
+   before the newest records are loaded.  */
+static void
+test_part_of_the_records_is_no_view (void **state)
+{
+  (void)state;
+  struct scripted_store fake = {
+    .answers
+    = { { .records = { { .offset = 9, .key = "a" } }, .count = 1, .end = 10 },
+        { .records = { { .offset = 10, .key = "a" } },
+          .count = 1,
+          .end = 50000 },
+        { .outcome = BGAP_STORE_REFUSED } },
+    .answer_count = 3,
+  };
+  scripted_store_follow (&fake);
+  assert_int_equal (fake.seen_count, 2);
+  assert_int_equal (fake.synced, 1);
+  assert_int_equal (fake.seen_when_synced, 1);
+}
+
 int
 main (void)
 {
@@ -231,6 +253,7 @@
     cmocka_unit_test (test_probe_finds_missed_record),
     cmocka_unit_test (test_waiting_read_that_is_not_answered),
     cmocka_unit_test (test_follower_far_behind_reloads),
+    cmocka_unit_test (test_part_of_the_records_is_no_view),
     cmocka_unit_test (test_reads_immediately_when_store_recovers),
     cmocka_unit_test (test_own_records_do_not_postpone_reads),
   };
