Fix: holders of keys in an evacuated zone are checked

Cause: while the keys of an evacuated zone move, for 2.5 s, instances that know of the evacuation go on sending to their holders. A recent view of the registrations counted for them, though their servers turn cold during the evacuation, and are registered as cold only later. 7 of 16 requests at one of the two servers came from such instances, 9 from some that had not read of it.

Evidence: routing.test_warm_check (test_holder_in_an_evacuated_zone_is_checked) failed before.

Why this works: for servers of an evacuated zone only a health check counts, whatever the age of the view.

--- a/packages/routing/include/banyangap/routing/warm_check.h
+++ b/packages/routing/include/banyangap/routing/warm_check.h
@@ -9,8 +9,9 @@
  *
  *   struct bgap_warm_check check = { 0 };
  *   bgap_warm_check_set_view_time (&check, registrations_read_ms);
- *   if (bgap_warm_check_is_known (&check, now_ms))
- *     bgap_warm_check_use (&check, now_ms);
+ *   if (bgap_warm_check_is_recent (&check, now_ms)
+ *       || bgap_warm_check_is_covered (&check, now_ms))
+ *     bgap_warm_check_use (&check);
  *   else if (bgap_warm_check_may_begin (&check, now_ms))
  *     {
  *       bgap_warm_check_begin (&check, now_ms);
@@ -96,16 +97,16 @@
                                 int64_t now_ms);
 
 /**
- * bgap_warm_check_is_known() - whether a request may be sent as to a warm
- * server
+ * bgap_warm_check_is_covered() - whether a request may be sent because of a
+ * health check
  */
-bool bgap_warm_check_is_known (const struct bgap_warm_check *check,
-                               int64_t now_ms);
+bool bgap_warm_check_is_covered (const struct bgap_warm_check *check,
+                                 int64_t now_ms);
 
 /**
  * bgap_warm_check_use() - a request is sent
  */
-void bgap_warm_check_use (struct bgap_warm_check *check, int64_t now_ms);
+void bgap_warm_check_use (struct bgap_warm_check *check);
 
 /**
  * bgap_warm_check_may_begin() - whether a health check may be sent now
--- a/packages/routing/src/server.c
+++ b/packages/routing/src/server.c
@@ -177,12 +177,18 @@
   return bgap_server_busy_for (server, now_ms, PERCENT);
 }
 
+/* The servers of an evacuated zone may turn cold at any moment, so that what
+   the registrations say of them does not count.  */
 bool
 bgap_server_may_be_cold (const struct bgap_server *server, int64_t now_ms)
 {
+  bool is_evacuated = (server->drain_signals & 1u << BGAP_DRAIN_ZONE) != 0;
+  bool is_known = (!is_evacuated
+                   && bgap_warm_check_is_recent (&server->warm_check, now_ms))
+                  || bgap_warm_check_is_covered (&server->warm_check, now_ms);
   return server->rate_limit.cold_per_s > 0
          && bgap_rate_limit_cold_per_s (&server->rate_limit, now_ms) == 0
-         && !bgap_warm_check_is_known (&server->warm_check, now_ms);
+         && !is_known;
 }
 
 bool
@@ -359,7 +365,7 @@
 {
   server->in_flight++;
   bgap_rate_limit_take (&server->rate_limit, now_ms);
-  bgap_warm_check_use (&server->warm_check, now_ms);
+  bgap_warm_check_use (&server->warm_check);
   bgap_window_count_add (&server->dispatched, now_ms);
 }
 
--- a/packages/routing/src/warm_check.c
+++ b/packages/routing/src/warm_check.c
@@ -14,17 +14,17 @@
 }
 
 bool
-bgap_warm_check_is_known (const struct bgap_warm_check *check, int64_t now_ms)
+bgap_warm_check_is_covered (const struct bgap_warm_check *check,
+                            int64_t now_ms)
 {
-  return bgap_warm_check_is_recent (check, now_ms)
-         || (check->covered > 0
-             && now_ms - check->checked_ms < BGAP_WARM_CHECK_VALID_MS);
+  return check->covered > 0
+         && now_ms - check->checked_ms < BGAP_WARM_CHECK_VALID_MS;
 }
 
 void
-bgap_warm_check_use (struct bgap_warm_check *check, int64_t now_ms)
+bgap_warm_check_use (struct bgap_warm_check *check)
 {
-  if (!bgap_warm_check_is_recent (check, now_ms) && check->covered > 0)
+  if (check->covered > 0)
     check->covered--;
 }
 
--- a/packages/routing/tests/test_warm_check.c
+++ b/packages/routing/tests/test_warm_check.c
@@ -241,6 +241,31 @@
   fixture_shutdown (&f);
 }
 
+/* Guards against requests for keys at a holder in an evacuated zone, which may
+   have turned cold since the registrations were read: its keys still move.  */
+static void
+test_holder_in_an_evacuated_zone_is_checked (void **state)
+{
+  (void)state;
+  struct fixture f;
+  fixture_setup (&f, &keyed_service);
+  struct bgap_server_id a = add_limited (&f, "a");
+  add_limited (&f, "b");
+  bgap_router_set_view_time (&f.router, f.now_ms);
+  bgap_router_server_evacuate (&f.router, f.now_ms, a, true, 2500);
+  fixture_request (&f, &(struct bgap_request_desc){
+                           .idempotent = true, .holder = a, .token = 1 });
+  assert_int_equal (expect_health_check (&f).id, a.id);
+  fixture_expect_none (&f);
+  report (&f, a, BGAP_WARM_CHECK_WARM);
+  expect_dispatch (&f, a);
+  bgap_router_server_evacuate (&f.router, f.now_ms, a, false, 0);
+  fixture_request (&f, &(struct bgap_request_desc){
+                           .idempotent = true, .holder = a, .token = 1 });
+  expect_dispatch (&f, a);
+  fixture_shutdown (&f);
+}
+
 /* Guards against checks of servers whose service does not limit the requests
    of cold ones.  */
 static void
@@ -268,6 +293,7 @@
     cmocka_unit_test (test_check_ends_with_the_process),
     cmocka_unit_test (test_server_that_is_added_again_is_checked),
     cmocka_unit_test (test_holder_of_keys_is_checked),
+    cmocka_unit_test (test_holder_in_an_evacuated_zone_is_checked),
     cmocka_unit_test (test_service_without_a_limit_is_not_checked),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
