Fix: attempts are judged again when their connections open

Callers saw: no report is known that this explains.

Cause: a permit for a cold server, or a health check, was judged when the router dispatched an attempt. The request was written when its connection was open, up to 300 ms later, whatever had become known meanwhile. Attempts that waited for a dark server, dispatched before it was known to be cold or with permits that had become too old, were sent all at once when it returned.

Why this works: the backend client asks its user when a connection has opened, before the first byte (ops.may_send), and the router judges by what holds now: whether the server is cold, the permit still valid, the check still recent. A permit or check that is at hand replaces one that is too old. An attempt that may not be sent ends as BGAP_RESULT_NOT_SENT: it is no failure of the server, takes nothing from the retry budget, is no attempt of the request, and the request is routed again. Its connection stays open, so that the next request does not wait for one.

event=cold-attempt has a second line for an attempt that had to wait for its connection (state=opened or held), the time that it waited, and how long its permit or health check is still valid.

--- a/packages/gateway/include/banyangap/gateway/backend.h
+++ b/packages/gateway/include/banyangap/gateway/backend.h
@@ -87,6 +87,7 @@
   BGAP_FAILURE_PROTOCOL, /* the response is malformed or too large */
   BGAP_FAILURE_ERROR,    /* the head was classified as BGAP_HEAD_ERROR */
   BGAP_FAILURE_REMOVED,  /* the server was removed from the pool */
+  BGAP_FAILURE_NOT_SENT, /* ops.may_send returned false */
   BGAP_FAILURE_COUNT
 };
 
@@ -113,6 +114,11 @@
 
 /**
  * struct bgap_backend_ops - callbacks of an attempt
+ * @may_send: the connection has opened: whether the request may still be
+ *   sent, of which no byte has been; not called if the connection was open
+ *   before; NULL means always. If not, the attempt fails as
+ *   BGAP_FAILURE_NOT_SENT, and the connection stays open for later ones. Must
+ *   not end the attempt itself.
  * @classify: classifies a head, and sets @refusal if it returns
  *   BGAP_HEAD_REFUSAL; NULL means that a 409 with a known Bgap-Refused is
  *   BGAP_HEAD_REFUSAL and everything else BGAP_HEAD_RESPONSE
@@ -126,6 +132,7 @@
  */
 struct bgap_backend_ops
 {
+  bool (*may_send) (void *user, struct bgap_backend_attempt_id id);
   enum bgap_head_class (*classify) (void *user, int status,
                                     const struct bgap_headers *headers,
                                     enum bgap_refusal *refusal);
@@ -269,8 +276,8 @@
 
 /**
  * bgap_backend_idle_connections() - number of open connections without an
- * attempt; the server has answered on each of them, and the next attempt uses
- * one
+ * attempt; the server has answered on each of them, unless ops.may_send held
+ * back the first request, and the next attempt uses one
  */
 uint32_t bgap_backend_idle_connections (const struct bgap_backend *backend,
                                         struct bgap_backend_server_id id);
--- a/packages/gateway/src/backend_connection.c
+++ b/packages/gateway/src/backend_connection.c
@@ -136,6 +136,7 @@
   c->state = BACKEND_HEAD;
   bgap_backend_connection_set_timer (c, c->deadline_at_ms
                                             - bgap_backend_now_ms ());
+  bgap_backend_connection_check_send (c);
 }
 
 static void
--- a/packages/gateway/src/backend_names.c
+++ b/packages/gateway/src/backend_names.c
@@ -30,9 +30,10 @@
 bgap_failure_name (enum bgap_failure_kind kind)
 {
   static const char *const names[BGAP_FAILURE_COUNT] = {
-    [BGAP_FAILURE_CONNECT] = "connect", [BGAP_FAILURE_DEADLINE] = "deadline",
-    [BGAP_FAILURE_BROKEN] = "broken",   [BGAP_FAILURE_PROTOCOL] = "protocol",
-    [BGAP_FAILURE_ERROR] = "error",     [BGAP_FAILURE_REMOVED] = "removed",
+    [BGAP_FAILURE_CONNECT] = "connect",   [BGAP_FAILURE_DEADLINE] = "deadline",
+    [BGAP_FAILURE_BROKEN] = "broken",     [BGAP_FAILURE_PROTOCOL] = "protocol",
+    [BGAP_FAILURE_ERROR] = "error",       [BGAP_FAILURE_REMOVED] = "removed",
+    [BGAP_FAILURE_NOT_SENT] = "not sent",
   };
   if ((unsigned int)kind >= BGAP_FAILURE_COUNT)
     return "invalid";
--- a/packages/gateway/src/backend_private.h
+++ b/packages/gateway/src/backend_private.h
@@ -218,6 +218,13 @@
                                    enum bgap_failure_kind kind,
                                    const char *message);
 
+/**
+ * bgap_backend_connection_check_send() - end the attempt on a connection that
+ * has opened if its request may not be sent any more
+ */
+void
+bgap_backend_connection_check_send (struct backend_connection *connection);
+
 /**
  * bgap_backend_connection_process() - process buffered input
  */
--- a/packages/gateway/src/backend_response.c
+++ b/packages/gateway/src/backend_response.c
@@ -50,6 +50,57 @@
   ops->failed (c->user, id, &failure);
 }
 
+/* Keeps a connection whose attempt has ended for others, unless it cannot be
+   used again.  */
+static void
+_bgap_backend_release (struct backend_connection *c)
+{
+  bool is_clean
+      = evbuffer_get_length (bufferevent_get_input (c->bev)) == 0
+        && evbuffer_get_length (bufferevent_get_output (c->bev)) == 0;
+  if (!is_clean || c->not_reusable || c->peer_closed || c->server == NULL
+      || c->server->open_count > c->server->limit)
+    {
+      bgap_backend_connection_close (c);
+      return;
+    }
+  bgap_pool_free (&c->backend->attempts, c->attempt);
+  c->attempt = BGAP_INVALID_ID;
+  bgap_backend_connection_set_idle (c);
+}
+
+/* The client writes nothing before the connection is open, so that the output
+   is the whole request. Its start is frozen against others than the
+   client.  */
+static void
+_bgap_backend_drop_request (struct backend_connection *c)
+{
+  struct evbuffer *output = bufferevent_get_output (c->bev);
+  evbuffer_unfreeze (output, 1);
+  evbuffer_drain (output, evbuffer_get_length (output));
+  evbuffer_freeze (output, 1);
+  c->sent = false;
+}
+
+void
+bgap_backend_connection_check_send (struct backend_connection *c)
+{
+  struct bgap_backend *backend = c->backend;
+  const struct bgap_backend_ops *ops = c->ops;
+  const struct bgap_backend_attempt_id id = { c->attempt };
+  const struct bgap_backend_failure failure = {
+    .kind = BGAP_FAILURE_NOT_SENT,
+    .message = "the request may not be sent any more",
+  };
+  void *user = c->user;
+  if (ops->may_send == NULL || ops->may_send (user, id))
+    return;
+  _bgap_backend_drop_request (c);
+  _bgap_backend_release (c);
+  ++*backend->failures_total[BGAP_FAILURE_NOT_SENT];
+  ops->failed (user, id, &failure);
+}
+
 static void
 _bgap_backend_remember_refused (struct backend_connection *c)
 {
@@ -76,18 +127,7 @@
   void *user = c->user;
   if (refusal != BGAP_REFUSAL_NONE && c->identity != 0)
     _bgap_backend_remember_refused (c);
-  bool is_clean
-      = evbuffer_get_length (bufferevent_get_input (c->bev)) == 0
-        && evbuffer_get_length (bufferevent_get_output (c->bev)) == 0;
-  if (!is_clean || c->not_reusable || c->peer_closed || c->server == NULL
-      || c->server->open_count > c->server->limit)
-    bgap_backend_connection_close (c);
-  else
-    {
-      bgap_pool_free (&backend->attempts, c->attempt);
-      c->attempt = BGAP_INVALID_ID;
-      bgap_backend_connection_set_idle (c);
-    }
+  _bgap_backend_release (c);
   if (refusal != BGAP_REFUSAL_NONE)
     {
       ++*backend->refusals_total[refusal];
--- a/packages/gateway/tests/backend_fixture.c
+++ b/packages/gateway/tests/backend_fixture.c
@@ -10,6 +10,16 @@
 
 #include "backend_fixture.h"
 
+static bool
+_may_send (void *user, struct bgap_backend_attempt_id id)
+{
+  struct backend_outcome *o = user;
+  assert_false (o->ended);
+  assert_int_equal (o->id.id, id.id);
+  o->asked++;
+  return !o->hold_back;
+}
+
 static void
 _on_head (void *user, struct bgap_backend_attempt_id id, int status,
           const struct bgap_headers *headers)
@@ -79,6 +89,7 @@
 }
 
 const struct bgap_backend_ops backend_fixture_ops = {
+  .may_send = _may_send,
   .head = _on_head,
   .body = _on_body,
   .complete = _on_complete,
--- a/packages/gateway/tests/backend_fixture.h
+++ b/packages/gateway/tests/backend_fixture.h
@@ -22,6 +22,8 @@
   bool pause_at_head;
   bool cancel_in_body;
   bool got_body;
+  bool hold_back;
+  uint32_t asked; /* calls of ops.may_send */
 };
 
 struct backend_fixture
--- a/packages/routing/include/banyangap/routing/attempt.h
+++ b/packages/routing/include/banyangap/routing/attempt.h
@@ -27,6 +27,7 @@
   BGAP_RESULT_SHED,       /* 409, Bgap-Refused: shed */
   BGAP_RESULT_DRAINING,   /* 409, Bgap-Refused: draining */
   BGAP_RESULT_NO_CONNECT, /* failed before any byte was sent */
+  BGAP_RESULT_NOT_SENT,   /* as bgap_router_may_send() demanded */
   BGAP_RESULT_BROKEN,     /* connection lost after bytes were sent */
   BGAP_RESULT_FAILED,     /* the server answered with an error */
   BGAP_RESULT_TIMEOUT,    /* no answer in time; the connection is closed */
--- a/packages/routing/include/banyangap/routing/router.h
+++ b/packages/routing/include/banyangap/routing/router.h
@@ -265,6 +265,30 @@
                              struct bgap_request_id request_id,
                              int64_t outage_ms);
 
+/**
+ * bgap_router_may_send() - whether the request of an attempt may be sent now
+ *
+ * To be asked when its connection has opened, before the first byte is
+ * written. The server may have turned cold since the attempt was dispatched,
+ * and its permit or the health check that covered it may have become too old.
+ * A permit or check that is at hand instead is used for it. If the request may
+ * not be sent, BGAP_RESULT_NOT_SENT is to be reported.
+ *
+ * Return: false also if @attempt_id is stale.
+ */
+bool bgap_router_may_send (struct bgap_router *router, int64_t now_ms,
+                           struct bgap_attempt_id attempt_id);
+
+/**
+ * bgap_router_clearance_ms() - time for which the permit or the health check
+ * counts with which an attempt was dispatched
+ *
+ * Return: negative if it has passed; 0 if neither was needed.
+ */
+int64_t bgap_router_clearance_ms (const struct bgap_router *router,
+                                  int64_t now_ms,
+                                  struct bgap_attempt_id attempt_id);
+
 /**
  * bgap_router_on_attempt() - report an event of an attempt
  *
--- a/packages/routing/src/names.c
+++ b/packages/routing/src/names.c
@@ -68,6 +68,7 @@
     case BGAP_RESULT_SHED:
     case BGAP_RESULT_DRAINING:
     case BGAP_RESULT_NO_CONNECT:
+    case BGAP_RESULT_NOT_SENT:
       return true;
     case BGAP_RESULT_STARTED:
     case BGAP_RESULT_COMPLETE:
--- a/packages/routing/src/router_attempt.c
+++ b/packages/routing/src/router_attempt.c
@@ -265,6 +265,25 @@
          && bgap_retry_budget_take (&service->budget);
 }
 
+/* Routes a request again whose attempt was not sent: the attempt counts as if
+   it had not been dispatched.  */
+static void
+_bgap_router_route_unsent (struct bgap_router_state *state, int64_t now_ms,
+                           struct bgap_router_request *request)
+{
+  if (request->detached)
+    {
+      bgap_router_finish (state, now_ms, request, BGAP_REASON_REFUSED);
+      return;
+    }
+  request->attempts--;
+  request->tried[request->attempts % BGAP_ROUTER_TRIED_MAX] = BGAP_INVALID_ID;
+  if (bgap_router_service (state, request->service)->desc.keyed)
+    bgap_router_resolve (state, now_ms, request);
+  else
+    bgap_router_route (state, now_ms, request);
+}
+
 static void
 _bgap_router_handle_result (struct bgap_router_state *state, int64_t now_ms,
                             struct bgap_router_request *request,
@@ -302,6 +321,9 @@
       _bgap_router_retry (state, now_ms, request, BGAP_REASON_REFUSED,
                           RETRY_UNSENT);
       return;
+    case BGAP_RESULT_NOT_SENT:
+      _bgap_router_route_unsent (state, now_ms, request);
+      return;
     case BGAP_RESULT_FAILED:
       if (!request->idempotent)
         {
@@ -351,9 +373,10 @@
       && (bgap_result_proves_not_run (result->kind)
           || result->kind == BGAP_RESULT_FAILED))
     checked.kind = BGAP_RESULT_BROKEN;
-  _bgap_router_record_result (state, now_ms, request,
-                              bgap_router_server (state, server_id),
-                              checked.kind, checked.http_status);
+  if (checked.kind != BGAP_RESULT_NOT_SENT)
+    _bgap_router_record_result (state, now_ms, request,
+                                bgap_router_server (state, server_id),
+                                checked.kind, checked.http_status);
   bgap_router_end_attempt (state, now_ms, request);
   _bgap_router_handle_result (state, now_ms, request, &checked);
   struct bgap_router_server *server = bgap_router_server (state, server_id);
--- a/packages/routing/src/router_dispatch.c
+++ b/packages/routing/src/router_dispatch.c
@@ -47,6 +47,7 @@
   const struct bgap_outstanding_usual usual = bgap_router_usual (service);
   double work_ms = bgap_outstanding_work_ms (&server->server.work, now_ms,
                                              server->server.slots, &usual);
+  bgap_router_note_clearance (attempt, now_ms, &server->server);
   bgap_server_on_dispatch (&server->server, now_ms);
   bgap_outstanding_add (&server->server.work, now_ms, id, attempt->cost_ms);
   state->counts.dispatches++;
--- a/packages/routing/src/router_parts.h
+++ b/packages/routing/src/router_parts.h
@@ -201,6 +201,16 @@
                                         int64_t now_ms,
                                         struct bgap_router_server *server);
 
+/* router_clearance.c: whether attempts may still be sent.  */
+
+/**
+ * bgap_router_note_clearance() - note what allows an attempt to be sent, to be
+ * called before that is taken from the server
+ */
+void bgap_router_note_clearance (struct bgap_router_attempt *attempt,
+                                 int64_t now_ms,
+                                 const struct bgap_server *server);
+
 /* router_attempt.c: results and retries.  */
 
 /**
--- a/packages/routing/src/router_state.h
+++ b/packages/routing/src/router_state.h
@@ -130,6 +130,9 @@
  * struct bgap_router_attempt - an attempt in flight
  * @stamp: see struct bgap_quarantine_attempt
  * @cost_ms: expected cost when it was sent
+ * @cleared_until_ms: how long the permit or the health check counts that it
+ *   uses, 0 if neither was needed
+ * @has_permit: it uses a permit for a cold server
  */
 struct bgap_router_attempt
 {
@@ -137,6 +140,8 @@
   uint32_t server;
   uint64_t stamp;
   double cost_ms;
+  int64_t cleared_until_ms;
+  bool has_permit;
 };
 
 /**
--- a/packages/routing/src/server.c
+++ b/packages/routing/src/server.c
@@ -415,6 +415,7 @@
       return server->failures >= BGAP_EJECT_FAILURES;
     case BGAP_RESULT_STARTED:
     case BGAP_RESULT_FENCED:
+    case BGAP_RESULT_NOT_SENT:
     case BGAP_RESULT_COUNT:
       break;
     }
--- a/packages/routing/tests/limit_fleet.c
+++ b/packages/routing/tests/limit_fleet.c
@@ -200,6 +200,14 @@
   f->servers[server].silent = silent;
 }
 
+void
+limit_fleet_darken (struct limit_fleet *f, uint32_t server, bool dark)
+{
+  f->servers[server].dark = dark;
+  for (uint32_t i = 0; i < f->desc.instances; i++)
+    f->instances[i].idle[server] = 0;
+}
+
 void
 limit_fleet_set_demand (struct limit_fleet *f, double per_s)
 {
--- a/packages/routing/tests/limit_fleet.h
+++ b/packages/routing/tests/limit_fleet.h
@@ -21,6 +21,9 @@
 /* Window of time within which arrivals count against a limit.  */
 #define LIMIT_FLEET_WINDOW_MS 4000
 
+/* Time after which an attempt whose connection does not open fails.  */
+#define LIMIT_FLEET_CONNECT_TIMEOUT_MS 300
+
 /* Requests beyond a limit that a server has to tolerate in each window.  */
 #define LIMIT_FLEET_SLACK 5
 
@@ -39,6 +42,8 @@
  * @lost_percent: messages between routers that are lost
  * @delay_ms: longest time that a message or a request takes beyond the usual
  *   millisecond
+ * @connect_ms: longest time that a connection to a server takes to open, less
+ *   than LIMIT_FLEET_CONNECT_TIMEOUT_MS
  * @skew_ms: largest difference of the wall clocks of two instances
  * @seed: seed of the random choices
  */
@@ -54,6 +59,7 @@
   bool members;
   uint32_t lost_percent;
   int64_t delay_ms;
+  int64_t connect_ms;
   int64_t skew_ms;
   uint64_t seed;
 };
@@ -97,6 +103,11 @@
 void limit_fleet_silence (struct limit_fleet *fleet, uint32_t server,
                           bool silent);
 
+/* Connections to the server do not open, or do again, also those that wait;
+   those that are open and idle are lost.  */
+void limit_fleet_darken (struct limit_fleet *fleet, uint32_t server,
+                         bool dark);
+
 /* The process of the server goes on and is cold; its registration tells.  */
 void limit_fleet_turn_cold (struct limit_fleet *fleet, uint32_t server,
                             double per_s, int64_t duration_ms);
--- a/packages/routing/tests/limit_fleet_routers.c
+++ b/packages/routing/tests/limit_fleet_routers.c
@@ -115,6 +115,7 @@
   snprintf (zone, sizeof zone, "z%u", index % ZONES);
   instance->incarnation++;
   memset (instance->kept, 0, sizeof instance->kept);
+  memset (instance->idle, 0, sizeof instance->idle);
   const struct bgap_router_desc desc = {
     .instance = instance->name,
     .zone = zone,
@@ -147,11 +148,24 @@
 on_dispatch (struct limit_fleet *f, struct instance *instance,
              const struct bgap_router_action *action)
 {
-  struct event *event = new_event (EVENT_ARRIVAL, instance, f, 0);
+  struct event *event = new_event (EVENT_OPENED, instance, f, 0);
+  int64_t connect_ms = 0;
   for (uint32_t i = 0; i < f->desc.servers; i++)
     if (instance->servers[i].id == action->server.id)
       event->server = i;
   event->attempt = action->attempt;
+  event->dispatched_ms = f->now_ms;
+  bool is_open = instance->idle[event->server] > 0;
+  instance->idle[event->server] -= is_open;
+  if (f->desc.connect_ms > 0 && !is_open)
+    connect_ms = (int64_t)bgap_random_below (&f->random,
+                                             (uint64_t)f->desc.connect_ms + 1);
+  if (connect_ms > 0 || (!is_open && f->servers[event->server].dark))
+    {
+      add_event (f, f->now_ms + ONE_WAY_MS + connect_ms, event);
+      return;
+    }
+  event->kind = EVENT_ARRIVAL;
   add_event (f, arrival_ms (f), event);
 }
 
@@ -233,6 +247,37 @@
 
 /* Events.  */
 
+/* The event goes on as another one unless the attempt ends.  */
+static bool
+on_opened (struct limit_fleet *f, struct instance *instance,
+           struct event *event)
+{
+  bool is_dark = f->servers[event->server].dark;
+  bool is_late
+      = f->now_ms - event->dispatched_ms >= LIMIT_FLEET_CONNECT_TIMEOUT_MS;
+  if (is_dark && !is_late)
+    {
+      event->next = NULL;
+      add_event (f, f->now_ms + 1, event);
+      return true;
+    }
+  enum bgap_result_kind kind
+      = is_dark ? BGAP_RESULT_NO_CONNECT : BGAP_RESULT_NOT_SENT;
+  if (!is_dark
+      && bgap_router_may_send (&instance->router, f->now_ms, event->attempt))
+    {
+      event->next = NULL;
+      event->kind = EVENT_ARRIVAL;
+      add_event (f, arrival_ms (f), event);
+      return true;
+    }
+  instance->idle[event->server] += !is_dark;
+  bgap_router_on_attempt (&instance->router, f->now_ms, event->attempt,
+                          &(struct bgap_attempt_result){ .kind = kind });
+  limit_fleet_run_actions (f, instance);
+  return false;
+}
+
 static void
 on_arrival (struct limit_fleet *f, const struct event *event)
 {
@@ -256,6 +301,7 @@
 {
   const struct bgap_attempt_result result
       = { .kind = BGAP_RESULT_COMPLETE, .http_status = 200 };
+  instance->idle[event->server]++;
   bgap_router_server_rate_limit (&instance->router, f->now_ms,
                                  instance->servers[event->server],
                                  f->servers[event->server].limit_per_s);
@@ -336,7 +382,12 @@
           add_event (f, instance->frozen_until_ms, event);
           return;
         }
-      if (event->kind == EVENT_ANSWER)
+      if (event->kind == EVENT_OPENED)
+        {
+          if (on_opened (f, instance, event))
+            return;
+        }
+      else if (event->kind == EVENT_ANSWER)
         on_answer (f, instance, event);
       else if (event->kind == EVENT_CHECKED)
         on_checked (f, instance, event);
--- a/packages/routing/tests/limit_fleet_state.h
+++ b/packages/routing/tests/limit_fleet_state.h
@@ -38,6 +38,7 @@
  */
 enum event_kind
 {
+  EVENT_OPENED,  /* the connection of an attempt opens */
   EVENT_ARRIVAL, /* an attempt reaches its server */
   EVENT_ANSWER,  /* its answer reaches the router */
   EVENT_CHECK,   /* a health check reaches its server */
@@ -49,6 +50,7 @@
 /**
  * struct event - an event; the fields that it needs
  * @incarnation: of the router that it is for
+ * @dispatched_ms: when the router dispatched the attempt
  */
 struct event
 {
@@ -57,6 +59,7 @@
   uint32_t incarnation;
   uint32_t server;
   struct bgap_attempt_id attempt;
+  int64_t dispatched_ms;
   char from[BGAP_ROUTING_NAME_SIZE];
   int message_kind;
   size_t size;
@@ -79,6 +82,7 @@
   struct bgap_service_id service;
   struct bgap_server_id servers[SERVERS_MAX];
   struct kept_limit kept[SERVERS_MAX];
+  uint32_t idle[SERVERS_MAX]; /* open connections without an attempt */
   char name[24];
   uint32_t incarnation;
   int64_t frozen_until_ms;
@@ -100,6 +104,7 @@
   int64_t cold_until_ms;
   uint64_t starts;
   bool silent;
+  bool dark;
   uint16_t *arrivals; /* of requests, by millisecond */
   uint16_t *checks;   /* the same for health checks */
 };
--- a/programs/banyangapd/edge_attempt.c
+++ b/programs/banyangapd/edge_attempt.c
@@ -91,6 +91,18 @@
                                     = response->slowdown_percent });
 }
 
+static bool
+_bgap_attempt_may_send (void *user, struct bgap_backend_attempt_id id)
+{
+  struct bgap_edge_exchange *exchange = user;
+  (void)id;
+  bool may_send = bgap_router_may_send (&exchange->edge->router,
+                                        bgap_now_ms (), exchange->attempt);
+  bgap_edge_log_cold_attempt (exchange, exchange->server,
+                              may_send ? "opened" : "held");
+  return may_send;
+}
+
 static enum bgap_head_class
 _bgap_attempt_classify (void *user, int status,
                         const struct bgap_headers *headers,
@@ -226,6 +238,8 @@
   (void)id;
   if (failure->kind == BGAP_FAILURE_ERROR)
     kind = BGAP_RESULT_FAILED;
+  else if (failure->kind == BGAP_FAILURE_NOT_SENT)
+    kind = BGAP_RESULT_NOT_SENT;
   else if (!failure->sent)
     kind = BGAP_RESULT_NO_CONNECT;
   else if (failure->kind == BGAP_FAILURE_DEADLINE)
@@ -239,6 +253,7 @@
 }
 
 static const struct bgap_backend_ops attempt_ops = {
+  .may_send = _bgap_attempt_may_send,
   .classify = _bgap_attempt_classify,
   .head = _bgap_attempt_on_head,
   .body = _bgap_attempt_on_body,
@@ -311,7 +326,7 @@
   snprintf (exchange->last_server, sizeof exchange->last_server, "%s",
             server->id);
   server->calls++;
-  bgap_edge_log_cold_attempt (exchange, server);
+  bgap_edge_log_cold_attempt (exchange, server, "dispatched");
 }
 
 void
--- a/programs/banyangapd/edge_server_parts.h
+++ b/programs/banyangapd/edge_server_parts.h
@@ -270,11 +270,13 @@
                           const struct bgap_wire_response *response);
 
 /**
- * bgap_edge_log_cold_attempt() - log an attempt that is sent to a server that
- * is cold, or may be since the view of the registrations is old
+ * bgap_edge_log_cold_attempt() - log an attempt at a server that is cold, or
+ * may be since the view of the registrations is old
+ * @state: "dispatched"; "opened" or "held" when its connection has opened
  */
 void bgap_edge_log_cold_attempt (const struct bgap_edge_exchange *exchange,
-                                 const struct bgap_edge_server *server);
+                                 const struct bgap_edge_server *server,
+                                 const char *state);
 
 /**
  * bgap_edge_cold_servers() - number of servers whose requests are limited
--- a/programs/banyangapd/edge_warmup.c
+++ b/programs/banyangapd/edge_warmup.c
@@ -125,9 +125,12 @@
 
 void
 bgap_edge_log_cold_attempt (const struct bgap_edge_exchange *exchange,
-                            const struct bgap_edge_server *server)
+                            const struct bgap_edge_server *server,
+                            const char *state)
 {
   const struct bgap_edge *edge = exchange->edge;
+  if (server->known == NULL)
+    return;
   int64_t now_ms = bgap_now_ms ();
   int64_t view_age_ms = now_ms - edge->servers_synced_ms;
   const struct bgap_warmup *warmup = &server->known->warmup;
@@ -135,18 +138,21 @@
   if (_bgap_warmup_bound (edge, server->service->name) <= 0
       || (!is_cold && view_age_ms < VIEW_OLD_MS))
     return;
+  int64_t clearance_ms
+      = bgap_router_clearance_ms (&edge->router, now_ms, exchange->attempt);
   bgap_event (
       &event_sent,
-      "request=%s attempt=%u service=%s server=%s zone=%s "
+      "request=%s attempt=%u state=%s service=%s server=%s zone=%s "
       "evacuated=%d cold=%d source=%s left_ms=%lld view_age_ms=%lld "
-      "config_age_ms=%lld store_failing=%d",
-      exchange->wire.id, exchange->attempts, server->service->name, server->id,
-      server->known->entry.zone,
+      "config_age_ms=%lld store_failing=%d waited_ms=%lld clearance_ms=%lld",
+      exchange->wire.id, exchange->attempts, state, server->service->name,
+      server->id, server->known->entry.zone,
       bgap_edge_is_evacuated (edge, &server->known->entry), is_cold,
       bgap_warmup_source_name (is_cold ? warmup->source : BGAP_WARMUP_NONE),
       (long long)(is_cold ? warmup->until_ms - now_ms : 0),
       (long long)view_age_ms, (long long)(now_ms - edge->config_synced_ms),
-      edge->store_failing);
+      edge->store_failing, (long long)(now_ms - exchange->sent_ms),
+      (long long)clearance_ms);
 }
 
 uint32_t
--- a/tests/process/backend_standin.py
+++ b/tests/process/backend_standin.py
@@ -148,6 +148,16 @@
         threading.Timer(3 * HEARTBEAT_S,
                         lambda: self.store.append("keyed.servers", self.name, b"")).start()
 
+    def end_connections(self):
+        """Ends the connections to it, as the end of its process does."""
+        with self.lock:
+            connections = list(self.connections)
+        for connection in connections:
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                pass  # has ended already
+
     def crash(self):
         """Ends like a killed process: its connections end and its port is closed. Its
         registration stays."""
--- a/tests/process/test_cold_servers.py
+++ b/tests/process/test_cold_servers.py
@@ -60,7 +60,8 @@
 
     def test_holder_of_keys(self):
         """Guards against requests for keys that a cold server gets beyond what it tolerates, since
-        they can go nowhere else."""
+        they can go nowhere else; and against ones that are sent on new connections without asking
+        whether their permits are still valid."""
         with Platform() as platform:
             platform.add_servers("archive", 3, keyed=True)
             platform.configure([route("/a/", "archive")],
@@ -72,6 +73,7 @@
             time.sleep(SETTLED_S)
             cold = platform.backends[platform.holders(0)[0]]
             cold.restart(cold_s=COLD_S)
+            cold.end_connections()
             time.sleep(1.2)
             since = time.time()
             platform.call_all_instances("/a/1", COLD_S - 2, CALLERS, keys)
@@ -79,6 +81,7 @@
             executed = [at for at, _, _, _ in cold.executed]
             self.assertLessEqual(most_in_a_second(executed, since, until), BOUND)
             self.assertGreater(sum(since <= at < until for at in executed), 0)
+            self.assertTrue(self.lines(platform, "cold-attempt", server=cold.name, state="opened"))
 
 
 if __name__ == "__main__":
