--- a/packages/routing/include/banyangap/routing/server.h
+++ b/packages/routing/include/banyangap/routing/server.h
@@ -307,9 +307,16 @@
                            uint32_t queue_percent);
 
 /**
- * bgap_server_may_be_cold() - whether the requests of cold servers of its
- * service are limited, and this instance knows neither that it is cold nor
- * that it is warm
+ * bgap_server_needs_check() - whether only a health check tells that it is
+ * warm: the requests of cold servers of its service are limited, and the view
+ * of the registrations does not count
+ */
+bool bgap_server_needs_check (const struct bgap_server *server,
+                              int64_t now_ms);
+
+/**
+ * bgap_server_may_be_cold() - whether it needs a health check and no recent
+ * one covers a request
  */
 bool bgap_server_may_be_cold (const struct bgap_server *server,
                               int64_t now_ms);
--- a/packages/routing/src/server.c
+++ b/packages/routing/src/server.c
@@ -180,15 +180,20 @@
 /* The servers of an evacuated zone may turn cold at any moment, so that what
    the registrations say of them does not count.  */
 bool
-bgap_server_may_be_cold (const struct bgap_server *server, int64_t now_ms)
+bgap_server_needs_check (const struct bgap_server *server, int64_t now_ms)
 {
   bool is_evacuated = (server->drain_signals & 1u << BGAP_DRAIN_ZONE) != 0;
-  bool is_known = (!is_evacuated
-                   && bgap_warm_check_is_recent (&server->warm_check, now_ms))
-                  || bgap_warm_check_is_covered (&server->warm_check, now_ms);
   return server->rate_limit.cold_per_s > 0
          && bgap_rate_limit_cold_per_s (&server->rate_limit, now_ms) == 0
-         && !is_known;
+         && (is_evacuated
+             || !bgap_warm_check_is_recent (&server->warm_check, now_ms));
+}
+
+bool
+bgap_server_may_be_cold (const struct bgap_server *server, int64_t now_ms)
+{
+  return bgap_server_needs_check (server, now_ms)
+         && !bgap_warm_check_is_covered (&server->warm_check, now_ms);
 }
 
 bool
@@ -421,6 +426,7 @@
       return server->failures >= BGAP_EJECT_FAILURES;
     case BGAP_RESULT_STARTED:
     case BGAP_RESULT_FENCED:
+    case BGAP_RESULT_NOT_SENT:
     case BGAP_RESULT_COUNT:
       break;
     }
