Fix: the issuer keeps the latest end of a warm-up

Callers would see: requests that wait at a cold server although it tolerates them, and, at a server that also states a limit, more requests than a cold server tolerates.

Cause: the issuer took the end of the warm-up from the last instance that asked. Instances know ends that differ by up to two seconds, since the time left counts from when each has read its registration. After the earlier end, until another instance asked, the server was not cold for the issuer: without a stated limit it granted nothing, with one it granted at the stated rate, to instances that still needed permits.

Why this works: an end that is known is only replaced by a later one, whether an instance that asks or the issuer itself knows it. Nobody is limited longer who knows that the server is warm: such an instance asks for no permits.

Evidence: two new tests of routing.test_permit_issuer failed before: no permit for 422 ms where 131 ms are due, and 20 permits in a second where 9 are allowed (stated limit 50). Two instances whose asks are 5 ms apart; with twenty instances, whose asks are 15 ms apart, neither failed.

--- a/packages/routing/src/permit_issuer.c
+++ b/packages/routing/src/permit_issuer.c
@@ -287,17 +287,21 @@
   server->per_s = ask->per_s;
 }
 
-/* An instance that knows of no warm-up may not have read of it yet, so that
-   one that is known ends by its time only.  */
+/* An instance that knows of no warm-up, or of an earlier end, may have read an
+   older registration, so that one that is known ends by its time only. A later
+   end costs nothing: instances that know that the server is warm do not ask,
+   or only because of the limit that it states.  */
 static void
 _bgap_issuer_hear_cold (struct limited_server *server, int64_t now_ms,
                         const struct bgap_permit_ask *ask)
 {
+  int64_t until_ms = now_ms + ask->cold_left_ms;
   server->cold_share = ask->cold_share;
   if (ask->cold_per_s <= 0)
     return;
   server->cold_per_s = ask->cold_per_s;
-  server->cold_until_ms = now_ms + ask->cold_left_ms;
+  if (until_ms > server->cold_until_ms)
+    server->cold_until_ms = until_ms;
 }
 
 enum bgap_status
--- a/packages/routing/src/router_limit.c
+++ b/packages/routing/src/router_limit.c
@@ -225,8 +225,8 @@
   state->issuing = false;
 }
 
-/* Sets the warm-up of the server as the sender knows it, or if it knows none,
-   as this instance does.  */
+/* Sets the warm-up of the server as the sender or this instance knows it: the
+   later end of the two.  */
 static void
 _bgap_limit_read_cold (const struct bgap_router_state *state, int64_t now_ms,
                        const struct bgap_routing_permits *wanted,
@@ -236,11 +236,15 @@
       = bgap_router_hash_find (state, wanted->server);
   ask->cold_per_s = (double)wanted->cold_thousandths / THOUSAND;
   ask->cold_left_ms = wanted->cold_left_ms;
-  if (ask->cold_per_s > 0 || server == NULL)
+  if (server == NULL)
     return;
   const struct bgap_rate_limit *limit = &server->server.rate_limit;
-  ask->cold_per_s = bgap_rate_limit_cold_per_s (limit, now_ms);
-  ask->cold_left_ms = limit->cold_until_ms - now_ms;
+  double own_per_s = bgap_rate_limit_cold_per_s (limit, now_ms);
+  int64_t own_left_ms = limit->cold_until_ms - now_ms;
+  if (own_per_s <= 0 || own_left_ms <= ask->cold_left_ms)
+    return;
+  ask->cold_per_s = own_per_s;
+  ask->cold_left_ms = own_left_ms;
 }
 
 static void
