Fix: an earlier statement does not end a warm-up

Callers would see: cold servers that get more requests in a second than they tolerate, for up to two seconds, after the evacuation of their zone has ended or after they have answered a health check that they are cold.

Cause: the view took the last statement that it read for the newest one. A registration is read up to 1.9 s after it was written, so that the first one after the end of an evacuation, or after an answer, may have been written before the server turned cold. It states 0 and ended the warm-up, until the next one. An answer that was on its way when a registration was read had the same effect, and an assumed warm-up replaced a longer one that the server had stated.

Why this works: a warm-up now keeps when it became known. A registration was written after the read before the one that has it, an answer after it was asked for; a statement that may be older than the knowledge can prolong the warm-up, but neither end nor shorten it. Registrations of one process come in order, so that among them the last one applies as before. What is assumed does not shorten what is stated. A server that is warm after an evacuation is limited a second longer, until the second read of the registrations.

Evidence: four new tests of registry.test_warmup failed before: the server counted as warm 1.05 s after the end of the evacuation, at once after the older registration (an answer had stated 3 s more), at once after the older answer (a registration had stated 2.9 s more), and 20 s early.

--- a/packages/registry/include/banyangap/registry/server_view.h
+++ b/packages/registry/include/banyangap/registry/server_view.h
@@ -201,8 +201,8 @@
 
 /**
  * bgap_server_view_assume_cold() - assume that a server is cold until a
- * registration newer than the known one states otherwise, or for the warm-up
- * of its service
+ * registration that was written after @now_ms states otherwise, or for the
+ * warm-up of its service
  */
 void bgap_server_view_assume_cold (struct bgap_server_view *view,
                                    int64_t now_ms,
@@ -250,6 +250,16 @@
 void bgap_server_view_store_answered (struct bgap_server_view *view,
                                       int64_t now_ms);
 
+/**
+ * bgap_server_view_synced() - all registrations that were written before
+ * @synced_ms have been put
+ *
+ * Those that are put later were written later, which tells whether they are
+ * newer than what is known of a warm-up.
+ */
+void bgap_server_view_synced (struct bgap_server_view *view,
+                              int64_t synced_ms);
+
 /**
  * bgap_server_view_tick() - remove servers that have been missing for too long
  */
--- a/packages/registry/src/server_view.c
+++ b/packages/registry/src/server_view.c
@@ -21,6 +21,7 @@
  * @returned_ms: latest time of the return of the store from the last outage
  * @recovered_ms: first read of the registrations after the last outage
  * @answered_ms: time of the last read of the registrations
+ * @synced_ms: all registrations that were written before this time are known
  */
 struct bgap_server_view
 {
@@ -33,6 +34,7 @@
   int64_t returned_ms;
   int64_t recovered_ms;
   int64_t answered_ms;
+  int64_t synced_ms;
 };
 
 const char *
@@ -125,17 +127,25 @@
 
 /* Warm-up.  */
 
-void
-bgap_server_view_assume_cold (struct bgap_server_view *view, int64_t now_ms,
-                              struct bgap_known_server *server,
-                              enum bgap_warmup_source source)
+static void
+_bgap_view_assume_cold (const struct bgap_server_view *view, int64_t now_ms,
+                        struct bgap_known_server *server,
+                        enum bgap_warmup_source source, bool is_registered)
 {
   int64_t duration_ms = 0;
   if (view->ops.warmup_ms != NULL)
     duration_ms
         = view->ops.warmup_ms (view->ops.context, server->entry.service);
   bgap_warmup_assume (&server->warmup, now_ms, source, duration_ms,
-                      server->entry.sequence);
+                      is_registered);
+}
+
+void
+bgap_server_view_assume_cold (struct bgap_server_view *view, int64_t now_ms,
+                              struct bgap_known_server *server,
+                              enum bgap_warmup_source source)
+{
+  _bgap_view_assume_cold (view, now_ms, server, source, false);
 }
 
 void
@@ -159,12 +169,16 @@
                           bool has_returned)
 {
   const struct bgap_server_entry *entry = &server->entry;
-  if (previous != NULL && previous->entry.started_ms != entry->started_ms)
-    bgap_server_view_assume_cold (view, now_ms, server, BGAP_WARMUP_STARTED);
-  else if (has_returned)
-    bgap_server_view_assume_cold (view, now_ms, server, BGAP_WARMUP_RETURNED);
-  bgap_warmup_registered (&server->warmup, now_ms, entry->warmup_ms,
-                          entry->sequence);
+  bool is_start
+      = previous != NULL && previous->entry.started_ms != entry->started_ms;
+  if (is_start || has_returned)
+    _bgap_view_assume_cold (
+        view, now_ms, server,
+        is_start ? BGAP_WARMUP_STARTED : BGAP_WARMUP_RETURNED, true);
+  /* The registration that reveals a start may not state the warm-up yet.  */
+  if (entry->warmup_ms > 0 || (!is_start && !has_returned))
+    bgap_warmup_registered (&server->warmup, now_ms, entry->warmup_ms,
+                            view->synced_ms);
 }
 
 /* Sets the warm-up that a new registration states. Returns whether it differs
@@ -412,6 +426,12 @@
   view->answered_ms = now_ms;
 }
 
+void
+bgap_server_view_synced (struct bgap_server_view *view, int64_t synced_ms)
+{
+  view->synced_ms = synced_ms;
+}
+
 void
 bgap_server_view_tick (struct bgap_server_view *view, int64_t now_ms)
 {
@@ -437,29 +457,6 @@
   return server;
 }
 
-/* Majority vote of Boyer and Moore: one pass finds the value that more than
-   half of the servers have, if there is one.  */
-uint32_t
-bgap_server_view_usual_slots (const struct bgap_server_view *view,
-                              const char *service)
-{
-  uint32_t slots = 0;
-  uint32_t votes = 0;
-  for (const struct bgap_known_server *server = view->servers; server != NULL;
-       server = server->hh.next)
-    {
-      if (strcmp (server->entry.service, service) != 0)
-        continue;
-      if (votes == 0)
-        slots = server->entry.slots;
-      if (server->entry.slots == slots)
-        votes++;
-      else if (--votes == 0 && server->entry.slots < slots)
-        slots = server->entry.slots;
-    }
-  return slots;
-}
-
 struct bgap_known_server *
 bgap_server_view_process (const struct bgap_server_view *view, const char *id,
                           int64_t started_ms)
--- a/packages/registry/src/warmup.c
+++ b/packages/registry/src/warmup.c
@@ -23,41 +23,53 @@
 void
 bgap_warmup_assume (struct bgap_warmup *warmup, int64_t now_ms,
                     enum bgap_warmup_source source, int64_t duration_ms,
-                    int64_t sequence)
+                    bool is_registered)
 {
+  int64_t until_ms = now_ms + duration_ms;
   if (duration_ms <= 0)
     return;
   *warmup = (struct bgap_warmup){
     .source = source,
-    .until_ms = now_ms + duration_ms,
-    .sequence = sequence,
-    .is_assumed = true,
+    .until_ms = until_ms > warmup->until_ms ? until_ms : warmup->until_ms,
+    .known_ms = now_ms,
+    .is_registered = is_registered,
   };
 }
 
+/* Applies a statement, unless it ends or shortens the warm-up and may be older
+   than what is known.  */
 static void
 _bgap_warmup_state (struct bgap_warmup *warmup, int64_t now_ms,
-                    enum bgap_warmup_source source, int64_t left_ms)
+                    enum bgap_warmup_source source, int64_t left_ms,
+                    bool is_newer)
 {
-  if (left_ms <= 0)
+  int64_t until_ms = now_ms + left_ms;
+  if (is_newer || !bgap_warmup_is_cold (warmup, now_ms))
     *warmup = (struct bgap_warmup){ 0 };
-  else
-    *warmup = (struct bgap_warmup){ .source = source,
-                                    .until_ms = now_ms + left_ms };
+  if (left_ms <= 0 || until_ms <= warmup->until_ms)
+    return;
+  warmup->until_ms = until_ms;
+  /* What may be older than this can still not end it.  */
+  if (warmup->known_ms != 0)
+    return;
+  warmup->source = source;
+  warmup->known_ms = now_ms;
+  warmup->is_registered = source == BGAP_WARMUP_REGISTERED;
 }
 
 void
 bgap_warmup_registered (struct bgap_warmup *warmup, int64_t now_ms,
-                        int64_t left_ms, int64_t sequence)
+                        int64_t left_ms, int64_t written_after_ms)
 {
-  if (left_ms <= 0 && warmup->is_assumed && sequence <= warmup->sequence)
-    return;
-  _bgap_warmup_state (warmup, now_ms, BGAP_WARMUP_REGISTERED, left_ms);
+  _bgap_warmup_state (warmup, now_ms, BGAP_WARMUP_REGISTERED, left_ms,
+                      warmup->is_registered
+                          || written_after_ms >= warmup->known_ms);
 }
 
 void
 bgap_warmup_answered (struct bgap_warmup *warmup, int64_t now_ms,
-                      int64_t left_ms)
+                      int64_t left_ms, int64_t asked_ms)
 {
-  _bgap_warmup_state (warmup, now_ms, BGAP_WARMUP_ANSWERED, left_ms);
+  _bgap_warmup_state (warmup, now_ms, BGAP_WARMUP_ANSWERED, left_ms,
+                      asked_ms >= warmup->known_ms);
 }
--- a/packages/registry/tests/test_warmup.c
+++ b/packages/registry/tests/test_warmup.c
@@ -233,23 +233,104 @@
   assert_int_equal (source (view), BGAP_WARMUP_EVACUATED);
   put (view, &report, 1500, 100, 7, 0);
   assert_true (is_cold (view, 1500));
+  bgap_server_view_synced (view, 1500);
   put (view, &report, 2000, 100, 8, 0);
   assert_false (is_cold (view, 2000));
   bgap_server_view_free (view);
 }
 
+/* Guards against requests at the full rate to a server of a returned zone
+   whose next registration was written before the zone returned, and before the
+   server turned cold.  */
+static void
+test_earlier_registration_does_not_end_an_assumption (void **state)
+{
+  (void)state;
+  struct report report;
+  struct bgap_server_view *view = view_new (&report);
+  put (view, &report, 0, 100, 7, 0);
+  bgap_server_view_synced (view, 0);
+  bgap_server_view_zone_returned (view, 500, "z1");
+  put (view, &report, 1050, 100, 8, 0);
+  bgap_server_view_synced (view, 1050);
+  assert_true (is_cold (view, 1050));
+  put (view, &report, 2100, 100, 9, 3000);
+  bgap_server_view_synced (view, 2100);
+  assert_true (is_cold (view, 5099));
+  assert_false (is_cold (view, 5100));
+  bgap_server_view_free (view);
+}
+
+/* Guards against requests at the full rate to a server that has answered that
+   it is cold, after the next registration, which was written before.  */
+static void
+test_earlier_registration_does_not_end_an_answered_warm_up (void **state)
+{
+  (void)state;
+  struct report report;
+  struct bgap_server_view *view = view_new (&report);
+  put (view, &report, 0, 100, 7, 0);
+  bgap_server_view_synced (view, 0);
+  bgap_warmup_answered (&bgap_server_view_find (view, "i-1")->warmup, 900,
+                        3000, 890);
+  put (view, &report, 1050, 100, 8, 0);
+  assert_true (is_cold (view, 3899));
+  put (view, &report, 1060, 100, 9, 200);
+  assert_true (is_cold (view, 3899));
+  put (view, &report, 1070, 100, 10, 4000);
+  assert_true (is_cold (view, 5069));
+  bgap_server_view_synced (view, 1070);
+  put (view, &report, 2100, 100, 11, 0);
+  assert_false (is_cold (view, 2100));
+  bgap_server_view_free (view);
+}
+
+/* Guards against requests at the full rate to a server after an answer that
+   was on its way when the server turned cold, and its registration was read.
+ */
+static void
+test_earlier_answer_does_not_end_a_warm_up (void **state)
+{
+  (void)state;
+  struct report report;
+  struct bgap_server_view *view = view_new (&report);
+  put (view, &report, 0, 100, 7, 0);
+  put (view, &report, 1000, 100, 8, 3000);
+  struct bgap_warmup *warmup = &bgap_server_view_find (view, "i-1")->warmup;
+  bgap_warmup_answered (warmup, 1100, 0, 900);
+  assert_true (is_cold (view, 3999));
+  bgap_warmup_answered (warmup, 1400, 0, 1200);
+  assert_false (is_cold (view, 1400));
+  bgap_server_view_free (view);
+}
+
+/* Guards against a warm-up that ends early when its zone returns, because the
+   server states a longer one than its service.  */
+static void
+test_assumption_does_not_shorten_a_warm_up (void **state)
+{
+  (void)state;
+  struct report report;
+  struct bgap_server_view *view = view_new (&report);
+  put (view, &report, 0, 100, 7, 2 * WARMUP_MS);
+  bgap_server_view_zone_returned (view, 500, "z1");
+  assert_true (is_cold (view, 2 * WARMUP_MS - 1));
+  assert_false (is_cold (view, 2 * WARMUP_MS));
+  bgap_server_view_free (view);
+}
+
 /* Guards against an answer that is ignored while the store is away.  */
 static void
 test_answer_applies (void **state)
 {
   (void)state;
   struct bgap_warmup warmup = { 0 };
-  bgap_warmup_answered (&warmup, 1000, 3000);
+  bgap_warmup_answered (&warmup, 1000, 3000, 990);
   assert_true (bgap_warmup_is_cold (&warmup, 3999));
-  bgap_warmup_assume (&warmup, 2000, BGAP_WARMUP_STARTED, 0, 1);
+  bgap_warmup_assume (&warmup, 2000, BGAP_WARMUP_STARTED, 0, true);
   assert_false (bgap_warmup_is_cold (&warmup, 4000));
-  bgap_warmup_assume (&warmup, 5000, BGAP_WARMUP_STARTED, WARMUP_MS, 1);
-  bgap_warmup_answered (&warmup, 5100, 0);
+  bgap_warmup_assume (&warmup, 5000, BGAP_WARMUP_STARTED, WARMUP_MS, true);
+  bgap_warmup_answered (&warmup, 5100, 0, 5050);
   assert_false (bgap_warmup_is_cold (&warmup, 5100));
 }
 
@@ -264,6 +345,11 @@
     cmocka_unit_test (test_return_makes_cold),
     cmocka_unit_test (test_outage_of_the_store_makes_nothing_cold),
     cmocka_unit_test (test_returned_zone_is_cold),
+    cmocka_unit_test (test_earlier_registration_does_not_end_an_assumption),
+    cmocka_unit_test (
+        test_earlier_registration_does_not_end_an_answered_warm_up),
+    cmocka_unit_test (test_earlier_answer_does_not_end_a_warm_up),
+    cmocka_unit_test (test_assumption_does_not_shorten_a_warm_up),
     cmocka_unit_test (test_answer_applies),
   };
   return cmocka_run_group_tests (tests, NULL, NULL);
--- a/programs/banyangapd/edge_server_parts.h
+++ b/programs/banyangapd/edge_server_parts.h
@@ -264,6 +264,9 @@
 
 /**
  * bgap_edge_on_warmup() - handle that a server states its warm-up in an answer
+ *
+ * Answers to health checks do. One to a request may have been asked for before
+ * the last health check and counts as if it was asked for at that time.
  */
 void bgap_edge_on_warmup (struct bgap_edge *edge,
                           struct bgap_edge_server *server,
--- a/programs/banyangapd/edge_servers.c
+++ b/programs/banyangapd/edge_servers.c
@@ -413,6 +413,7 @@
 {
   struct bgap_edge *edge = context;
   edge->servers_synced_ms = sent_ms;
+  bgap_server_view_synced (edge->view, sent_ms);
   bgap_edge_update_view_time (edge);
   bgap_server_view_store_answered (edge->view, bgap_now_ms ());
   bgap_server_view_tick (edge->view, bgap_now_ms ());
--- a/programs/banyangapd/edge_warmup.c
+++ b/programs/banyangapd/edge_warmup.c
@@ -119,7 +119,8 @@
     return;
   bgap_warmup_answered (
       &server->known->warmup, bgap_now_ms (),
-      (int64_t)ceil (fmin (response->warmup_ms, BGAP_EDGE_WARMUP_MAX_MS)));
+      (int64_t)ceil (fmin (response->warmup_ms, BGAP_EDGE_WARMUP_MAX_MS)),
+      server->check.sent_ms);
   bgap_edge_update_warmup (edge, server);
 }
 
