Fix: a refused connection makes a server not known to be warm

Callers would see: a server that crashes and is back before its new registration is read gets more requests in a second than a cold server tolerates, and crashes again.

Cause: an instance whose connection to the server was refused waited 150 ms and then sent as to a warm server, until it read the registration of the new process up to two seconds later. As nothing was in flight there, it preferred it.

Why this works: a refused connection is a sign that the process may have ended. The server is then not known to be warm for this instance: it gets requests only after a health check that was sent later, and states no warm-up, or when the view of the registrations is 3.5 s newer.

--- a/packages/routing/include/banyangap/routing/warm_check.h
+++ b/packages/routing/include/banyangap/routing/warm_check.h
@@ -18,8 +18,9 @@
  *     }
  *   bgap_warm_check_end (&check, now_ms, BGAP_WARM_CHECK_WARM);
  *
- * The registrations of the servers tell it while they are read often enough.
- * Without them a health check of the server covers a few requests within a
+ * The registrations of the servers tell it while they are read often enough,
+ * unless there is a sign that the process of a server has ended since.
+ * Otherwise a health check of the server covers a few requests within a
  * short time, so that a server that turns cold just after it gets no more than
  * these from this instance.
  */
@@ -45,6 +46,12 @@
 /* Time from a health check without a result to the next one.  */
 #define BGAP_WARM_CHECK_RETRY_MS 200
 
+/* After a sign that its process has ended, a server counts as warm again when
+   the registrations are known as of this time later: a registration lapses
+   after three heartbeats of a second, and a new process is registered by
+   then.  */
+#define BGAP_WARM_SUSPECT_MS 3500
+
 /**
  * enum bgap_warm_check_result - result of a health check
  */
@@ -62,6 +69,7 @@
  * @checked_ms: when a health check last found the server warm. It counts from
  *   the answer, before which the check may have waited for a slot.
  * @covered: requests that it still covers
+ * @suspect_ms: last sign that its process may have ended, 0 for none
  * @begun_ms: when the last health check was sent
  * @is_running: a health check is running
  * @retry_at_ms: no health check before
@@ -71,6 +79,7 @@
   int64_t read_ms;
   int64_t checked_ms;
   uint32_t covered;
+  int64_t suspect_ms;
   int64_t begun_ms;
   bool is_running;
   int64_t retry_at_ms;
@@ -81,6 +90,16 @@
  */
 void bgap_warm_check_read (struct bgap_warm_check *check, int64_t read_ms);
 
+/**
+ * bgap_warm_check_suspect() - no connection to the server was opened, so that
+ * its process may have ended; a new one is cold
+ *
+ * A health check that is sent later tells, or the registrations. An attempt
+ * that breaks is no such sign: where servers break many, or close connections
+ * because they are full, each would cost a health check.
+ */
+void bgap_warm_check_suspect (struct bgap_warm_check *check, int64_t now_ms);
+
 /**
  * bgap_warm_check_is_recent() - whether the registrations are relied on
  */
--- a/packages/routing/src/server.c
+++ b/packages/routing/src/server.c
@@ -385,6 +385,8 @@
 bgap_server_on_result (struct bgap_server *server, int64_t now_ms,
                        enum bgap_result_kind kind)
 {
+  if (kind == BGAP_RESULT_NO_CONNECT)
+    bgap_warm_check_suspect (&server->warm_check, now_ms);
   switch (kind)
     {
     case BGAP_RESULT_COMPLETE:
@@ -442,6 +444,7 @@
   bgap_outstanding_reset (&server->work);
   bgap_rate_limit_reset (&server->rate_limit, now_ms);
   server->warm_check.covered = 0;
+  server->warm_check.suspect_ms = 0;
   server->slots_reported = 0;
   server->window = server->slots * WINDOW_ONE;
   bgap_server_set_drain (server, now_ms, BGAP_DRAIN_REPORT, false);
--- a/packages/routing/src/warm_check.c
+++ b/packages/routing/src/warm_check.c
@@ -7,10 +7,21 @@
     check->read_ms = read_ms;
 }
 
+void
+bgap_warm_check_suspect (struct bgap_warm_check *check, int64_t now_ms)
+{
+  check->suspect_ms = now_ms;
+  check->covered = 0;
+}
+
 bool
 bgap_warm_check_is_recent (const struct bgap_warm_check *check, int64_t now_ms)
 {
-  return check->read_ms == 0 || now_ms - check->read_ms < BGAP_WARM_VIEW_MS;
+  if (check->read_ms == 0)
+    return true;
+  return now_ms - check->read_ms < BGAP_WARM_VIEW_MS
+         && (check->suspect_ms == 0
+             || check->read_ms - check->suspect_ms >= BGAP_WARM_SUSPECT_MS);
 }
 
 bool
@@ -57,6 +68,12 @@
   check->covered = 0;
   if (result == BGAP_WARM_CHECK_FAILED)
     check->retry_at_ms = now_ms + BGAP_WARM_CHECK_RETRY_MS;
+  /* The former process may have answered.  */
+  bool is_outdated
+      = check->suspect_ms != 0 && check->begun_ms <= check->suspect_ms;
+  if (result == BGAP_WARM_CHECK_FAILED || is_outdated)
+    return;
+  check->suspect_ms = 0;
   if (result != BGAP_WARM_CHECK_WARM)
     return;
   check->checked_ms = now_ms;
--- a/packages/routing/tests/limit_fleet.c
+++ b/packages/routing/tests/limit_fleet.c
@@ -166,6 +166,20 @@
         (int64_t)bgap_random_below (&f->random, REGISTRATION_MS));
 }
 
+void
+limit_fleet_crash (struct limit_fleet *f, uint32_t server, double per_s,
+                   int64_t down_ms, int64_t cold_ms)
+{
+  f->servers[server].starts++;
+  f->servers[server].down_until_ms = f->now_ms + down_ms;
+  f->servers[server].cold_per_s = per_s;
+  f->servers[server].cold_until_ms = f->now_ms + down_ms + cold_ms;
+  for (uint32_t i = 0; i < f->desc.instances; i++)
+    limit_fleet_tell_cold (
+        f, &f->instances[i], server,
+        down_ms + (int64_t)bgap_random_below (&f->random, REGISTRATION_MS));
+}
+
 void
 limit_fleet_evacuate (struct limit_fleet *f, uint32_t zone, bool on)
 {
--- a/packages/routing/tests/limit_fleet.h
+++ b/packages/routing/tests/limit_fleet.h
@@ -101,6 +101,12 @@
 void limit_fleet_turn_cold (struct limit_fleet *fleet, uint32_t server,
                             double per_s, int64_t duration_ms);
 
+/* The process of the server ends: attempts at it break, and connections are
+   refused for @down_ms. A new process starts then and is cold; the instances
+   read its registration within a second.  */
+void limit_fleet_crash (struct limit_fleet *fleet, uint32_t server,
+                        double per_s, int64_t down_ms, int64_t cold_ms);
+
 /* Evacuates a zone, or takes it back. Routers that do not reach the store do
    not hear of it.  */
 void limit_fleet_evacuate (struct limit_fleet *fleet, uint32_t zone, bool on);
--- a/packages/routing/tests/limit_fleet_routers.c
+++ b/packages/routing/tests/limit_fleet_routers.c
@@ -237,7 +237,8 @@
 on_arrival (struct limit_fleet *f, const struct event *event)
 {
   struct server *server = &f->servers[event->server];
-  server->arrivals[f->now_ms]++;
+  bool is_down = f->now_ms < server->down_until_ms;
+  server->arrivals[f->now_ms] += !is_down;
   if (server->silent)
     return;
   struct event *answer
@@ -245,8 +246,11 @@
   answer->incarnation = event->incarnation;
   answer->server = event->server;
   answer->attempt = event->attempt;
+  answer->start = is_down ? 0 : server->starts + 1;
   int64_t work_ms
       = WORK_MIN_MS + (int64_t)bgap_random_below (&f->random, WORK_SPREAD_MS);
+  if (is_down)
+    work_ms = 0;
   add_event (f, f->now_ms + work_ms + ONE_WAY_MS, answer);
 }
 
@@ -254,11 +258,17 @@
 on_answer (struct limit_fleet *f, struct instance *instance,
            const struct event *event)
 {
-  const struct bgap_attempt_result result
+  const struct server *server = &f->servers[event->server];
+  struct bgap_attempt_result result
       = { .kind = BGAP_RESULT_COMPLETE, .http_status = 200 };
-  bgap_router_server_rate_limit (&instance->router, f->now_ms,
-                                 instance->servers[event->server],
-                                 f->servers[event->server].limit_per_s);
+  if (event->start == 0)
+    result = (struct bgap_attempt_result){ .kind = BGAP_RESULT_NO_CONNECT };
+  else if (event->start != server->starts + 1)
+    result = (struct bgap_attempt_result){ .kind = BGAP_RESULT_BROKEN };
+  else
+    bgap_router_server_rate_limit (&instance->router, f->now_ms,
+                                   instance->servers[event->server],
+                                   server->limit_per_s);
   bgap_router_on_attempt (&instance->router, f->now_ms, event->attempt,
                           &result);
   limit_fleet_run_actions (f, instance);
@@ -275,6 +285,7 @@
       = new_event (EVENT_CHECKED, &f->instances[event->instance], f, 0);
   answer->incarnation = event->incarnation;
   answer->server = event->server;
+  answer->start = f->now_ms < server->down_until_ms ? 0 : server->starts + 1;
   add_event (f, f->now_ms + CHECK_MS + ONE_WAY_MS, answer);
 }
 
@@ -285,6 +296,13 @@
   const struct server *server = &f->servers[event->server];
   struct bgap_server_id id = instance->servers[event->server];
   int64_t left_ms = server->cold_until_ms - f->now_ms;
+  if (event->start != server->starts + 1)
+    {
+      bgap_router_server_checked (&instance->router, f->now_ms, id,
+                                  BGAP_WARM_CHECK_FAILED);
+      limit_fleet_run_actions (f, instance);
+      return;
+    }
   if (left_ms > 0)
     bgap_router_server_cold (&instance->router, f->now_ms, id,
                              server->cold_per_s, left_ms);
--- a/packages/routing/tests/limit_fleet_state.h
+++ b/packages/routing/tests/limit_fleet_state.h
@@ -49,6 +49,7 @@
 /**
  * struct event - an event; the fields that it needs
  * @incarnation: of the router that it is for
+ * @start: process of the server that it comes from
  */
 struct event
 {
@@ -57,6 +58,7 @@
   uint32_t incarnation;
   uint32_t server;
   struct bgap_attempt_id attempt;
+  uint64_t start;
   char from[BGAP_ROUTING_NAME_SIZE];
   int message_kind;
   size_t size;
@@ -99,6 +101,7 @@
   double cold_per_s;
   int64_t cold_until_ms;
   uint64_t starts;
+  int64_t down_until_ms;
   bool silent;
   uint16_t *arrivals; /* of requests, by millisecond */
   uint16_t *checks;   /* the same for health checks */
--- a/tests/mutations/simulation.sh
+++ b/tests/mutations/simulation.sh
@@ -6,7 +6,7 @@
 #   RUNS=N   maximum number of runs of a mutation of keyrange (default 600)
 # Sets: keyrange (keyrange_test_world), restored (keyrange_test_restored_store and _wait),
 # fencing (keyrange_test_fencing), takeover (keyrange_test_former_leases), limit (routing_test_permit_issuer and _rate_limit),
-# cold (routing_test_cold_limit, _unheard and _permit_issuer), warmup (registry_test_warmup), pause (routing_test_pause),
+# cold (routing_test_cold_limit, _unheard, _restart and _permit_issuer), warmup (registry_test_warmup), pause (routing_test_pause),
 # leaving (registry_test_server_view and _server_statements), refusal (gateway_test_backend_judge), callers (gateway_test_frontend_left), zones (registry_test_zone_view),
 # evacuation (routing_test_evacuation), zone-keys (keyrange_test_evacuation),
 # connections (gateway_test_frontend_full and _response), quarantine (routing_test_quarantine), stop (routing_test_stop_schedule, _stop_limits and _end_by), placement (routing_test_cost_model, _outstanding and _placement).
@@ -22,7 +22,7 @@
 fencing) package=keyrange test=keyrange_test_fencing ;;
 takeover) package=keyrange test=keyrange_test_former_leases ;;
 limit) package=routing test="routing_test_permit_issuer routing_test_rate_limit" ;;
-cold) package=routing test="routing_test_permit_issuer routing_test_cold_limit routing_test_cold_unheard" ;;
+cold) package=routing test="routing_test_permit_issuer routing_test_cold_restart routing_test_cold_limit routing_test_cold_unheard" ;;
 warmup) package=registry test=registry_test_warmup ;;
 pause) package=routing test=routing_test_pause ;;
 quarantine) package=routing test=routing_test_quarantine ;;
