Fix: a stated time replaces an assumed warm-up

Callers would see: a server that is warm and gets only 7.6 requests a second, for up to the warm-up of its service, after the evacuation of its zone has ended.

Cause: since a registration that may have been written before the end of the evacuation cannot shorten the assumed warm-up. Relays forward the one that states a shorter time, and none after it, so that an instance behind a relay kept the assumed end.

Why this works: a time that the server states is better knowledge than an assumption even if it may be older. Only a statement of 0 has to be newer.

Evidence: test_stated_time_replaces_an_assumed_one of registry.test_warmup failed before: cold at 4.05 s, when the stated 3 s have passed, until 20.5 s.

--- a/packages/registry/include/banyangap/registry/warmup.h
+++ b/packages/registry/include/banyangap/registry/warmup.h
@@ -15,8 +15,8 @@
  * the time that its service states.
  *
  * A statement is read some time after it was written. One that may have been
- * written before the server was known to be cold can prolong a warm-up, and
- * cannot end or shorten it.
+ * written before the server was known to be cold cannot end the warm-up. By
+ * stating a time it can prolong it, and shorten one that is assumed.
  */
 
 #include <stdbool.h>
--- a/packages/registry/src/warmup.c
+++ b/packages/registry/src/warmup.c
@@ -36,15 +36,25 @@
   };
 }
 
-/* Applies a statement, unless it ends or shortens the warm-up and may be older
-   than what is known.  */
+/* Whether the server has not stated itself that it is cold.  */
+static bool
+_bgap_warmup_is_assumed (const struct bgap_warmup *warmup)
+{
+  return warmup->source == BGAP_WARMUP_STARTED
+         || warmup->source == BGAP_WARMUP_RETURNED
+         || warmup->source == BGAP_WARMUP_EVACUATED;
+}
+
+/* Applies a statement. One that may be older than what is known ends nothing,
+   and shortens only what is assumed.  */
 static void
 _bgap_warmup_state (struct bgap_warmup *warmup, int64_t now_ms,
                     enum bgap_warmup_source source, int64_t left_ms,
                     bool is_newer)
 {
   int64_t until_ms = now_ms + left_ms;
-  if (is_newer || !bgap_warmup_is_cold (warmup, now_ms))
+  if (is_newer || !bgap_warmup_is_cold (warmup, now_ms)
+      || (left_ms > 0 && _bgap_warmup_is_assumed (warmup)))
     *warmup = (struct bgap_warmup){ 0 };
   if (left_ms <= 0 || until_ms <= warmup->until_ms)
     return;
--- a/packages/registry/tests/test_warmup.c
+++ b/packages/registry/tests/test_warmup.c
@@ -304,6 +304,24 @@
   bgap_server_view_free (view);
 }
 
+/* Guards against a server that stays limited for the whole warm-up of its
+   service: relays forward the registration that states a shorter one, and none
+   after it.  */
+static void
+test_stated_time_replaces_an_assumed_one (void **state)
+{
+  (void)state;
+  struct report report;
+  struct bgap_server_view *view = view_new (&report);
+  put (view, &report, 0, 100, 7, 0);
+  bgap_server_view_synced (view, 0);
+  bgap_server_view_zone_returned (view, 500, "z1");
+  put (view, &report, 1050, 100, 8, 3000);
+  assert_true (is_cold (view, 4049));
+  assert_false (is_cold (view, 4050));
+  bgap_server_view_free (view);
+}
+
 /* Guards against a warm-up that ends early when its zone returns, because the
    server states a longer one than its service.  */
 static void
@@ -349,6 +367,7 @@
     cmocka_unit_test (
         test_earlier_registration_does_not_end_an_answered_warm_up),
     cmocka_unit_test (test_earlier_answer_does_not_end_a_warm_up),
+    cmocka_unit_test (test_stated_time_replaces_an_assumed_one),
     cmocka_unit_test (test_assumption_does_not_shorten_a_warm_up),
     cmocka_unit_test (test_answer_applies),
   };
