--- a/packages/routing/src/server.c
+++ b/packages/routing/src/server.c
@@ -396,6 +396,8 @@
 bgap_server_on_result (struct bgap_server *server, int64_t now_ms,
                        enum bgap_result_kind kind)
 {
+  if (kind == BGAP_RESULT_NO_CONNECT)
+    bgap_warm_check_suspect (&server->warm_check, now_ms);
   switch (kind)
     {
     case BGAP_RESULT_COMPLETE:
--- a/packages/routing/src/warm_check.c
+++ b/packages/routing/src/warm_check.c
@@ -7,10 +7,21 @@
     check->read_ms = read_ms;
 }
 
+void
+bgap_warm_check_suspect (struct bgap_warm_check *check, int64_t now_ms)
+{
+  check->suspect_ms = now_ms;
+  check->covered = 0;
+}
+
 bool
 bgap_warm_check_is_recent (const struct bgap_warm_check *check, int64_t now_ms)
 {
-  return check->read_ms == 0 || now_ms - check->read_ms < BGAP_WARM_VIEW_MS;
+  if (check->read_ms == 0)
+    return true;
+  return now_ms - check->read_ms < BGAP_WARM_VIEW_MS
+         && (check->suspect_ms == 0
+             || check->read_ms - check->suspect_ms >= BGAP_WARM_SUSPECT_MS);
 }
 
 bool
@@ -62,6 +73,7 @@
 {
   check->is_running = false;
   check->covered = 0;
+  check->suspect_ms = 0;
   check->failures = 0;
   check->retry_at_ms = 0;
 }
@@ -89,6 +101,10 @@
       return;
     }
   check->failures = 0;
+  /* The former process may have answered.  */
+  if (check->suspect_ms != 0 && check->begun_ms <= check->suspect_ms)
+    return;
+  check->suspect_ms = 0;
   if (result == BGAP_WARM_CHECK_COLD)
     return;
   check->checked_ms = check->begun_ms;
--- a/packages/routing/tests/limit_fleet_routers.c
+++ b/packages/routing/tests/limit_fleet_routers.c
@@ -282,7 +282,8 @@
 on_arrival (struct limit_fleet *f, const struct event *event)
 {
   struct server *server = &f->servers[event->server];
-  server->arrivals[f->now_ms]++;
+  bool is_down = f->now_ms < server->down_until_ms;
+  server->arrivals[f->now_ms] += !is_down;
   if (server->silent)
     return;
   struct event *answer
@@ -290,8 +291,11 @@
   answer->incarnation = event->incarnation;
   answer->server = event->server;
   answer->attempt = event->attempt;
+  answer->start = is_down ? 0 : server->starts + 1;
   int64_t work_ms
       = WORK_MIN_MS + (int64_t)bgap_random_below (&f->random, WORK_SPREAD_MS);
+  if (is_down)
+    work_ms = 0;
   add_event (f, f->now_ms + work_ms + ONE_WAY_MS, answer);
 }
 
@@ -299,12 +303,20 @@
 on_answer (struct limit_fleet *f, struct instance *instance,
            const struct event *event)
 {
-  const struct bgap_attempt_result result
+  const struct server *server = &f->servers[event->server];
+  struct bgap_attempt_result result
       = { .kind = BGAP_RESULT_COMPLETE, .http_status = 200 };
-  instance->idle[event->server]++;
-  bgap_router_server_rate_limit (&instance->router, f->now_ms,
-                                 instance->servers[event->server],
-                                 f->servers[event->server].limit_per_s);
+  if (event->start == 0)
+    result = (struct bgap_attempt_result){ .kind = BGAP_RESULT_NO_CONNECT };
+  else if (event->start != server->starts + 1)
+    result = (struct bgap_attempt_result){ .kind = BGAP_RESULT_BROKEN };
+  else
+    {
+      instance->idle[event->server]++;
+      bgap_router_server_rate_limit (&instance->router, f->now_ms,
+                                     instance->servers[event->server],
+                                     server->limit_per_s);
+    }
   bgap_router_on_attempt (&instance->router, f->now_ms, event->attempt,
                           &result);
   limit_fleet_run_actions (f, instance);
@@ -320,6 +332,7 @@
   answer->incarnation = event->incarnation;
   answer->server = event->server;
   answer->has_failed = server->silent;
+  answer->start = f->now_ms < server->down_until_ms ? 0 : server->starts + 1;
   int64_t after_ms = server->silent ? CHECK_TIMEOUT_MS : CHECK_MS;
   add_event (f, f->now_ms + after_ms + ONE_WAY_MS, answer);
 }
@@ -333,7 +346,7 @@
   int64_t left_ms = server->cold_until_ms - f->now_ms;
   enum bgap_warm_check_result result
       = left_ms > 0 ? BGAP_WARM_CHECK_COLD : BGAP_WARM_CHECK_WARM;
-  if (event->has_failed)
+  if (event->has_failed || event->start != server->starts + 1)
     result = BGAP_WARM_CHECK_FAILED;
   if (result == BGAP_WARM_CHECK_COLD)
     bgap_router_server_cold (&instance->router, f->now_ms, id,
--- a/packages/routing/tests/limit_fleet_state.h
+++ b/packages/routing/tests/limit_fleet_state.h
@@ -54,6 +54,7 @@
  * struct event - an event; the fields that it needs
  * @incarnation: of the router that it is for
  * @dispatched_ms: when the router dispatched the attempt
+ * @start: process of the server that it comes from
  */
 struct event
 {
@@ -64,6 +65,7 @@
   struct bgap_attempt_id attempt;
   bool has_failed;
   int64_t dispatched_ms;
+  uint64_t start;
   char from[BGAP_ROUTING_NAME_SIZE];
   int message_kind;
   size_t size;
@@ -107,6 +109,7 @@
   double cold_per_s;
   int64_t cold_until_ms;
   uint64_t starts;
+  int64_t down_until_ms;
   bool silent;
   bool dark;
   uint16_t *arrivals; /* of requests, by millisecond */
