--- a/packages/routing/tests/test_cold_unheard.c
+++ b/packages/routing/tests/test_cold_unheard.c
@@ -133,9 +133,9 @@
   cut_some (fleet, desc.instances, 5);
   for (uint32_t i = 0; i < desc.servers; i++)
     limit_fleet_silence (fleet, i, i % ZONES != 0);
-  limit_fleet_run (fleet, 2 * SECOND_MS);
+  limit_fleet_run (fleet, (int64_t)2 * SECOND_MS);
   limit_fleet_set_demand (fleet, desc.demand_per_s);
-  limit_fleet_run (fleet, 6 * SECOND_MS);
+  limit_fleet_run (fleet, (int64_t)6 * SECOND_MS);
   struct limit_fleet_counts counts = limit_fleet_counts (fleet);
   limit_fleet_free (fleet);
   print_message ("%u requests, %u refused, %u checks\n", counts.requests,
