Fix: one health check of a server at a time when its process changes

Callers would see: requests to a new, cold process as to a warm one, and, with each such event, a connection pool that is not freed.

Cause: when a server's process changed, the router forgot that a health check of it was running. The instance keeps one check for each server; the next one took its place while the first was still in flight, so that the answer to the former process's check ended the new one.

Evidence: routing.test_warm_check (test_running_check_of_a_former_process_does_not_count) failed before: a second check was asked for at once.

Why this works: the running check stays known until it ends, and its result does not count. Only where its end is not reported, at a server that is removed and added again, it is forgotten.

--- a/packages/routing/include/banyangap/routing/warm_check.h
+++ b/packages/routing/include/banyangap/routing/warm_check.h
@@ -78,6 +78,7 @@
  * @suspect_ms: last sign that its process may have ended, 0 for none
  * @begun_ms: when the last health check was sent
  * @is_running: a health check is running
+ * @is_outdated: the running one was sent to a former process of the server
  * @failures: consecutive health checks without a result
  * @retry_at_ms: no health check before
  */
@@ -89,6 +90,7 @@
   int64_t suspect_ms;
   int64_t begun_ms;
   bool is_running;
+  bool is_outdated;
   uint32_t failures;
   int64_t retry_at_ms;
 };
@@ -153,8 +155,14 @@
 void bgap_warm_check_begin (struct bgap_warm_check *check, int64_t now_ms);
 
 /**
- * bgap_warm_check_reset() - the server has another process, or the result of
- * the running health check will not be known
+ * bgap_warm_check_restarted() - the server has another process; the result of
+ * a running health check does not count
+ */
+void bgap_warm_check_restarted (struct bgap_warm_check *check);
+
+/**
+ * bgap_warm_check_reset() - the same, and the end of a running health check
+ * will not be reported
  */
 void bgap_warm_check_reset (struct bgap_warm_check *check);
 
--- a/packages/routing/src/server.c
+++ b/packages/routing/src/server.c
@@ -455,7 +455,7 @@
   server->has_load = false;
   bgap_outstanding_reset (&server->work);
   bgap_rate_limit_reset (&server->rate_limit, now_ms);
-  bgap_warm_check_reset (&server->warm_check);
+  bgap_warm_check_restarted (&server->warm_check);
   server->slots_reported = 0;
   server->window = server->slots * WINDOW_ONE;
   bgap_server_set_drain (server, now_ms, BGAP_DRAIN_REPORT, false);
--- a/packages/routing/src/warm_check.c
+++ b/packages/routing/src/warm_check.c
@@ -69,15 +69,22 @@
 }
 
 void
-bgap_warm_check_reset (struct bgap_warm_check *check)
+bgap_warm_check_restarted (struct bgap_warm_check *check)
 {
-  check->is_running = false;
+  check->is_outdated = check->is_running;
   check->covered = 0;
   check->suspect_ms = 0;
   check->failures = 0;
   check->retry_at_ms = 0;
 }
 
+void
+bgap_warm_check_reset (struct bgap_warm_check *check)
+{
+  check->is_running = false;
+  bgap_warm_check_restarted (check);
+}
+
 static int64_t
 _bgap_check_retry_ms (uint32_t failures)
 {
@@ -92,8 +99,12 @@
 bgap_warm_check_end (struct bgap_warm_check *check, int64_t now_ms,
                      enum bgap_warm_check_result result)
 {
+  bool is_outdated = check->is_outdated;
   check->is_running = false;
+  check->is_outdated = false;
   check->covered = 0;
+  if (is_outdated)
+    return;
   if (result == BGAP_WARM_CHECK_FAILED)
     {
       check->failures++;
--- a/packages/routing/tests/test_warm_check.c
+++ b/packages/routing/tests/test_warm_check.c
@@ -196,6 +196,30 @@
   fixture_shutdown (&f);
 }
 
+/* Guards against two checks of one server at a time after its process has
+   changed, and against the answer to the former process's check.  */
+static void
+test_running_check_of_a_former_process_does_not_count (void **state)
+{
+  (void)state;
+  struct fixture f;
+  fixture_setup (&f, &fixture_shared_service);
+  struct bgap_server_id a = add_limited (&f, "a");
+  make_view_old (&f);
+  fixture_request (&f, NULL);
+  expect_health_check (&f);
+  bgap_router_server_alive (&f.router, f.now_ms, a, 2);
+  fixture_request (&f, NULL);
+  fixture_expect_none (&f);
+  report (&f, a, BGAP_WARM_CHECK_WARM);
+  expect_health_check (&f);
+  fixture_expect_none (&f);
+  report (&f, a, BGAP_WARM_CHECK_WARM);
+  expect_dispatch (&f, a);
+  expect_dispatch (&f, a);
+  fixture_shutdown (&f);
+}
+
 /* Guards against a server that is never checked again, since it was removed
    while a check ran: its handle stays while an attempt runs.  */
 static void
@@ -291,6 +315,7 @@
     cmocka_unit_test (test_failed_check_is_repeated_later),
     cmocka_unit_test (test_view_that_is_read_again_ends_the_wait),
     cmocka_unit_test (test_check_ends_with_the_process),
+    cmocka_unit_test (test_running_check_of_a_former_process_does_not_count),
     cmocka_unit_test (test_server_that_is_added_again_is_checked),
     cmocka_unit_test (test_holder_of_keys_is_checked),
     cmocka_unit_test (test_holder_in_an_evacuated_zone_is_checked),
